--- /dev/null
+++ b/crates/traffic/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! sequoiayoke.
