--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -5,7 +5,7 @@
 use crate::range;
 
 /// The present holder of a slice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Holder {
     /// Backend server that owns the keys.
     pub server: id::Server,
@@ -16,7 +16,7 @@
 }
 
 /// A slice reaches from `start` to just before the next slice's start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Slice {
     /// First position.
     pub start: key::Hash,
--- a/crates/model/src/view.rs
+++ b/crates/model/src/view.rs
@@ -12,7 +12,7 @@
 use crate::table;
 
 /// A service as routing sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Service {
     /// Its name in requests.
     pub name: String,
@@ -23,7 +23,7 @@
 }
 
 /// A backend server that has a node alive.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Server {
     /// Its name.
     pub name: String,
@@ -38,7 +38,7 @@
 }
 
 /// A caller that may send requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Caller {
     /// Its name.
     pub name: String,
@@ -49,7 +49,7 @@
 }
 
 /// One step from a view to the next.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Change {
     /// The service was made or changed.
     Service(id::Service, Service),
