--- /dev/null
+++ b/crates/placement/src/cause.rs
@@ -0,0 +1,112 @@
+//! Why a decision was taken, in numbers that a log line and an explanation show.
+
+use std::fmt;
+
+use sequoiayoke_model::id;
+use sequoiayoke_model::key;
+
+/// Load of a server over its capacity, in thousandths of the mean of its service.
+///
+/// 1,000 is the mean, 1,500 is half more than the mean.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Relative(pub u64);
+
+impl fmt::Display for Relative {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:03}", self.0 / 1_000, self.0 % 1_000)
+    }
+}
+
+/// Reason for an [`crate::action::Action`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The slice had no holder; the target was the least loaded.
+    Vacant {
+        /// The target's load before the assignment.
+        target: Relative,
+    },
+    /// A pin names the target.
+    Pinned,
+    /// The holder's server drains.
+    Draining,
+    /// The holder's server answers too slowly to keep its slices.
+    Stalled,
+    /// The holder's health endpoint reports a failure and others can take over.
+    Unhealthy,
+    /// The move lowers the imbalance by more than it costs.
+    Imbalance {
+        /// The holder's load before the move.
+        holder: Relative,
+        /// The target's load before the move.
+        target: Relative,
+        /// Weighted gain, in thousandths.
+        gain: u64,
+        /// Weighted cost, in thousandths.
+        cost: u64,
+    },
+    /// One key causes much of the load of its slice.
+    HotKey {
+        /// The key's position.
+        key: key::Hash,
+        /// The key's share of the load of its holder's server, in thousandths.
+        share: u64,
+    },
+    /// The slice is too large to move at a gain.
+    Large {
+        /// The slice's load over the mean load of a server, in thousandths.
+        share: u64,
+    },
+    /// There are too few slices to spread over the servers.
+    Coarse {
+        /// Slices of the service.
+        slices: usize,
+        /// Servers of the service.
+        servers: usize,
+    },
+    /// Both slices have little load and the same holder.
+    Cold {
+        /// Holder of both, unless both are vacant.
+        server: Option<id::Server>,
+    },
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Vacant { target } => write!(f, "vacant, target at {target} of the mean load"),
+            Self::Pinned => write!(f, "pinned to the target"),
+            Self::Draining => write!(f, "holder is draining"),
+            Self::Stalled => write!(f, "holder is stalled"),
+            Self::Unhealthy => write!(f, "holder reports ill health"),
+            Self::Imbalance {
+                holder,
+                target,
+                gain,
+                cost,
+            } => write!(
+                f,
+                "imbalance, holder at {holder} and target at {target} of the mean load, \
+                 gain {} against cost {}",
+                Relative(*gain),
+                Relative(*cost)
+            ),
+            Self::HotKey { key, share } => write!(
+                f,
+                "key {key} causes {} of the load of its server",
+                Relative(*share)
+            ),
+            Self::Large { share } => write!(
+                f,
+                "the slice carries {} of the mean load of a server",
+                Relative(*share)
+            ),
+            Self::Coarse { slices, servers } => {
+                write!(f, "{slices} slices for {servers} servers")
+            }
+            Self::Cold {
+                server: Some(server),
+            } => write!(f, "both slices are cold and held by {server}"),
+            Self::Cold { server: None } => write!(f, "both slices are cold and vacant"),
+        }
+    }
+}
