--- /dev/null
+++ b/crates/traffic/src/admission.rs
@@ -0,0 +1,6 @@
+//! Admission of requests to the backend server.
+//!
+//! [`gate::Gate`] bounds what runs and what waits; the node owns one gate per
+//! backend server and calls it from one place at a time.
+
+pub mod gate;
