--- /dev/null
+++ b/crates/settings/src/common.rs
@@ -0,0 +1,119 @@
+//! Settings that several roles share.
+
+use std::fmt;
+
+use crate::{check, field};
+
+/// Fewest characters of a secret.
+pub const MIN_SECRET_CHARS: usize = 16;
+
+/// A secret text, which logs and documents show as `[hidden]`.
+#[derive(Clone, PartialEq, Eq, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps `text`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_settings::common;
+    ///
+    /// assert_eq!(format!("{:?}", common::Secret::new("abc")), "[hidden]");
+    /// ```
+    pub fn new<T>(text: T) -> Self
+    where
+        T: Into<String>,
+    {
+        Self(text.into())
+    }
+
+    /// Returns the secret itself.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    pub(crate) fn check(&self, field: &str, problems: &mut check::Problems) {
+        problems.require(
+            (MIN_SECRET_CHARS..=256).contains(&self.0.len()),
+            field,
+            format!("must have {MIN_SECRET_CHARS} to 256 characters"),
+        );
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("[hidden]")
+    }
+}
+
+impl serde::Serialize for Secret {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        serializer.serialize_str("[hidden]")
+    }
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// Lines for people.
+    #[default]
+    Human,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Log output.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Level filter, for example `info` or `info,sequoiayoke_node=debug`.
+    pub level: String,
+    /// Form of the lines.
+    pub format: Format,
+}
+
+impl Log {
+    /// Descriptions of the settings of this section.
+    pub const FIELDS: &[field::Field] = &[
+        field::Field::new(
+            "level",
+            "filter",
+            "info",
+            "1 to 1024 characters",
+            "Level filter of the log, for example `info,sequoiayoke_node=debug`.",
+        ),
+        field::Field::new(
+            "format",
+            "word",
+            "human",
+            "`human` or `json`",
+            "Form of the log lines.",
+        ),
+    ];
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+            format: Format::Human,
+        }
+    }
+}
+
+impl check::Check for Log {
+    fn check(&self, problems: &mut check::Problems) {
+        problems.require(
+            (1..=1024).contains(&self.level.len()),
+            "level",
+            "must have 1 to 1024 characters",
+        );
+    }
+}
