--- /dev/null
+++ b/crates/node/src/traffic/callers.rs
@@ -0,0 +1,210 @@
+//! HTTP from callers.
+//!
+//! This front end only translates: it turns an HTTP request into a
+//! [`request::View`] and an answer back into HTTP. The path decides.
+
+mod caller;
+mod parse;
+mod reply;
+
+use std::sync;
+use std::time::{Duration, SystemTime};
+
+use poem::http::StatusCode;
+use sequoiayoke_model::clock;
+use sequoiayoke_model::id;
+use sequoiayoke_model::key;
+use sequoiayoke_model::outcome;
+use sequoiayoke_model::request as model_request;
+
+use super::answer;
+use super::path;
+use super::request;
+use super::server;
+use crate::published;
+
+/// Bounds of what callers may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Size of the head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Longest deadline of a request.
+    pub max_deadline: Duration,
+}
+
+/// Endpoint for callers.
+#[derive(Debug)]
+pub struct Callers<C, S> {
+    path: sync::Arc<path::Path<C, S>>,
+    limits: Limits,
+}
+
+/// What is wrong with a request: the reason and a text for the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Problem {
+    reason: outcome::Reason,
+    detail: String,
+}
+
+impl Problem {
+    fn new<T>(reason: outcome::Reason, detail: T) -> Self
+    where
+        T: Into<String>,
+    {
+        Self {
+            reason,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// The service and key that a request names, as the present view knows them.
+#[derive(Clone, Debug)]
+struct Subject {
+    service: id::Service,
+    idempotent: bool,
+    hash: key::Hash,
+    caller: id::Caller,
+    scope: String,
+}
+
+impl<C, S> Callers<C, S>
+where
+    C: clock::Clock + Send + Sync + 'static,
+    S: server::Dispatch,
+{
+    /// Makes the endpoint.
+    pub const fn new(path: sync::Arc<path::Path<C, S>>, limits: Limits) -> Self {
+        Self { path, limits }
+    }
+
+    async fn answer(&self, mut http: poem::Request) -> Result<poem::Response, Problem> {
+        parse::check_head(&http, self.limits.max_header_bytes)?;
+        let target = parse::target(http.uri().path())?;
+        let subject = self.subject(&http, &target)?;
+        let deadline = parse::deadline(&http, &self.limits)?;
+        let deadline = self.path.clock().now() + deadline;
+        let headers = parse::headers(&http);
+        let path_and_query = http.uri().path_and_query();
+        let path_and_query = path_and_query.map_or("/", |text| text.as_str()).to_owned();
+        let method = http.method().as_str().to_owned();
+        let mut view = request::View {
+            service: subject.service,
+            hash: subject.hash,
+            method: &method,
+            path: &path_and_query,
+            headers: &headers,
+            deadline,
+            id: parse::request_id(&http)?,
+            caller: subject.caller,
+            scope: &subject.scope,
+            idempotent: subject.idempotent,
+            forwarded: None,
+        };
+        if matches!(target, parse::Target::RequestId { .. }) {
+            return self.issue(&view).await;
+        }
+        if view.id.is_none() && !view.idempotent {
+            view.id = self.new_id(&view);
+        }
+        let body = http.take_body();
+        // Boxed by the HTTP library; the path itself stays generic over the body.
+        let body = Box::pin(body.into_bytes_stream());
+        let answer = self.path.serve(&view, body).await;
+        Ok(self.reply(&view, answer))
+    }
+
+    fn subject(
+        &self,
+        http: &poem::Request,
+        target: &parse::Target<'_>,
+    ) -> Result<Subject, Problem> {
+        let snapshot = self.path.published().load();
+        let (name, key) = target.subject();
+        let (service, found) = snapshot.view.service(name).ok_or_else(|| {
+            let now = self.path.clock().now();
+            // A node without a view cannot know which services exist.
+            let reason = snapshot
+                .refusal(now)
+                .unwrap_or(outcome::Reason::UnknownService);
+            Problem::new(reason, format!("no service is named `{name}`"))
+        })?;
+        let caller = caller::identify(&snapshot.view, http, found.scoped)?;
+        let method = http.method().as_str();
+        Ok(Subject {
+            service,
+            idempotent: found.idempotent.iter().any(|one| one == method),
+            hash: key::Hash::new(caller.scope, &parse::decode(key)?),
+            caller: caller.id,
+            scope: caller.scope.to_owned(),
+        })
+    }
+
+    /// Hands out a request id under the epoch of the key's present grant.
+    async fn issue(&self, view: &request::View<'_>) -> Result<poem::Response, Problem> {
+        let waited = self.path.wait_for_owner(view).await;
+        waited.map_err(|reason| Problem::new(reason, "the key has no owner at present"))?;
+        let id = self.new_id(view).ok_or_else(|| {
+            Problem::new(outcome::Reason::Vacant, "the key has no owner at present")
+        })?;
+        let body = serde_json::json!({ "request_id": id.to_string() });
+        Ok(poem::Response::builder()
+            .content_type("application/json")
+            .body(body.to_string()))
+    }
+
+    fn new_id(&self, view: &request::View<'_>) -> Option<model_request::Id> {
+        let snapshot = self.path.published().load();
+        let epoch = epoch_of(&snapshot, view.service, view.hash)?;
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let issued_ms = since.map_or(0, |since| since.as_millis() as u64);
+        Some(model_request::Id::new(epoch, issued_ms, rand::random()))
+    }
+
+    fn reply(&self, view: &request::View<'_>, answer: answer::Answer) -> poem::Response {
+        let snapshot = self.path.published().load();
+        let table = snapshot.view.table(view.service);
+        let holder = table.and_then(|table| table.find(view.hash).0.holder);
+        let owner = holder.and_then(|holder| snapshot.view.server(holder.server));
+        reply::response(view, answer, owner.map(|owner| owner.caller_address))
+    }
+}
+
+fn epoch_of(
+    snapshot: &published::Snapshot,
+    service: id::Service,
+    hash: key::Hash,
+) -> Option<id::Epoch> {
+    let (slice, _) = snapshot.view.table(service)?.find(hash);
+    slice.holder.map(|holder| holder.epoch)
+}
+
+impl<C, S> poem::Endpoint for Callers<C, S>
+where
+    C: clock::Clock + Send + Sync + 'static,
+    S: server::Dispatch,
+{
+    type Output = poem::Response;
+
+    async fn call(&self, http: poem::Request) -> poem::Result<poem::Response> {
+        if http.uri().path() == "/v1/ready" {
+            let refusal = self
+                .path
+                .published()
+                .load()
+                .refusal(self.path.clock().now());
+            let status = match refusal {
+                None => StatusCode::OK,
+                Some(_) => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            let text = refusal.map_or("ready", outcome::Reason::word);
+            return Ok(poem::Response::builder().status(status).body(text));
+        }
+        Ok(self
+            .answer(http)
+            .await
+            .unwrap_or_else(|problem| reply::problem(problem.reason, &problem.detail)))
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/callers/reply.rs
@@ -0,0 +1,96 @@
+//! Turns answers into HTTP.
+
+use std::net;
+
+use bytes::Bytes;
+use poem::http::StatusCode;
+use sequoiayoke_model::outcome;
+
+use crate::traffic::answer;
+use crate::traffic::request;
+
+/// Seconds after which a request that was not run may be sent again.
+const RETRY_AFTER_S: u64 = 1;
+
+/// Headers of an answer that belong to one connection.
+const DROPPED: [&str; 5] = [
+    "connection",
+    "keep-alive",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns the HTTP status for an outcome, as `docs/protocol.md` lists them.
+fn status(outcome: outcome::Outcome) -> StatusCode {
+    use outcome::Reason;
+    match outcome {
+        outcome::Outcome::Answered(status) => {
+            StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
+        }
+        outcome::Outcome::NotRun(reason) => match reason {
+            Reason::BadRequest => StatusCode::BAD_REQUEST,
+            Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+            Reason::UnknownService => StatusCode::NOT_FOUND,
+            Reason::DuplicateRunning => StatusCode::CONFLICT,
+            Reason::Overload => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        },
+        outcome::Outcome::Unknown(Reason::IdTooOld | Reason::AnswerNotKept) => StatusCode::CONFLICT,
+        outcome::Outcome::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+/// Turns an answer into HTTP.
+pub(super) fn response(
+    view: &request::View<'_>,
+    answer: answer::Answer,
+    owner: Option<net::SocketAddr>,
+) -> poem::Response {
+    let mut builder = poem::Response::builder()
+        .status(status(answer.outcome))
+        .header("sequoiayoke-outcome", answer.outcome.word());
+    let headers = answer.headers.iter();
+    let kept = headers
+        .filter(|(name, _)| !DROPPED.contains(&name.as_str()) && !name.starts_with("sequoiayoke-"));
+    for (name, value) in kept {
+        builder = builder.header(name, value.as_ref());
+    }
+    if let Some(reason) = answer.outcome.reason() {
+        builder = builder.header("sequoiayoke-reason", reason.word());
+    }
+    if matches!(answer.outcome, outcome::Outcome::NotRun(_)) {
+        builder = builder.header("retry-after", RETRY_AFTER_S);
+    }
+    if let Some(owner) = owner {
+        builder = builder.header("sequoiayoke-owner", owner.to_string());
+    }
+    if let Some(epoch) = answer.epoch {
+        builder = builder.header("sequoiayoke-epoch", epoch.0);
+    }
+    if let Some(id) = view.id {
+        builder = builder.header("sequoiayoke-request-id", id.to_string());
+    }
+    if !answer.server.is_empty() {
+        builder = builder.header("sequoiayoke-server", &answer.server);
+    }
+    if answer.replayed {
+        builder = builder.header("sequoiayoke-replayed", "true");
+    }
+    match answer.body {
+        answer::Body::Whole(bytes) => builder.body(bytes),
+        body => builder.body(poem::Body::from_bytes_stream(body)),
+    }
+}
+
+/// Turns a problem of the request itself into HTTP.
+pub(super) fn problem(reason: outcome::Reason, detail: &str) -> poem::Response {
+    let outcome = outcome::Outcome::NotRun(reason);
+    let body = serde_json::json!({ "error": reason.word(), "detail": detail });
+    poem::Response::builder()
+        .status(status(outcome))
+        .header("sequoiayoke-outcome", outcome.word())
+        .header("sequoiayoke-reason", reason.word())
+        .content_type("application/json")
+        .body(Bytes::from(body.to_string()))
+}
--- /dev/null
+++ b/crates/node/src/traffic/path.rs
@@ -0,0 +1,422 @@
+//! The path of one request through a node.
+//!
+//! An entry node decides, waits while the key has no owner, and forwards at
+//! most one hop. The owner admits the request, asks its record of ids, checks
+//! its lease, and dispatches. Whatever is reported as not run was never
+//! dispatched, or was refused by the backend server under its protocol.
+
+mod local;
+
+use std::io;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use sequoiayoke_model::clock;
+use sequoiayoke_model::id;
+use sequoiayoke_model::outcome;
+use sequoiayoke_traffic::retry;
+use sequoiayoke_traffic::route;
+use sequoiayoke_wire::convert;
+use sequoiayoke_wire::stream;
+
+use super::answer;
+use super::peers::dial;
+use super::request;
+use super::server;
+use super::server::permit;
+use crate::published;
+
+/// Largest body that is held whole, so that it can be sent again, in bytes.
+const HELD_BODY: u64 = 64 * 1024;
+/// Most sendings of one request by one node.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// The backend server that requests are dispatched to.
+#[derive(Debug)]
+pub struct Target<S> {
+    /// Its name.
+    pub name: String,
+    /// How requests get there.
+    pub server: S,
+    /// Its slots and queue.
+    pub admission: sync::Arc<permit::Admission>,
+}
+
+/// Bounds of the path.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Requests that may wait while their key has no owner.
+    pub waiting: usize,
+    /// Largest answer that is kept to be replayed, in bytes.
+    pub answer_bytes: usize,
+}
+
+/// The path of requests through this node.
+#[derive(Debug)]
+pub struct Path<C, S> {
+    clock: C,
+    published: sync::Arc<published::Published>,
+    target: ArcSwapOption<Target<S>>,
+    peers: dial::Pool,
+    limits: Limits,
+    waiting: atomic::AtomicUsize,
+    // Locked for one decision, never across an `await`.
+    budget: sync::Mutex<retry::Budget>,
+}
+
+/// A body that can be sent more than once, or only once.
+enum Source<B> {
+    Held(Bytes),
+    Once(Option<B>),
+}
+
+/// Body of one sending.
+enum Sending<B> {
+    Held(Option<Bytes>),
+    Once(B),
+}
+
+impl<B> Stream for Sending<B>
+where
+    B: Stream<Item = io::Result<Bytes>> + Unpin,
+{
+    type Item = io::Result<Bytes>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        match &mut *self {
+            Self::Held(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                std::task::Poll::Ready(bytes.map(Ok))
+            }
+            Self::Once(body) => body.poll_next_unpin(context),
+        }
+    }
+}
+
+impl<B> Source<B> {
+    fn sending(&mut self) -> Option<Sending<B>> {
+        match self {
+            Self::Held(bytes) => Some(Sending::Held(Some(bytes.clone()))),
+            Self::Once(body) => body.take().map(Sending::Once),
+        }
+    }
+
+    const fn is_left(&self) -> bool {
+        matches!(self, Self::Held(_) | Self::Once(Some(_)))
+    }
+}
+
+impl<C, S> Path<C, S>
+where
+    C: clock::Clock + Send + Sync + 'static,
+    S: server::Dispatch,
+{
+    /// Makes a path without a backend server.
+    pub fn new(
+        clock: C,
+        published: sync::Arc<published::Published>,
+        peers: dial::Pool,
+        limits: Limits,
+    ) -> Self {
+        let budget = sync::Mutex::new(retry::Budget::new(clock.now()));
+        Self {
+            clock,
+            published,
+            target: ArcSwapOption::empty(),
+            peers,
+            limits,
+            waiting: atomic::AtomicUsize::new(0),
+            budget,
+        }
+    }
+
+    /// Returns the clock.
+    pub const fn clock(&self) -> &C {
+        &self.clock
+    }
+
+    /// Returns what the coordinator has published.
+    pub const fn published(&self) -> &sync::Arc<published::Published> {
+        &self.published
+    }
+
+    /// Sets the backend server.
+    pub fn set_target(&self, target: Option<sync::Arc<Target<S>>>) {
+        self.target.store(target);
+    }
+
+    /// Returns the id of the caller with this name, or 0.
+    pub fn caller_named(&self, name: &str) -> id::Caller {
+        if name.is_empty() {
+            return id::Caller(0);
+        }
+        let snapshot = self.published.load();
+        let mut callers = snapshot.view.callers();
+        let found = callers.find(|(_, caller)| caller.name == name);
+        found.map_or(id::Caller(0), |(id, _)| id)
+    }
+
+    /// Carries a request to its end, and logs the decision.
+    pub async fn serve<B>(&self, view: &request::View<'_>, body: B) -> answer::Answer
+    where
+        B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
+    {
+        let start = self.clock.now();
+        let answer = self.attempt_all(view, body).await;
+        let elapsed = self.clock.now().saturating_since(start);
+        self.log(view, &answer, elapsed);
+        answer
+    }
+
+    fn log(&self, view: &request::View<'_>, answer: &answer::Answer, elapsed: Duration) {
+        let snapshot = self.published.load();
+        let service = snapshot.view.service_by_id(view.service);
+        tracing::info!(
+            target: "sequoiayoke::route",
+            service = service.map_or("", |service| service.name.as_str()),
+            hash = %view.hash,
+            owner = answer.server,
+            epoch = answer.epoch.map_or(0, |epoch| epoch.0),
+            outcome = answer.outcome.word(),
+            reason = answer.outcome.reason().map_or("", outcome::Reason::word),
+            elapsed_us = elapsed.as_micros() as u64,
+            request = view.id.map(tracing::field::display),
+            forwarded = view.forwarded.is_some(),
+            "request"
+        );
+    }
+
+    async fn attempt_all<B>(&self, view: &request::View<'_>, body: B) -> answer::Answer
+    where
+        B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
+    {
+        let Ok(mut source) = hold(view, body).await else {
+            return answer::Answer::not_run(outcome::Reason::Cancelled);
+        };
+        self.lock_budget()
+            .deposit(self.clock.now(), view.caller, view.service);
+        let mut number = 0;
+        loop {
+            let mut changed = self.published.subscribe();
+            let answer = match self.decide(view).await {
+                Ok(decision) => match source.sending() {
+                    Some(sending) => self.carry_out(view, decision, sending).await,
+                    None => return answer::Answer::not_run(outcome::Reason::Unreachable),
+                },
+                Err(reason) => return answer::Answer::not_run(reason),
+            };
+            let now = self.clock.now();
+            if view.forwarded.is_some() || !self.may_retry(view, &answer, &source, number, now) {
+                return answer;
+            }
+            let pause = retry::backoff(number, &mut rand::rng()).min(view.left(now));
+            number += 1;
+            // A new view is the likeliest cure, so it ends the pause.
+            let _ = tokio::time::timeout(pause, changed.changed()).await;
+        }
+    }
+
+    fn may_retry<B>(
+        &self,
+        view: &request::View<'_>,
+        answer: &answer::Answer,
+        source: &Source<B>,
+        number: u32,
+        now: clock::Instant,
+    ) -> bool {
+        let left = view.left(now);
+        let allowed = retry::may_retry(answer.outcome, view.idempotent, left);
+        if allowed != retry::Decision::Retry || number + 1 >= MAX_ATTEMPTS || !source.is_left() {
+            return false;
+        }
+        self.lock_budget().withdraw(now, view.caller, view.service)
+    }
+
+    fn lock_budget(&self) -> sync::MutexGuard<'_, retry::Budget> {
+        self.budget
+            .lock()
+            .expect("no code panics while it holds the lock of the retry budget")
+    }
+
+    /// Decides where the request goes; waits while its key has no owner.
+    async fn decide(&self, view: &request::View<'_>) -> Result<route::Decision, outcome::Reason> {
+        let mut changed = self.published.subscribe();
+        let mut place = None;
+        loop {
+            let decision = self.decide_now(view)?;
+            if decision != route::Decision::Wait {
+                return Ok(decision);
+            }
+            if place.is_none() {
+                place = Some(self.wait_place()?);
+            }
+            let left = view.left(self.clock.now());
+            let woken = tokio::time::timeout(left, changed.changed()).await;
+            if !matches!(woken, Ok(Ok(()))) {
+                return Err(outcome::Reason::Vacant);
+            }
+        }
+    }
+
+    /// Waits until the key has an owner.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why a request for the key would not run.
+    pub async fn wait_for_owner(&self, view: &request::View<'_>) -> Result<(), outcome::Reason> {
+        self.decide(view).await.map(|_| ())
+    }
+
+    fn decide_now(&self, view: &request::View<'_>) -> Result<route::Decision, outcome::Reason> {
+        let snapshot = self.published.load();
+        if let Some(reason) = snapshot.refusal(self.clock.now()) {
+            return Err(reason);
+        }
+        let query = route::Query {
+            service: view.service,
+            hash: view.hash,
+            forwarded: view.forwarded,
+        };
+        match route::decide(&snapshot.view, snapshot.me, &query) {
+            route::Decision::Refuse(reason) => Err(reason),
+            // Granted, but the backend server has not taken the grant yet.
+            route::Decision::Local { epoch, .. }
+                if snapshot
+                    .owned_slice(view.service, view.hash)
+                    .is_none_or(|slice| slice.epoch() != epoch) =>
+            {
+                Ok(route::Decision::Wait)
+            }
+            decision => Ok(decision),
+        }
+    }
+
+    fn wait_place(&self) -> Result<Place<'_>, outcome::Reason> {
+        let place = Place(&self.waiting);
+        let before = self.waiting.fetch_add(1, atomic::Ordering::Relaxed);
+        if before >= self.limits.waiting {
+            return Err(outcome::Reason::Overload);
+        }
+        Ok(place)
+    }
+
+    async fn carry_out<B>(
+        &self,
+        view: &request::View<'_>,
+        decision: route::Decision,
+        body: Sending<B>,
+    ) -> answer::Answer
+    where
+        B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
+    {
+        match decision {
+            route::Decision::Local { .. } => self.dispatch(view, body).await,
+            route::Decision::Forward {
+                peer_address,
+                epoch,
+                ..
+            } => self.forward(view, peer_address, epoch, body).await,
+            route::Decision::Wait => answer::Answer::not_run(outcome::Reason::Vacant),
+            route::Decision::Refuse(reason) => answer::Answer::not_run(reason),
+        }
+    }
+
+    async fn forward<B>(
+        &self,
+        view: &request::View<'_>,
+        address: std::net::SocketAddr,
+        epoch: id::Epoch,
+        body: Sending<B>,
+    ) -> answer::Answer
+    where
+        B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
+    {
+        let left = view.left(self.clock.now());
+        let Some(hop) = retry::next_hop(left) else {
+            return answer::Answer::not_run(outcome::Reason::Deadline);
+        };
+        let open = self.open(view, hop, epoch);
+        let reply = tokio::time::timeout(left, self.peers.forward(address, open, body)).await;
+        match reply {
+            Ok(Ok(reply)) => from_reply(reply),
+            Ok(Err(outcome)) => answer::Answer::new(outcome),
+            Err(_) => answer::Answer::unknown(outcome::Reason::Deadline),
+        }
+    }
+
+    fn open(&self, view: &request::View<'_>, hop: Duration, epoch: id::Epoch) -> stream::Open {
+        let snapshot = self.published.load();
+        let mut callers = snapshot.view.callers();
+        let caller = callers.find(|(id, _)| *id == view.caller);
+        let headers = view.headers.iter();
+        stream::Open {
+            service: view.service.0,
+            hash: view.hash.0,
+            method: view.method.to_owned(),
+            path: view.path.to_owned(),
+            headers: headers
+                .map(|(name, value)| stream::Header {
+                    name: name.clone(),
+                    value: value.clone(),
+                })
+                .collect(),
+            deadline_ms: u32::try_from(hop.as_millis()).unwrap_or(u32::MAX),
+            request_id: view.id.map(|id| id.to_string()).unwrap_or_default(),
+            caller: caller.map(|(_, one)| one.name.clone()).unwrap_or_default(),
+            scope: view.scope.to_owned(),
+            idempotent: view.idempotent,
+            epoch: epoch.0,
+        }
+    }
+}
+
+/// A place among the requests that wait for an owner.
+struct Place<'a>(&'a atomic::AtomicUsize);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Holds a short body whole, so that it can be sent again.
+async fn hold<B>(view: &request::View<'_>, mut body: B) -> io::Result<Source<B>>
+where
+    B: Stream<Item = io::Result<Bytes>> + Unpin,
+{
+    let chunked = view
+        .headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"));
+    match view.body_bytes() {
+        None if !chunked => Ok(Source::Held(Bytes::new())),
+        Some(size) if size <= HELD_BODY => {
+            let mut held = bytes::BytesMut::with_capacity(size as usize);
+            while let Some(part) = body.next().await {
+                held.extend_from_slice(&part?);
+            }
+            Ok(Source::Held(held.freeze()))
+        }
+        _ => Ok(Source::Once(Some(body))),
+    }
+}
+
+fn from_reply(reply: dial::Reply) -> answer::Answer {
+    let outcome = convert::to_outcome(&reply.head);
+    let headers = reply.head.headers.into_iter();
+    answer::Answer {
+        outcome,
+        headers: headers.map(|one| (one.name, one.value)).collect(),
+        epoch: (reply.head.epoch != 0).then_some(id::Epoch(reply.head.epoch)),
+        server: reply.head.server,
+        replayed: reply.head.replayed,
+        body: answer::Body::Peer(reply.body),
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/peers/dial.rs
@@ -0,0 +1,376 @@
+//! Connections to other nodes, over which requests are forwarded.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, Stream, StreamExt};
+use sequoiayoke_model::outcome;
+use sequoiayoke_wire::auth;
+use sequoiayoke_wire::convert;
+use sequoiayoke_wire::frame;
+use sequoiayoke_wire::stream;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task;
+use tokio_util::codec;
+
+use super::{WRITE_QUEUE, incoming, outgoing};
+
+pub(super) type Codec = frame::Codec<stream::Frame, stream::Frame>;
+
+/// Time after which a connection without streams is closed.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// Settings of the connections to other nodes.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Secret that the region's processes share.
+    pub secret: sync::Arc<[u8]>,
+    /// Time to open and authenticate a connection.
+    pub connect: Duration,
+    /// Streams at the same time on one connection.
+    pub streams: usize,
+}
+
+/// One connection to each node that requests are forwarded to.
+#[derive(Debug)]
+pub struct Pool {
+    config: Config,
+    // Locked to look up or replace a connection, never across an `await`.
+    connections: sync::Mutex<collections::HashMap<net::SocketAddr, sync::Arc<Connection>>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    frames: mpsc::Sender<stream::Frame>,
+    next: atomic::AtomicU64,
+    table: sync::Mutex<Table>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    streams: collections::HashMap<u64, Entry>,
+    closed: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    head: Option<oneshot::Sender<Result<stream::Head, outcome::Outcome>>>,
+    feed: incoming::Feed,
+    credit: outgoing::Credit,
+}
+
+/// Answer of the owner's node: its head, and a body on its way.
+#[derive(Debug)]
+pub struct Reply {
+    /// Head of the answer.
+    pub head: stream::Head,
+    /// The body.
+    pub body: Body,
+}
+
+/// Body of a [`Reply`]; the stream is reset if it is dropped early.
+#[derive(Debug)]
+pub struct Body {
+    incoming: incoming::Incoming,
+    _guard: Guard,
+    _upload: Upload,
+}
+
+impl Stream for Body {
+    type Item = io::Result<Bytes>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.incoming.poll(context)
+    }
+}
+
+/// Forgets the stream, and tells the peer if it had not ended.
+#[derive(Debug)]
+struct Guard {
+    connection: sync::Arc<Connection>,
+    number: u64,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let entry = self.connection.lock().streams.remove(&self.number);
+        if entry.is_some() {
+            let reason = convert::reason(outcome::Reason::Cancelled);
+            let reset = stream::Body::Reset(stream::Reset { reason });
+            // If the queue is full, the peer ends the request at its deadline.
+            let frame = stream::Frame::new(self.number, reset);
+            let _ = self.connection.frames.try_send(frame);
+        }
+    }
+}
+
+/// Task that sends the request's body; it ends with the stream.
+#[derive(Debug)]
+struct Upload(task::JoinHandle<outgoing::End>);
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Pool {
+    /// Makes a pool without connections.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            connections: sync::Mutex::default(),
+        }
+    }
+
+    /// Forwards a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns "not run" only if the head of the request was never written.
+    pub async fn forward<B>(
+        &self,
+        address: net::SocketAddr,
+        open: stream::Open,
+        body: B,
+    ) -> Result<Reply, outcome::Outcome>
+    where
+        B: Stream<Item = io::Result<Bytes>> + Send + 'static,
+    {
+        let connection = self.connection(address);
+        let number = connection.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let (feed, incoming) = incoming::channel(number, connection.frames.clone());
+        let (sender, head) = oneshot::channel();
+        let credit = outgoing::Credit::new();
+        connection.register(number, sender, feed, credit.clone(), self.config.streams)?;
+        let guard = Guard {
+            connection: sync::Arc::clone(&connection),
+            number,
+        };
+        let frame = stream::Frame::new(number, stream::Body::Open(open));
+        let frames = connection.frames.clone();
+        let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
+        frames.send(frame).await.map_err(|_| unreachable)?;
+        let upload = async move { outgoing::send(number, body, &credit, &frames).await };
+        let upload = Upload(tokio::spawn(upload));
+        let lost = outcome::Outcome::Unknown(outcome::Reason::ConnectionLost);
+        let head = head.await.unwrap_or(Err(lost))?;
+        Ok(Reply {
+            head,
+            body: Body {
+                incoming,
+                _guard: guard,
+                _upload: upload,
+            },
+        })
+    }
+
+    fn connection(&self, address: net::SocketAddr) -> sync::Arc<Connection> {
+        let mut connections = self
+            .connections
+            .lock()
+            .expect("no code panics while it holds the pool's lock");
+        if let Some(connection) = connections.get(&address)
+            && !connection.lock().closed
+        {
+            return sync::Arc::clone(connection);
+        }
+        connections.retain(|_, connection| !connection.lock().closed);
+        let (frames, queue) = mpsc::channel(WRITE_QUEUE);
+        let connection = sync::Arc::new(Connection {
+            frames,
+            next: atomic::AtomicU64::new(1),
+            table: sync::Mutex::default(),
+        });
+        connections.insert(address, sync::Arc::clone(&connection));
+        let config = self.config.clone();
+        let running = sync::Arc::clone(&connection);
+        tokio::spawn(async move { running.run(address, &config, queue).await });
+        connection
+    }
+}
+
+impl Connection {
+    fn lock(&self) -> sync::MutexGuard<'_, Table> {
+        self.table
+            .lock()
+            .expect("no code panics while it holds a connection's lock")
+    }
+
+    fn register(
+        &self,
+        number: u64,
+        head: oneshot::Sender<Result<stream::Head, outcome::Outcome>>,
+        feed: incoming::Feed,
+        credit: outgoing::Credit,
+        limit: usize,
+    ) -> Result<(), outcome::Outcome> {
+        let mut table = self.lock();
+        if table.closed {
+            let reason = outcome::Reason::Unreachable;
+            return Err(outcome::Outcome::NotRun(reason));
+        }
+        if table.streams.len() >= limit {
+            return Err(outcome::Outcome::NotRun(outcome::Reason::Overload));
+        }
+        let entry = Entry {
+            head: Some(head),
+            feed,
+            credit,
+        };
+        table.streams.insert(number, entry);
+        Ok(())
+    }
+
+    async fn run(
+        &self,
+        address: net::SocketAddr,
+        config: &Config,
+        queue: mpsc::Receiver<stream::Frame>,
+    ) {
+        let connecting = tokio::time::timeout(config.connect, connect(address, &config.secret));
+        let io = match connecting.await {
+            Ok(Ok(io)) => io,
+            Ok(Err(error)) => {
+                tracing::warn!(%address, %error, "no connection to the node");
+                return self.close(outcome::Outcome::NotRun(outcome::Reason::Unreachable));
+            }
+            Err(_) => {
+                tracing::warn!(%address, "no connection to the node in time");
+                return self.close(outcome::Outcome::NotRun(outcome::Reason::Unreachable));
+            }
+        };
+        let (reader, writer) = io.into_split();
+        let frames = codec::FramedRead::new(reader, Codec::new());
+        let sink = codec::FramedWrite::new(writer, Codec::new());
+        tokio::select! {
+            ended = self.read(frames) => {
+                if let Err(error) = ended {
+                    tracing::warn!(%address, %error, "the connection to the node failed");
+                }
+            }
+            () = write(sink, queue) => {}
+            () = self.wait_unused() => {}
+        }
+        let lost = outcome::Outcome::Unknown(outcome::Reason::ConnectionLost);
+        self.close(lost);
+    }
+
+    async fn read<R>(&self, mut frames: R) -> io::Result<()>
+    where
+        R: Stream<Item = io::Result<stream::Frame>> + Unpin,
+    {
+        while let Some(frame) = frames.next().await {
+            self.take(frame?)?;
+        }
+        Ok(())
+    }
+
+    fn take(&self, frame: stream::Frame) -> io::Result<()> {
+        let mut table = self.lock();
+        // A late frame of a stream that has ended is ignored.
+        let Some(entry) = table.streams.get_mut(&frame.stream) else {
+            return Ok(());
+        };
+        match frame.body {
+            Some(stream::Body::Head(head)) => {
+                let sender = entry.head.take().ok_or_else(|| breach("second head"))?;
+                let _ = sender.send(Ok(head));
+            }
+            Some(stream::Body::Data(chunk)) => {
+                let taken = entry.feed.data(chunk);
+                taken.map_err(|_| breach("credit exceeded"))?;
+            }
+            Some(stream::Body::End(_)) => {
+                entry.feed.end();
+                table.streams.remove(&frame.stream);
+            }
+            Some(stream::Body::Credit(size)) => entry.credit.grant(size),
+            Some(stream::Body::Reset(reset)) => {
+                let reason = convert::to_reason(reset.reason);
+                if let Some(entry) = table.streams.remove(&frame.stream) {
+                    entry.end(outcome::Outcome::Unknown(reason));
+                }
+            }
+            Some(stream::Body::Open(_)) | None => return Err(breach("unexpected frame")),
+        }
+        Ok(())
+    }
+
+    async fn wait_unused(&self) {
+        loop {
+            let before = self.next.load(atomic::Ordering::Relaxed);
+            tokio::time::sleep(IDLE).await;
+            let mut table = self.lock();
+            let used = self.next.load(atomic::Ordering::Relaxed) != before;
+            if !used && table.streams.is_empty() {
+                // Closed under the lock, so that no stream can be registered in between.
+                table.closed = true;
+                return;
+            }
+        }
+    }
+
+    fn close(&self, outcome: outcome::Outcome) {
+        let streams = {
+            let mut table = self.lock();
+            table.closed = true;
+            std::mem::take(&mut table.streams)
+        };
+        for entry in streams.into_values() {
+            entry.end(outcome);
+        }
+    }
+}
+
+impl Entry {
+    fn end(self, outcome: outcome::Outcome) {
+        self.credit.close();
+        match self.head {
+            Some(head) => {
+                let _ = head.send(Err(outcome));
+            }
+            None => self.feed.cut(outcome::Reason::ConnectionLost),
+        }
+    }
+}
+
+async fn connect(address: net::SocketAddr, secret: &[u8]) -> io::Result<TcpStream> {
+    let io = TcpStream::connect(address).await?;
+    io.set_nodelay(true)?;
+    auth::connect(io, auth::Kind::Stream, secret).await
+}
+
+fn breach(text: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, text)
+}
+
+/// Writes frames until the queue or the connection ends.
+pub(super) async fn write(
+    mut sink: codec::FramedWrite<OwnedWriteHalf, Codec>,
+    mut queue: mpsc::Receiver<stream::Frame>,
+) {
+    while let Some(frame) = queue.recv().await {
+        let mut fed = sink.feed(&frame).await;
+        // Frames that wait already share one write to the socket.
+        while fed.is_ok()
+            && let Ok(frame) = queue.try_recv()
+        {
+            fed = sink.feed(&frame).await;
+        }
+        if fed.is_err() || SinkExt::<&stream::Frame>::flush(&mut sink).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/server/command.rs
@@ -0,0 +1,130 @@
+//! Commands to the backend server: prepare, grant, revoke, drain.
+//!
+//! A grant counts only when the server has taken it; the coordinator publishes
+//! the slice after that.
+
+use std::sync;
+use std::time::Duration;
+
+use sequoiayoke_model::clock;
+use sequoiayoke_model::id;
+use sequoiayoke_model::range;
+
+use super::Backend;
+
+/// Time that the backend server has to take a command.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Sends commands to one backend server.
+#[derive(Clone, Debug)]
+pub struct Commander {
+    client: reqwest::Client,
+    backend: sync::Arc<Backend>,
+    token: sync::Arc<str>,
+}
+
+/// The backend server did not take a command.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("the backend server did not take {command}: {detail}")]
+pub struct Error {
+    command: &'static str,
+    detail: String,
+}
+
+impl Commander {
+    /// Makes a commander; `token` proves the sender.
+    pub const fn new(
+        client: reqwest::Client,
+        backend: sync::Arc<Backend>,
+        token: sync::Arc<str>,
+    ) -> Self {
+        Self {
+            client,
+            backend,
+            token,
+        }
+    }
+
+    /// Asks the server to warm up for a range.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server does not take the command in time.
+    pub async fn prepare(&self, service: &str, range: range::Range) -> Result<(), Error> {
+        let body = serde_json::json!({
+            "service": service,
+            "first": range.first.to_string(),
+            "last": range.last.to_string(),
+        });
+        self.send("prepare", &body).await
+    }
+
+    /// Grants a range.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server does not take the command in time.
+    pub async fn grant(
+        &self,
+        service: &str,
+        range: range::Range,
+        epoch: id::Epoch,
+        lease_until: clock::Instant,
+    ) -> Result<(), Error> {
+        let body = serde_json::json!({
+            "service": service,
+            "first": range.first.to_string(),
+            "last": range.last.to_string(),
+            "epoch": epoch.0,
+            "lease_until_us": lease_until.as_micros(),
+        });
+        self.send("grant", &body).await
+    }
+
+    /// Revokes a range.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server does not take the command in time.
+    pub async fn revoke(
+        &self,
+        service: &str,
+        range: range::Range,
+        epoch: id::Epoch,
+    ) -> Result<(), Error> {
+        let body = serde_json::json!({
+            "service": service,
+            "first": range.first.to_string(),
+            "last": range.last.to_string(),
+            "epoch": epoch.0,
+        });
+        self.send("revoke", &body).await
+    }
+
+    /// Asks the server to take no new work.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server does not take the command in time.
+    pub async fn drain(&self) -> Result<(), Error> {
+        self.send("drain", &serde_json::json!({})).await
+    }
+
+    async fn send(&self, command: &'static str, body: &serde_json::Value) -> Result<(), Error> {
+        let failed = |detail: String| Error { command, detail };
+        let url = format!("http://{}/v1/{command}", self.backend.address);
+        let sent = self
+            .client
+            .post(url)
+            .header("sequoiayoke-sender", self.token.as_ref())
+            .json(body)
+            .timeout(TIMEOUT)
+            .send()
+            .await;
+        let response = sent.map_err(|error| failed(error.to_string()))?;
+        match response.status() {
+            status if status.is_success() => Ok(()),
+            status => Err(failed(format!("status {status}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/server/permit.rs
@@ -0,0 +1,215 @@
+//! Places in the backend server's slots.
+
+use std::collections;
+use std::sync;
+use std::time::Duration;
+
+use sequoiayoke_model::clock;
+use sequoiayoke_model::outcome;
+use sequoiayoke_traffic::admission::gate;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+type Decision = Result<(), outcome::Reason>;
+
+#[derive(Debug)]
+struct State {
+    gate: gate::Gate,
+    waiting: collections::HashMap<gate::Key, oneshot::Sender<Decision>>,
+}
+
+/// Admission to one backend server, shared by all traffic threads.
+#[derive(Debug)]
+pub struct Admission {
+    // Locked for one decision at a time, never across an `await`.
+    state: sync::Mutex<State>,
+    // Wakes the timer when the earliest deadline may have changed.
+    deadline_changed: Notify,
+}
+
+/// A place in the slots; it is given back when the permit is dropped.
+#[derive(Debug)]
+pub struct Permit {
+    admission: sync::Arc<Admission>,
+    key: gate::Key,
+    since: clock::Instant,
+    finish: gate::Finish,
+}
+
+impl Permit {
+    /// Records that the backend server answered whole.
+    pub const fn completed(&mut self) {
+        self.finish = gate::Finish::Completed;
+    }
+
+    /// Records that the connection failed.
+    pub const fn failed(&mut self) {
+        self.finish = gate::Finish::Failed;
+    }
+
+    /// Records that the server did not answer in time.
+    pub const fn timed_out(&mut self) {
+        self.finish = gate::Finish::TimedOut;
+    }
+
+    /// Records that the server refused the request because of its load.
+    pub const fn refused(&mut self) {
+        self.finish = gate::Finish::Refused;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = clock::Instant::now();
+        let latency = now.saturating_since(self.since);
+        let (key, finish) = (self.key, self.finish);
+        self.admission
+            .turn(|gate| gate.finished(now, key, latency, finish));
+    }
+}
+
+/// Withdraws a waiting request whose future is dropped.
+struct Waiting<'a> {
+    admission: &'a Admission,
+    key: Option<gate::Key>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            let now = clock::Instant::now();
+            self.admission.turn(|gate| gate.cancel(now, key));
+        }
+    }
+}
+
+impl Admission {
+    /// Makes the admission of a backend server that has just announced itself.
+    pub fn new(limits: gate::Limits) -> Self {
+        Self {
+            state: sync::Mutex::new(State {
+                gate: gate::Gate::new(limits, clock::Instant::now()),
+                waiting: collections::HashMap::new(),
+            }),
+            deadline_changed: Notify::new(),
+        }
+    }
+
+    /// Waits for a place.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the request is shed; it has not run then.
+    pub async fn acquire(
+        self: &sync::Arc<Self>,
+        ticket: &gate::Ticket,
+    ) -> Result<Permit, outcome::Reason> {
+        let (sender, receiver) = oneshot::channel();
+        let key = match self.arrive(ticket, sender) {
+            gate::Arrival::Admitted(key) => return Ok(self.permit(key)),
+            gate::Arrival::Shed(reason) => return Err(reason),
+            gate::Arrival::Queued(key) => key,
+        };
+        self.deadline_changed.notify_one();
+        let mut waiting = Waiting {
+            admission: self,
+            key: Some(key),
+        };
+        let decision = receiver.await;
+        // Whatever the decision, the gate has taken the request out of its queue.
+        waiting.key = None;
+        match decision {
+            Ok(Ok(())) => Ok(self.permit(key)),
+            Ok(Err(reason)) => Err(reason),
+            Err(_) => Err(outcome::Reason::Draining),
+        }
+    }
+
+    /// Changes the number of slots.
+    pub fn resize(&self, slots: u32) {
+        let now = clock::Instant::now();
+        self.turn(|gate| gate.resize(now, slots));
+    }
+
+    /// Returns the number of requests that run and that wait.
+    pub fn load(&self) -> (u32, u32) {
+        let state = self.lock();
+        (state.gate.running(), state.gate.waiting())
+    }
+
+    /// Ends the waits whose deadline has passed; runs until it is dropped.
+    pub async fn run_deadlines(&self) {
+        loop {
+            let next = self.lock().gate.next_deadline();
+            let pause = match next {
+                Some(next) => clock::Instant::now().saturating_until(next),
+                None => Duration::from_secs(3600),
+            };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.deadline_changed.notified() => {}
+            }
+            let now = clock::Instant::now();
+            self.turn(|gate| gate.expire(now));
+        }
+    }
+
+    fn arrive(&self, ticket: &gate::Ticket, sender: oneshot::Sender<Decision>) -> gate::Arrival {
+        let mut state = self.lock();
+        let arrival = state.gate.arrive(clock::Instant::now(), ticket);
+        if let gate::Arrival::Queued(key) = arrival {
+            state.waiting.insert(key, sender);
+        }
+        arrival
+    }
+
+    fn permit(self: &sync::Arc<Self>, key: gate::Key) -> Permit {
+        Permit {
+            admission: sync::Arc::clone(self),
+            key,
+            since: clock::Instant::now(),
+            finish: gate::Finish::Withdrawn,
+        }
+    }
+
+    fn turn<F>(&self, change: F)
+    where
+        F: FnOnce(&mut gate::Gate) -> gate::Turn,
+    {
+        let mut state = self.lock();
+        let mut turn = change(&mut state.gate);
+        // A waiter whose future is gone gives its place to the next one.
+        while !turn.admitted.is_empty() || !turn.shed.is_empty() {
+            turn = state.notify(&turn);
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no code panics while it holds the lock of the admission")
+    }
+}
+
+impl State {
+    fn notify(&mut self, turn: &gate::Turn) -> gate::Turn {
+        for (key, reason) in &turn.shed {
+            if let Some(sender) = self.waiting.remove(key) {
+                let _ = sender.send(Err(*reason));
+            }
+        }
+        let mut next = gate::Turn::default();
+        for key in &turn.admitted {
+            let taken = match self.waiting.remove(key) {
+                Some(sender) => sender.send(Ok(())).is_ok(),
+                None => false,
+            };
+            if !taken {
+                let freed = self.gate.cancel(clock::Instant::now(), *key);
+                next.admitted.extend(freed.admitted);
+                next.shed.extend(freed.shed);
+            }
+        }
+        next
+    }
+}
--- a/crates/traffic/src/window.rs
+++ b/crates/traffic/src/window.rs
@@ -162,6 +162,11 @@
         self.trim_answers();
     }
 
+    /// Continues the record under a later epoch of the same holder, after a merge of slices.
+    pub fn advance(&mut self, epoch: id::Epoch) {
+        self.epoch = self.epoch.max(epoch);
+    }
+
     /// Ends the window for a planned move.
     ///
     /// It consumes the window, since an id that ran here after the export would
