--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,72 @@
+//! Log output.
+
+use std::io::{self, IsTerminal as _};
+
+use error_stack::{Report, ResultExt as _};
+use sequoiayoke_settings::common;
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::layer::SubscriberExt as _;
+use tracing_subscriber::{EnvFilter, Layer as _, Registry, fmt};
+
+/// Logging could not be set up.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// The level filter is malformed.
+    #[error("`log.level`: {0:?} is not a filter such as `info` or `info,sequoiayoke_node=debug`")]
+    Filter(String),
+    /// The process has set up logging before.
+    #[error("logging is set up already")]
+    Repeated,
+}
+
+/// Sends the log lines of this process to standard error.
+///
+/// Lines are coloured only if standard error is a terminal.
+///
+/// # Errors
+///
+/// Fails if the level filter is malformed, or if logging was set up before.
+///
+/// # Examples
+///
+/// ```
+/// use sequoiayoke_settings::common;
+/// use sequoiayoke_telemetry::log;
+///
+/// log::init(&common::Log::default()).expect("logging is set up once");
+/// tracing::info!("started");
+/// ```
+pub fn init(settings: &common::Log) -> Result<(), Report<Error>> {
+    let subscriber = subscriber(settings, io::stderr, io::stderr().is_terminal())?;
+    tracing::subscriber::set_global_default(subscriber).change_context(Error::Repeated)
+}
+
+/// Makes a subscriber that writes the lines that `settings` select to `writer`.
+///
+/// # Errors
+///
+/// Fails if the level filter is malformed.
+pub fn subscriber<W>(
+    settings: &common::Log,
+    writer: W,
+    colour: bool,
+) -> Result<impl tracing::Subscriber + Send + Sync, Report<Error>>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
+    let filter = EnvFilter::builder()
+        .parse(&settings.level)
+        .change_context_lazy(|| Error::Filter(settings.level.clone()))?;
+    let lines = match settings.format {
+        common::Format::Human => fmt::layer().with_ansi(colour).with_writer(writer).boxed(),
+        common::Format::Json => fmt::layer()
+            .json()
+            .flatten_event(true)
+            .with_current_span(false)
+            .with_span_list(false)
+            .with_writer(writer)
+            .boxed(),
+    };
+    Ok(Registry::default().with(lines.with_filter(filter)))
+}
