Test settings and tickets; list every setting

Cause: units, defaults and bounds were declared but neither listed nor tested.

Comments that are not closed are reported where they start. The canonical form of a ticket sorts by kind, service, scope and key: two different pins can have the same display name, and sorting by that left their order to the sender.

--- a/crates/api/src/ticket.rs
+++ b/crates/api/src/ticket.rs
@@ -163,7 +163,7 @@
     if text.len() > MAX_BYTES {
         return Err(Malformed::TooLarge(text.len()));
     }
-    let ticket: Ticket = document::parse(text)?;
+    let ticket: Ticket = document::parse(text).map_err(explain)?;
     let mut problems = check::Problems::new();
     check::Check::check(&ticket, &mut problems);
     if problems.is_empty() {
@@ -173,10 +173,19 @@
     }
 }
 
+/// Names the likeliest mistake where the parser's own words do not: two kinds in one object.
+fn explain(mut fault: document::Fault) -> document::Fault {
+    if fault.field.ends_with(']') && fault.detail.starts_with("expected a value") {
+        fault.detail =
+            "expected one of `service`, `server`, `pin` or `caller` for each object".to_owned();
+    }
+    fault
+}
+
 impl Ticket {
     /// Returns the canonical form: equal tickets have equal canonical forms.
     ///
-    /// Objects are sorted by identity, methods are in upper case, sorted and
+    /// Objects are sorted by kind and name, methods are in upper case, sorted and
     /// unique, and hashes are in lower case.
     ///
     /// # Examples
@@ -191,7 +200,7 @@
     /// ```
     pub fn canonical(&self) -> Self {
         let mut objects: Vec<_> = self.objects.iter().map(Object::canonical).collect();
-        objects.sort_by_cached_key(Object::identity);
+        objects.sort_by(|one, other| one.unique().cmp(&other.unique()));
         Self {
             number: self.number,
             objects,
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -71,7 +71,19 @@
     for byte in reader.bytes() {
         match byte {
             Ok(byte) => plain.push(byte),
-            Err(_) => return Err(unreadable(text, plain.len())),
+            Err(_) if plain.len() < text.len() => {
+                // The fault is the byte after a `/` that starts no comment.
+                let slash = plain.len().saturating_sub(1);
+                let detail = "a `/` outside a string must start a comment (`//` or `/* */`)";
+                return Err(fault_at(text, slash, detail));
+            }
+            Err(_) => {
+                if let Some(start) = open_comment(text, &plain) {
+                    return Err(fault_at(text, start, "this comment is not closed"));
+                }
+                // A string is open, whose place the parser reports.
+                break;
+            }
         }
     }
     // The library also blanks the line ends within block comments, which would
@@ -84,34 +96,57 @@
     Ok(plain)
 }
 
-/// Describes a fault in the comments; `offset` is the first byte that could not be read.
-fn unreadable(text: &[u8], offset: usize) -> Fault {
-    let within = offset < text.len();
-    // Within the text it is the byte after a `/` that starts no comment.
-    let before = &text[..offset.saturating_sub(usize::from(within))];
+/// Returns the start of the block comment that is open at the end, if one is.
+fn open_comment(text: &[u8], plain: &[u8]) -> Option<usize> {
+    // Comments are blank in `plain`, so the open one follows the last other byte.
+    let visible = |byte: &u8| !byte.is_ascii_whitespace();
+    let mut at = plain.iter().rposition(visible).map_or(0, |last| last + 1);
+    let find = |mark: &[u8], from: usize| {
+        let rest = text.get(from..)?;
+        let found = rest.windows(mark.len()).position(|part| part == mark)?;
+        Some(from + found)
+    };
+    loop {
+        let start = find(b"/", at)?;
+        at = match text.get(start + 1)? {
+            b'*' => match find(b"*/", start + 2) {
+                Some(end) => end + 2,
+                None => return Some(start),
+            },
+            _ => find(b"\n", start)?,
+        };
+    }
+}
+
+fn fault_at(text: &[u8], offset: usize, detail: &str) -> Fault {
+    let before = &text[..offset];
     let line_start = before
         .iter()
         .rposition(|&byte| byte == b'\n')
         .map_or(0, |end| end + 1);
     Fault {
         line: before.iter().filter(|&&byte| byte == b'\n').count() + 1,
-        column: before.len() - line_start + 1,
+        column: offset - line_start + 1,
         field: String::new(),
-        detail: if within {
-            "a `/` outside a string must start a comment (`//` or `/* */`)".to_owned()
-        } else {
-            "a string or comment is not closed before the end".to_owned()
-        },
+        detail: detail.to_owned(),
     }
 }
 
 fn fault(error: &serde_json::Error, field: String) -> Fault {
     let text = error.to_string();
     let place = format!(" at line {} column {}", error.line(), error.column());
+    let detail = match text.strip_suffix(&place).unwrap_or(&text) {
+        "invalid socket address syntax" => "expected an address `IP:port`",
+        "expected value" => "expected a value; a comment starts with `//` or `/*`",
+        other if other.starts_with("control character") => {
+            "a string is not closed before the end of its line"
+        }
+        other => other,
+    };
     Fault {
         line: error.line().max(1),
         column: error.column().max(1),
         field: if field == "." { String::new() } else { field },
-        detail: text.strip_suffix(&place).unwrap_or(&text).to_owned(),
+        detail: detail.to_owned(),
     }
 }
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -43,6 +43,13 @@
 }
 
 impl Load {
+    /// Descriptions of all settings, by section.
+    pub const SECTIONS: &[(&str, &[field::Field])] = &[
+        ("", Self::FIELDS),
+        ("shape", Shape::FIELDS),
+        ("log", common::Log::FIELDS),
+    ];
+
     /// Descriptions of the settings outside the section of numbers.
     pub const FIELDS: &[field::Field] = &[
         field::Field::new(
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -109,6 +109,14 @@
 }
 
 impl Node {
+    /// Descriptions of all settings, by section.
+    pub const SECTIONS: &[(&str, &[field::Field])] = &[
+        ("", Self::FIELDS),
+        ("timing", Timing::FIELDS),
+        ("limits", Limits::FIELDS),
+        ("log", common::Log::FIELDS),
+    ];
+
     /// Descriptions of the settings outside the sections of numbers.
     pub const FIELDS: &[field::Field] = &[
         field::Field::new(
--- a/crates/settings/src/standin.rs
+++ b/crates/settings/src/standin.rs
@@ -22,9 +22,15 @@
     /// Connections that it accepts.
     #[serde(default = "default_connections")]
     pub connections: u32,
+    /// Requests that may wait for a slot; more are refused.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
     /// Time that a request takes, in milliseconds.
     #[serde(default = "default_delay_ms")]
     pub delay_ms: u64,
+    /// Extra time of the first request of a key, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Whether it refuses requests and commands with an outdated fencing token.
     #[serde(default = "default_true")]
     pub checks_fencing: bool,
@@ -46,6 +52,10 @@
     130
 }
 
+const fn default_queue() -> u32 {
+    64
+}
+
 const fn default_delay_ms() -> u64 {
     2
 }
@@ -55,6 +65,10 @@
 }
 
 impl Standin {
+    /// Descriptions of all settings, by section.
+    pub const SECTIONS: &[(&str, &[field::Field])] =
+        &[("", Self::FIELDS), ("log", common::Log::FIELDS)];
+
     /// Descriptions of the settings.
     pub const FIELDS: &[field::Field] = &[
         field::Field::new(
@@ -99,6 +113,13 @@
             "1 to 65536",
             "Connections that it accepts.",
         ),
+        field::Field::new(
+            "queue",
+            "requests",
+            "64",
+            "1 to 65536",
+            "Requests that may wait for a slot; more are refused.",
+        ),
         field::Field::new(
             "delay_ms",
             "ms",
@@ -106,6 +127,13 @@
             "0 to 60000",
             "Time that a request takes.",
         ),
+        field::Field::new(
+            "cold_ms",
+            "ms",
+            "0",
+            "0 to 60000",
+            "Extra time of the first request of a key.",
+        ),
         field::Field::new(
             "checks_fencing",
             "boolean",
@@ -145,7 +173,11 @@
             problems.name(&format!("services[{index}]"), service);
         }
         problems.distinct("services", &self.services);
-        let counts = [("slots", self.slots), ("connections", self.connections)];
+        let counts = [
+            ("slots", self.slots),
+            ("connections", self.connections),
+            ("queue", self.queue),
+        ];
         for (field, count) in counts {
             problems.require(
                 (1..=65536).contains(&count),
@@ -153,11 +185,13 @@
                 format!("{count} is not within 1 to 65536"),
             );
         }
-        problems.require(
-            self.delay_ms <= 60_000,
-            "delay_ms",
-            format!("{} is not within 0 to 60000 ms", self.delay_ms),
-        );
+        for (field, time) in [("delay_ms", self.delay_ms), ("cold_ms", self.cold_ms)] {
+            problems.require(
+                time <= 60_000,
+                field,
+                format!("{time} is not within 0 to 60000 ms"),
+            );
+        }
         self.token.check("token", problems);
         problems.within("log", |part| self.log.check(part));
     }
