Add an emulator of the backend servers

Cause: the router is only tested against the published protocol of the backend servers, so the end-to-end path needs a server that speaks it.

Change: sequoiayoke-standin announces itself, takes prepare, grant, revoke, drain, health and load, fences requests by epoch, range and lease, runs them in bounded slots and counts executions by request id and key. Fault commands below /fault/v1/ freeze, delay, cut, double, reset or refuse answers. A control thread owns grants and faults and publishes views; traffic threads read them.

--- /dev/null
+++ b/crates/emulator/src/standin/program.rs
@@ -0,0 +1,94 @@
+//! Command line of the stand-in.
+
+use std::io::Write as _;
+use std::net;
+use std::process;
+use std::time::Duration;
+
+use clap::Parser;
+
+use crate::standin;
+use crate::standin::settings;
+
+/// Emulator of a backend server.
+#[derive(Debug, Parser)]
+#[command(name = "sequoiayoke-standin", version)]
+struct Arguments {
+    /// Name of the backend server.
+    #[arg(long)]
+    name: String,
+    /// Service that it serves; may be repeated.
+    #[arg(long = "service", required = true)]
+    services: Vec<String>,
+    /// Address to listen on; port 0 picks a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: net::SocketAddr,
+    /// Backend listener of its node.
+    #[arg(long)]
+    node: Option<net::SocketAddr>,
+    /// Requests that run at a time.
+    #[arg(long, default_value_t = 12)]
+    slots: usize,
+    /// Requests that may wait for a slot.
+    #[arg(long, default_value_t = 64)]
+    queue: usize,
+    /// Connections that may be open.
+    #[arg(long, default_value_t = 130)]
+    connections: usize,
+    /// Time that each request takes, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    delay_ms: u64,
+    /// Extra time that the first access of a key takes, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    cold_ms: u64,
+    /// Refuse requests of ranges and epochs that it does not own.
+    #[arg(long)]
+    checks_fencing: bool,
+    /// Refuse commands that do not carry the token.
+    #[arg(long, requires = "token")]
+    checks_sender: bool,
+    /// Token of the node.
+    #[arg(long)]
+    token: Option<String>,
+}
+
+impl Arguments {
+    fn into_settings(self) -> settings::Settings {
+        settings::Settings {
+            services: self.services,
+            listen: self.listen,
+            node: self.node,
+            slots: self.slots,
+            queue: self.queue,
+            connections: self.connections,
+            delay: Duration::from_millis(self.delay_ms),
+            cold: Duration::from_millis(self.cold_ms),
+            checks_fencing: self.checks_fencing,
+            token: self.token.filter(|_| self.checks_sender),
+            ..settings::Settings::new(&self.name)
+        }
+    }
+}
+
+/// Runs the stand-in until it is told to stop; prints `listening ADDRESS` when ready.
+pub fn main() -> process::ExitCode {
+    let arguments = Arguments::parse();
+    tracing_subscriber::fmt()
+        .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
+        .with_writer(std::io::stderr)
+        .init();
+    let standin = match standin::Standin::start(arguments.into_settings()) {
+        Ok(standin) => standin,
+        Err(report) => {
+            tracing::error!(?report, "could not start");
+            eprintln!("{report:?}");
+            return process::ExitCode::FAILURE;
+        }
+    };
+    let mut output = std::io::stdout();
+    // A closed standard output is no reason to stop serving.
+    let _ = writeln!(output, "listening {}", standin.address());
+    let _ = output.flush();
+    standin.wait();
+    process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/emulator/src/standin/traffic/commands.rs
@@ -0,0 +1,195 @@
+//! Commands of the node, and fault commands of tests.
+
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use tokio::sync::oneshot;
+
+use sequoiayoke_model::id;
+use sequoiayoke_model::key;
+use sequoiayoke_model::range;
+
+use crate::standin;
+use crate::standin::coordinator;
+use crate::standin::coordinator::fault;
+use crate::standin::traffic;
+use crate::standin::traffic::endpoint;
+
+/// Largest body of a command, in bytes.
+const MAX_BODY: usize = 64 * 1024;
+
+#[derive(Debug, Deserialize)]
+struct Prepare {
+    service: String,
+    first: String,
+    last: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Grant {
+    service: String,
+    first: String,
+    last: String,
+    epoch: id::Epoch,
+    // The lease in force comes with each request; this one is only checked for presence.
+    #[serde(rename = "lease_until_us")]
+    _lease_until_us: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Revoke {
+    service: String,
+    first: String,
+    last: String,
+    epoch: id::Epoch,
+}
+
+fn parse_range(first: &str, last: &str) -> Result<range::Range, String> {
+    let position = |text: &str| {
+        let plain = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u64::from_str_radix(text, 16).ok().filter(|_| plain);
+        number
+            .map(key::Hash)
+            .ok_or_else(|| format!("{text:?} is not 16 hexadecimal digits"))
+    };
+    let range = range::Range {
+        first: position(first)?,
+        last: position(last)?,
+    };
+    if range.first > range.last {
+        return Err("the range ends before it starts".into());
+    }
+    Ok(range)
+}
+
+fn parse_body<T>(body: &[u8]) -> Result<T, String>
+where
+    T: serde::de::DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|error| error.to_string())
+}
+
+fn parse_command(name: &str, body: &[u8]) -> Result<coordinator::Command, String> {
+    match name {
+        "prepare" => {
+            let body: Prepare = parse_body(body)?;
+            let range = parse_range(&body.first, &body.last)?;
+            Ok(coordinator::Command::Prepare(body.service, range))
+        }
+        "grant" => {
+            let body: Grant = parse_body(body)?;
+            let range = parse_range(&body.first, &body.last)?;
+            Ok(coordinator::Command::Grant(body.service, range, body.epoch))
+        }
+        "revoke" => {
+            let body: Revoke = parse_body(body)?;
+            let range = parse_range(&body.first, &body.last)?;
+            Ok(coordinator::Command::Revoke(
+                body.service,
+                range,
+                body.epoch,
+            ))
+        }
+        "drain" => Ok(coordinator::Command::Drain),
+        _ => Err(format!("there is no command {name:?}")),
+    }
+}
+
+/// Reads a fault command: its name is the key, its body the fields.
+fn parse_fault(name: &str, body: &[u8]) -> Result<fault::Command, String> {
+    if matches!(name, "clear" | "undrain") {
+        return parse_value(serde_json::Value::from(name));
+    }
+    let fields: serde_json::Value = parse_body(body)?;
+    parse_value(serde_json::json!({ name: fields }))
+}
+
+fn parse_value(value: serde_json::Value) -> Result<fault::Command, String> {
+    serde_json::from_value(value).map_err(|error| error.to_string())
+}
+
+impl traffic::Traffic {
+    /// Handles a call of the node.
+    pub(super) async fn run_command(&self, name: &str, request: poem::Request) -> poem::Response {
+        self.board.thawed().await;
+        if !self.is_sender_known(&request) {
+            return endpoint::fail(StatusCode::FORBIDDEN, "unknown-sender", "wrong token");
+        }
+        match (request.method(), name) {
+            (&Method::GET, "health") => self.health(),
+            (&Method::GET, "load") => self.load(),
+            (&Method::POST, _) => {
+                let body = request.into_body().into_bytes_limit(MAX_BODY).await;
+                let command = body
+                    .map_err(|error| error.to_string())
+                    .and_then(|body| parse_command(name, &body));
+                match command {
+                    Ok(command) => self.command(command).await,
+                    Err(detail) => endpoint::fail(StatusCode::BAD_REQUEST, "malformed", &detail),
+                }
+            }
+            _ => endpoint::fail(StatusCode::NOT_FOUND, "unknown-path", name),
+        }
+    }
+
+    /// Handles a call of a test; also while the server is frozen.
+    pub(super) async fn run_fault(&self, name: &str, request: poem::Request) -> poem::Response {
+        if request.method() == Method::GET && name == "executions" {
+            let summary = self.ledger.summary();
+            return endpoint::answer(StatusCode::OK, &summary);
+        }
+        let body = request.into_body().into_bytes_limit(MAX_BODY).await;
+        let command = body
+            .map_err(|error| error.to_string())
+            .and_then(|body| parse_fault(name, &body));
+        match command {
+            Ok(command) => {
+                self.counts.apply(&command);
+                self.command(coordinator::Command::Fault(command)).await
+            }
+            Err(detail) => endpoint::fail(StatusCode::BAD_REQUEST, "malformed", &detail),
+        }
+    }
+
+    fn is_sender_known(&self, request: &poem::Request) -> bool {
+        let token = self.settings.token.as_deref();
+        token.is_none_or(|token| request.header("sequoiayoke-sender") == Some(token))
+    }
+
+    fn health(&self) -> poem::Response {
+        let healthy = self.board.view().faults.health.unwrap_or(true);
+        let body = serde_json::json!({ "healthy": healthy });
+        endpoint::answer(StatusCode::OK, &body)
+    }
+
+    fn load(&self) -> poem::Response {
+        let load = self.board.view().faults.load.unwrap_or(fault::Load {
+            running: self.slots.running(),
+            queued: self.slots.queued(),
+        });
+        let body = serde_json::json!({ "running": load.running, "queued": load.queued });
+        endpoint::answer(StatusCode::OK, &body)
+    }
+
+    /// Hands a command to the control thread and waits until it is in force.
+    async fn command(&self, command: coordinator::Command) -> poem::Response {
+        let (done, result) = oneshot::channel();
+        let envelope = standin::Envelope { command, done };
+        if self.commands.try_send(envelope).is_err() {
+            return endpoint::fail(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "overload",
+                "too many commands wait",
+            );
+        }
+        match result.await {
+            Ok(Ok(())) => endpoint::answer(StatusCode::OK, &serde_json::json!({})),
+            Ok(Err(coordinator::grants::Full)) => endpoint::fail(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "overload",
+                "too many ranges",
+            ),
+            Err(_) => endpoint::fail(StatusCode::SERVICE_UNAVAILABLE, "stopping", "stopping"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/standin/traffic/endpoint.rs
@@ -0,0 +1,58 @@
+//! Tells commands, faults and requests apart.
+
+use std::sync;
+
+use http::StatusCode;
+use http::header;
+
+use crate::standin::traffic;
+
+/// Entry of every HTTP request.
+#[derive(Clone, Debug)]
+pub(super) struct Endpoint {
+    traffic: sync::Arc<traffic::Traffic>,
+}
+
+impl Endpoint {
+    pub(super) const fn new(traffic: sync::Arc<traffic::Traffic>) -> Self {
+        Self { traffic }
+    }
+}
+
+impl poem::Endpoint for Endpoint {
+    type Output = poem::Response;
+
+    async fn call(&self, request: poem::Request) -> poem::Result<poem::Response> {
+        let path = request.uri().path().to_owned();
+        let response = if let Some(path) = path.strip_prefix("/s/") {
+            self.traffic.run_request(path, request).await
+        } else if let Some(name) = path.strip_prefix("/fault/v1/") {
+            self.traffic.run_fault(name, request).await
+        } else if let Some(name) = path.strip_prefix("/v1/") {
+            self.traffic.run_command(name, request).await
+        } else {
+            fail(StatusCode::NOT_FOUND, "unknown-path", &path)
+        };
+        Ok(response)
+    }
+}
+
+/// Answers in JSON.
+pub(super) fn answer<T>(status: StatusCode, body: &T) -> poem::Response
+where
+    T: serde::Serialize,
+{
+    let body = serde_json::to_vec(body).expect("answers have string keys and plain fields");
+    poem::Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(body)
+}
+
+/// Answers with an error.
+pub(super) fn fail(status: StatusCode, error: &str, detail: &str) -> poem::Response {
+    answer(
+        status,
+        &serde_json::json!({ "error": error, "detail": detail }),
+    )
+}
