Add an open-loop load tool

Cause: figures and invariants need callers that measure from the scheduled time and that compare what they were told with what the backend servers ran.

Change: sequoiayoke-load paces arrivals on one thread, sends them on others, resends the same id after an unknown or lost answer, checks each answer against its request, audits executions by request id on the stand-ins, and reports percentiles by kind and by hot or other keys, outcomes, processor time of given processes and its own lag. The stand-in drops warm state on revocation and names its run, so that an audit notices a restart.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -4,4 +4,5 @@
 //! so this crate implements the other side of that protocol and can break it
 //! on command. Nothing here is used by the router itself.
 
+pub mod load;
 pub mod standin;
--- a/crates/emulator/src/standin/coordinator/announce.rs
+++ b/crates/emulator/src/standin/coordinator/announce.rs
@@ -1,6 +1,7 @@
 //! Announces the server to its node.
 
 use std::net;
+use std::sync;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -14,7 +15,7 @@
 #[derive(Debug, Serialize)]
 struct Announcement<'a> {
     name: &'a str,
-    instance: String,
+    instance: &'a str,
     services: &'a [String],
     address: net::SocketAddr,
     slots: usize,
@@ -27,18 +28,18 @@
 pub(super) struct Announcer {
     every: Duration,
     target: Option<(reqwest::Client, String, Vec<u8>)>,
-    board: std::sync::Arc<board::Board>,
+    board: sync::Arc<board::Board>,
 }
 
 impl Announcer {
     pub(super) fn new(
         settings: &settings::Settings,
-        board: &std::sync::Arc<board::Board>,
+        board: &sync::Arc<board::Board>,
         address: net::SocketAddr,
     ) -> Self {
         let announcement = Announcement {
             name: &settings.name,
-            instance: format!("{:016x}", rand::random::<u64>()),
+            instance: &settings.instance,
             services: &settings.services,
             address,
             slots: settings.slots,
--- a/crates/emulator/src/standin/coordinator/grants.rs
+++ b/crates/emulator/src/standin/coordinator/grants.rs
@@ -28,7 +28,9 @@
 struct Segment {
     epoch: id::Epoch,
     ownership: Ownership,
-    warm: bool,
+    prepared: bool,
+    // Epoch of the last revocation, with which warm state was lost.
+    revoked: Option<id::Epoch>,
 }
 
 /// Per service, segments that cover the hash space, by their first position.
@@ -91,7 +93,8 @@
                 *segment = Segment {
                     epoch,
                     ownership: Ownership::Revoked,
-                    warm: false,
+                    prepared: false,
+                    revoked: Some(epoch),
                 };
             }
         })
@@ -103,7 +106,7 @@
     ///
     /// Fails if the table is full.
     pub fn prepare(&mut self, service: &str, range: range::Range) -> Result<(), Full> {
-        self.change(service, range, |segment| segment.warm = true)
+        self.change(service, range, |segment| segment.prepared = true)
     }
 
     /// Tells whether a request of this epoch may run.
@@ -114,8 +117,14 @@
     }
 
     /// Tells whether the position lies in a range that was prepared.
-    pub fn is_warm(&self, service: &str, hash: key::Hash) -> bool {
-        self.find(service, hash).is_some_and(|segment| segment.warm)
+    pub fn is_prepared(&self, service: &str, hash: key::Hash) -> bool {
+        let segment = self.find(service, hash);
+        segment.is_some_and(|segment| segment.prepared)
+    }
+
+    /// Returns the epoch of the last revocation of the position.
+    pub fn revoked(&self, service: &str, hash: key::Hash) -> Option<id::Epoch> {
+        self.find(service, hash)?.revoked
     }
 
     /// Returns the present epoch of the position, if a grant or a revocation set one.
--- a/crates/emulator/src/standin/settings.rs
+++ b/crates/emulator/src/standin/settings.rs
@@ -19,6 +19,8 @@
 pub struct Settings {
     /// Name of the backend server.
     pub name: String,
+    /// Random text that tells this run of the server from others.
+    pub instance: String,
     /// Services that it serves.
     pub services: Vec<String>,
     /// Address to listen on; port 0 picks a free one.
@@ -50,6 +52,7 @@
     pub fn new(name: &str) -> Self {
         Self {
             name: name.into(),
+            instance: format!("{:016x}", rand::random::<u64>()),
             services: Vec::new(),
             listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)),
             node: None,
--- a/crates/emulator/src/standin/traffic/commands.rs
+++ b/crates/emulator/src/standin/traffic/commands.rs
@@ -14,6 +14,7 @@
 use crate::standin::coordinator::fault;
 use crate::standin::traffic;
 use crate::standin::traffic::endpoint;
+use crate::standin::traffic::ledger;
 
 /// Largest body of a command, in bytes.
 const MAX_BODY: usize = 64 * 1024;
@@ -134,9 +135,10 @@
 
     /// Handles a call of a test; also while the server is frozen.
     pub(super) async fn run_fault(&self, name: &str, request: poem::Request) -> poem::Response {
-        if request.method() == Method::GET && name == "executions" {
-            let summary = self.ledger.summary();
-            return endpoint::answer(StatusCode::OK, &summary);
+        match (request.method(), name) {
+            (&Method::GET, "executions") => return self.executions(),
+            (&Method::GET, "instance") => return self.identity(),
+            _ => {}
         }
         let body = request.into_body().into_bytes_limit(MAX_BODY).await;
         let command = body
@@ -151,6 +153,21 @@
         }
     }
 
+    fn executions(&self) -> poem::Response {
+        let executions = ledger::Executions {
+            server: self.settings.name.clone(),
+            instance: self.settings.instance.clone(),
+            summary: self.ledger.summary(),
+        };
+        endpoint::answer(StatusCode::OK, &executions)
+    }
+
+    fn identity(&self) -> poem::Response {
+        let (server, instance) = (&self.settings.name, &self.settings.instance);
+        let body = serde_json::json!({ "server": server, "instance": instance });
+        endpoint::answer(StatusCode::OK, &body)
+    }
+
     fn is_sender_known(&self, request: &poem::Request) -> bool {
         let token = self.settings.token.as_deref();
         token.is_none_or(|token| request.header("sequoiayoke-sender") == Some(token))
--- a/crates/emulator/src/standin/traffic/ledger.rs
+++ b/crates/emulator/src/standin/traffic/ledger.rs
@@ -6,10 +6,11 @@
 use std::collections;
 use std::sync;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 /// Executions of one request id.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// HTTP method.
     pub method: String,
@@ -24,7 +25,7 @@
 }
 
 /// Executions of one method.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Total {
     /// Executions started.
     pub started: u64,
@@ -33,7 +34,7 @@
 }
 
 /// Everything counted so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
     /// By method.
     pub totals: collections::BTreeMap<String, Total>,
@@ -49,6 +50,18 @@
     pub dropped: u64,
 }
 
+/// Answer to `GET /fault/v1/executions`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Executions {
+    /// Name of the server.
+    pub server: String,
+    /// Run of the server; the counts start at zero with each run.
+    pub instance: String,
+    /// The counts.
+    #[serde(flatten)]
+    pub summary: Summary,
+}
+
 /// What identifies an execution.
 #[derive(Clone, Copy, Debug)]
 pub struct Execution<'a> {
--- a/crates/emulator/src/standin/traffic/requests.rs
+++ b/crates/emulator/src/standin/traffic/requests.rs
@@ -131,6 +131,9 @@
             continue;
         }
         let digits = std::str::from_utf8(after.get(..2)?).ok()?;
+        if !digits.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return None;
+        }
         bytes.push(u8::from_str_radix(digits, 16).ok()?);
         rest = &after[2..];
     }
@@ -211,12 +214,13 @@
         body: poem::Body,
     ) -> std::io::Result<poem::Response> {
         let view = self.board.view();
+        let (service, hash) = (&head.name.service, head.hash);
+        let revoked = view.grants.revoked(service, hash);
         let warm =
-            self.store.is_warm(&head.name) || view.grants.is_warm(&head.name.service, head.hash);
-        let cold = if warm {
-            Duration::ZERO
-        } else {
-            self.settings.cold
+            view.grants.is_prepared(service, hash) || self.store.is_warm(&head.name, revoked);
+        let cold = match warm {
+            true => Duration::ZERO,
+            false => self.settings.cold,
         };
         let delay = self.settings.delay + cold;
         if !delay.is_zero() {
@@ -227,8 +231,8 @@
         self.board.thawed().await;
         let id = head.request_id.as_deref();
         let value = match head.method {
-            Method::POST | Method::PUT => self.store.write(&head.name, id, &digest),
-            _ => self.store.read(&head.name),
+            Method::POST | Method::PUT => self.store.write(&head.name, head.epoch, id, &digest),
+            _ => self.store.read(&head.name, head.epoch),
         };
         self.ledger.complete(head.execution());
         let answer = Answer {
--- a/crates/emulator/src/standin/traffic/store.rs
+++ b/crates/emulator/src/standin/traffic/store.rs
@@ -8,6 +8,8 @@
 
 use serde::Serialize;
 
+use sequoiayoke_model::id;
+
 /// Value of a key: its latest version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Value {
@@ -30,9 +32,16 @@
     pub key: String,
 }
 
+#[derive(Debug, Default)]
+struct Entry {
+    value: Value,
+    // Epoch under which the key was last used.
+    used: Option<id::Epoch>,
+}
+
 #[derive(Debug, Default)]
 struct Tables {
-    values: collections::HashMap<Name, Value>,
+    entries: collections::HashMap<Name, Entry>,
     order: collections::VecDeque<Name>,
 }
 
@@ -52,19 +61,27 @@
         }
     }
 
-    /// Tells whether the key was used before.
-    pub fn is_warm(&self, name: &Name) -> bool {
-        self.lock().values.contains_key(name)
+    /// Tells whether the key was used since the revocation of its range, if there was one.
+    pub fn is_warm(&self, name: &Name, revoked: Option<id::Epoch>) -> bool {
+        let tables = self.lock();
+        let entry = tables.entries.get(name);
+        entry.is_some_and(|entry| revoked.is_none() || entry.used > revoked)
     }
 
     /// Returns the value and leaves the key warm.
-    pub fn read(&self, name: &Name) -> Value {
-        self.entry(name, |value| value.clone())
+    pub fn read(&self, name: &Name, epoch: Option<id::Epoch>) -> Value {
+        self.using(name, epoch, |value| value.clone())
     }
 
     /// Appends a version and returns it.
-    pub fn write(&self, name: &Name, request_id: Option<&str>, digest: &str) -> Value {
-        self.entry(name, |value| {
+    pub fn write(
+        &self,
+        name: &Name,
+        epoch: Option<id::Epoch>,
+        request_id: Option<&str>,
+        digest: &str,
+    ) -> Value {
+        self.using(name, epoch, |value| {
             value.version += 1;
             value.request_id = request_id.map(str::to_owned);
             value.digest = Some(digest.to_owned());
@@ -72,22 +89,24 @@
         })
     }
 
-    fn entry<U>(&self, name: &Name, usage: U) -> Value
+    fn using<U>(&self, name: &Name, epoch: Option<id::Epoch>, usage: U) -> Value
     where
         U: FnOnce(&mut Value) -> Value,
     {
         let mut tables = self.lock();
-        if !tables.values.contains_key(name) {
-            if tables.values.len() >= self.limit
+        if !tables.entries.contains_key(name) {
+            if tables.entries.len() >= self.limit
                 && let Some(oldest) = tables.order.pop_front()
             {
-                tables.values.remove(&oldest);
+                tables.entries.remove(&oldest);
             }
             tables.order.push_back(name.clone());
-            tables.values.insert(name.clone(), Value::default());
+            tables.entries.insert(name.clone(), Entry::default());
         }
-        let value = tables.values.get_mut(name);
-        usage(value.expect("the value was inserted above"))
+        let entry = tables.entries.get_mut(name);
+        let entry = entry.expect("the entry was inserted above");
+        entry.used = entry.used.max(epoch);
+        usage(&mut entry.value)
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Tables> {
