--- a/crates/traffic/src/admission/gate.rs
+++ b/crates/traffic/src/admission/gate.rs
@@ -1,10 +1,24 @@
 //! Bounded concurrency and a short queue in front of a backend server.
+//!
+//! A request that the gate sheds did not run. The gate sheds early: when the
+//! expected response comes after the deadline, when the queue is full, or when
+//! the backend server has stopped responding.
 
 use std::collections;
 use std::time::Duration;
 
 use sequoiayoke_model::{clock, id, outcome, request};
 
+use super::{flow, limit};
+
+/// Shortest time without any response, while all slots are in use, after which
+/// requests are shed instead of queued.
+const STALL_MIN: Duration = Duration::from_secs(1);
+/// Multiple of the usual latency that replaces `STALL_MIN` for slow requests.
+const STALL_FACTOR: u32 = 8;
+/// One in this many slots is kept free of bulk requests, and at least one.
+const INTERACTIVE_SHARE: u32 = 4;
+
 slotmap::new_key_type! {
     /// A request inside the gate: waiting or in flight.
     pub struct Key;
@@ -81,28 +95,78 @@
 #[derive(Clone, Debug)]
 struct Entry {
     ticket: Ticket,
-    running: bool,
+    flow: flow::Key,
+    phase: Phase,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// It has to start before this time to be answered in time.
+    Waiting { start_by: clock::Instant },
+    Running {
+        admitted: clock::Instant,
+        charged: u64,
+    },
 }
 
 /// Admission to one backend server.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use sequoiayoke_model::{clock, id};
+/// use sequoiayoke_traffic::admission::gate;
+///
+/// let now = clock::Instant::from_micros(0);
+/// let mut gate = gate::Gate::new(gate::Limits { slots: 1, queue: 8 }, now);
+/// let ticket = gate::Ticket {
+///     caller: id::Caller(1),
+///     service: id::Service(1),
+///     class: gate::Class::Interactive,
+///     deadline: now + Duration::from_secs(1),
+///     request: None,
+/// };
+/// let gate::Arrival::Admitted(first) = gate.arrive(now, &ticket) else {
+///     panic!("a slot is free");
+/// };
+/// let gate::Arrival::Queued(second) = gate.arrive(now, &ticket) else {
+///     panic!("the slot is taken");
+/// };
+/// let latency = Duration::from_millis(2);
+/// let turn = gate.finished(now + latency, first, latency, gate::Finish::Completed);
+/// assert_eq!(turn.admitted, [second]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Gate {
-    limits: Limits,
+    queue: usize,
+    limit: limit::Limit,
+    fair: flow::Fair,
     entries: slotmap::SlotMap<Key, Entry>,
-    waiting: collections::BTreeSet<(clock::Instant, Key)>,
+    // The waiting requests by the time at which their wait ends at the latest.
+    expiry: collections::BTreeSet<(clock::Instant, Key)>,
     in_flight: u32,
+    bulk: u32,
+    // Last time at which a request started or the server responded.
+    progress: clock::Instant,
+    // Last call of `expire`.
+    expired: clock::Instant,
     draining: bool,
 }
 
 impl Gate {
     /// Makes the gate of a backend server that started at `now` and is cold.
     pub fn new(limits: Limits, now: clock::Instant) -> Self {
-        let _ = now;
         Self {
-            limits,
+            queue: limits.queue as usize,
+            limit: limit::Limit::new(limits.slots, now),
+            fair: flow::Fair::new(),
             entries: slotmap::SlotMap::with_key(),
-            waiting: collections::BTreeSet::new(),
+            expiry: collections::BTreeSet::new(),
             in_flight: 0,
+            bulk: 0,
+            progress: now,
+            expired: now,
             draining: false,
         }
     }
@@ -115,21 +179,50 @@
         if ticket.deadline <= now {
             return Arrival::Shed(outcome::Reason::Deadline);
         }
-        let running = self.in_flight < self.limits.slots;
-        if !running && self.waiting.len() >= self.limits.queue as usize {
+        let active = self.queue + self.limit.slots() as usize;
+        let flow = self.fair.find(now, flow::Name::new(ticket), active);
+        let bulk = self.bulk_allowed(now);
+        let allowed = bulk || ticket.class != Class::Bulk;
+        if self.has_slot(now) && allowed && self.fair.next(bulk).is_none() {
+            return Arrival::Admitted(self.insert_running(now, ticket, flow));
+        }
+        if !self.may_queue(now, ticket, flow) {
             return Arrival::Shed(outcome::Reason::Overload);
         }
+        Arrival::Queued(self.insert_waiting(ticket, flow))
+    }
+
+    fn may_queue(&self, now: clock::Instant, ticket: &Ticket, flow: flow::Key) -> bool {
+        if self.is_blocked(now) {
+            return false;
+        }
+        let limit = self.limit.current(now);
+        let expected = self.fair.expected(flow, ticket.deadline, limit);
+        self.fair.has_room(flow, self.queue) && now + expected <= ticket.deadline
+    }
+
+    fn insert_running(&mut self, now: clock::Instant, ticket: &Ticket, flow: flow::Key) -> Key {
         let key = self.entries.insert(Entry {
             ticket: *ticket,
-            running,
+            flow,
+            phase: Phase::Waiting { start_by: now },
         });
-        if running {
-            self.in_flight += 1;
-            Arrival::Admitted(key)
-        } else {
-            self.waiting.insert((ticket.deadline, key));
-            Arrival::Queued(key)
-        }
+        self.start(now, key);
+        key
+    }
+
+    fn insert_waiting(&mut self, ticket: &Ticket, flow: flow::Key) -> Key {
+        let fastest = self.fair.fastest(flow).as_micros() as u64;
+        let start_by = ticket.deadline.as_micros().saturating_sub(fastest);
+        let start_by = clock::Instant::from_micros(start_by);
+        let key = self.entries.insert(Entry {
+            ticket: *ticket,
+            flow,
+            phase: Phase::Waiting { start_by },
+        });
+        self.fair.push(flow, ticket.deadline, key);
+        self.expiry.insert((start_by, key));
+        key
     }
 
     /// Ends a request in flight; `latency` is its time at the backend server.
@@ -142,96 +235,216 @@
         latency: Duration,
         finish: Finish,
     ) -> Turn {
-        let _ = (latency, finish);
-        if self.entries.get(key).is_some_and(|entry| entry.running) {
+        if let Some(entry) = self.entries.get(key)
+            && let Phase::Running { admitted, charged } = entry.phase
+        {
+            let (flow, class) = (entry.flow, entry.ticket.class);
+            self.learn(now, flow, admitted, latency, finish);
             self.entries.remove(key);
             self.in_flight -= 1;
+            self.bulk -= u32::from(class == Class::Bulk);
+            let held = now.saturating_since(admitted);
+            self.fair.end_one(flow, charged, held);
         }
         self.expire(now)
     }
 
+    /// Adapts the limit to how a request ended.
+    fn learn(
+        &mut self,
+        now: clock::Instant,
+        flow: flow::Key,
+        admitted: clock::Instant,
+        latency: Duration,
+        finish: Finish,
+    ) {
+        match finish {
+            Finish::Completed => {
+                let busy = self.in_flight * 2 >= self.limit.current(now);
+                let slow = self.fair.answered(flow, latency);
+                self.limit.answered(now, admitted, slow, busy);
+                self.progress = now;
+            }
+            Finish::Refused => {
+                self.limit.refused(now, admitted);
+                self.progress = now;
+            }
+            // A deadline shorter than the usual latency says nothing about the server.
+            Finish::TimedOut if latency >= self.fair.mean(flow) => {
+                self.limit.timed_out(now, admitted);
+            }
+            // Callers that give up on a frozen server withdraw their requests.
+            Finish::Withdrawn if latency >= self.patience(flow) => {
+                self.limit.timed_out(now, admitted);
+            }
+            Finish::TimedOut | Finish::Withdrawn | Finish::Failed => {}
+        }
+    }
+
     /// Withdraws a request, waiting or in flight.
     pub fn cancel(&mut self, now: clock::Instant, key: Key) -> Turn {
-        if let Some(entry) = self.entries.remove(key) {
-            match entry.running {
-                true => self.in_flight -= 1,
-                false => {
-                    self.waiting.remove(&(entry.ticket.deadline, key));
-                }
+        match self.entries.get(key).map(|entry| entry.phase) {
+            Some(Phase::Running { admitted, .. }) => {
+                let held = now.saturating_since(admitted);
+                self.finished(now, key, held, Finish::Withdrawn)
+            }
+            Some(Phase::Waiting { .. }) => {
+                self.remove_waiting(key);
+                self.expire(now)
             }
+            None => self.expire(now),
         }
-        self.expire(now)
     }
 
-    /// Ends the waits whose deadline has passed.
+    /// Ends the waits whose time has passed and starts what may start.
     pub fn expire(&mut self, now: clock::Instant) -> Turn {
         let mut turn = Turn::default();
-        while let Some((deadline, key)) = self.waiting.first().copied() {
-            if deadline <= now {
-                self.waiting.pop_first();
-                self.entries.remove(key);
-                turn.shed.push((key, outcome::Reason::Deadline));
-            } else if self.in_flight < self.limits.slots {
-                self.waiting.pop_first();
-                if let Some(entry) = self.entries.get_mut(key) {
-                    entry.running = true;
-                }
-                self.in_flight += 1;
-                turn.admitted.push(key);
-            } else {
+        while let Some((start_by, key)) = self.expiry.first().copied() {
+            if start_by > now {
                 break;
             }
+            self.remove_waiting(key);
+            turn.shed.push((key, outcome::Reason::Deadline));
+        }
+        while self.has_slot(now)
+            && let Some(key) = self.fair.next(self.bulk_allowed(now))
+        {
+            self.start(now, key);
+            turn.admitted.push(key);
+        }
+        self.expired = now;
+        if self.is_blocked(now) {
+            self.shed_waiting(outcome::Reason::Overload, &mut turn);
         }
         turn
     }
 
     /// Returns when [`Gate::expire`] has to be called next, if ever.
     pub fn next_deadline(&self) -> Option<clock::Instant> {
-        self.waiting.first().map(|(deadline, _)| *deadline)
+        let (start_by, _) = *self.expiry.first()?;
+        let now = self.expired;
+        let step = self.limit.next_step(now).unwrap_or(start_by);
+        let stall = self.next_stall(now).unwrap_or(start_by);
+        Some(start_by.min(step).min(stall))
+    }
+
+    /// Returns when a stall can be found next; after `now`, if none is found now.
+    fn next_stall(&self, now: clock::Instant) -> Option<clock::Instant> {
+        let earliest = self.progress + STALL_MIN;
+        if self.has_slot(now) {
+            None
+        } else if earliest > now {
+            Some(earliest)
+        } else {
+            Some(self.progress + self.stall_after())
+        }
     }
 
     /// Refuses new requests from now on and sheds the waiting ones.
-    pub fn drain(&mut self, now: clock::Instant) -> Turn {
-        let _ = now;
+    pub fn drain(&mut self) -> Turn {
         self.draining = true;
         let mut turn = Turn::default();
-        for (_, key) in std::mem::take(&mut self.waiting) {
-            self.entries.remove(key);
-            turn.shed.push((key, outcome::Reason::Draining));
-        }
+        self.shed_waiting(outcome::Reason::Draining, &mut turn);
         turn
     }
 
     /// Ends a drain.
-    pub fn resume(&mut self, now: clock::Instant) {
-        let _ = now;
+    pub fn resume(&mut self) {
         self.draining = false;
     }
 
     /// Changes the number of slots, for a server that announced itself anew.
     pub fn resize(&mut self, now: clock::Instant, slots: u32) -> Turn {
-        self.limits.slots = slots.max(1);
+        self.limit.resize(slots);
         self.expire(now)
     }
 
     /// Iterates over the requests in flight, for the report at the end of a drain.
     pub fn in_flight(&self) -> impl Iterator<Item = (Key, &Ticket)> {
-        let running = self.entries.iter().filter(|(_, entry)| entry.running);
-        running.map(|(key, entry)| (key, &entry.ticket))
+        let running = |entry: &Entry| matches!(entry.phase, Phase::Running { .. });
+        let entries = self.entries.iter();
+        entries.filter_map(move |(key, entry)| running(entry).then_some((key, &entry.ticket)))
     }
 
     /// Returns the number of requests in flight.
-    pub fn running(&self) -> u32 {
+    pub const fn running(&self) -> u32 {
         self.in_flight
     }
 
     /// Returns the number of requests that wait.
     pub fn waiting(&self) -> u32 {
-        self.waiting.len() as u32
+        self.fair.waiting() as u32
+    }
+
+    /// Returns the concurrency limit at `now`, from 1 to the number of slots.
+    pub fn limit(&self, now: clock::Instant) -> u32 {
+        self.limit.current(now)
+    }
+
+    /// Tells whether the backend server stopped responding, so that nothing is queued.
+    pub fn is_blocked(&self, now: clock::Instant) -> bool {
+        self.limit.is_frozen() || self.is_stalled(now)
+    }
+
+    fn has_slot(&self, now: clock::Instant) -> bool {
+        self.in_flight < self.limit.current(now)
+    }
+
+    /// Tells whether a bulk request may start, so that uploads leave slots to others.
+    fn bulk_allowed(&self, now: clock::Instant) -> bool {
+        let limit = self.limit.current(now);
+        let kept = limit.div_ceil(INTERACTIVE_SHARE);
+        self.bulk < limit.saturating_sub(kept).max(1)
+    }
+
+    fn is_stalled(&self, now: clock::Instant) -> bool {
+        let silent = now.saturating_since(self.progress);
+        silent >= STALL_MIN && !self.has_slot(now) && silent >= self.stall_after()
+    }
+
+    /// Time without a response after which at least one request in flight is overdue.
+    fn stall_after(&self) -> Duration {
+        let running = self.in_flight();
+        let patience = running.map(|(key, _)| self.patience(self.entries[key].flow));
+        patience.min().unwrap_or(STALL_MIN)
+    }
+
+    /// Time after which a request of the flow is overdue.
+    fn patience(&self, flow: flow::Key) -> Duration {
+        STALL_MIN.max(self.fair.mean(flow).saturating_mul(STALL_FACTOR))
     }
 
-    /// Returns the present concurrency limit, from 1 to the number of slots.
-    pub fn limit(&self) -> u32 {
-        self.limits.slots
+    fn start(&mut self, now: clock::Instant, key: Key) {
+        self.remove_from_queue(key);
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let charged = self.fair.start_one(entry.flow);
+        let admitted = now;
+        entry.phase = Phase::Running { admitted, charged };
+        self.in_flight += 1;
+        self.bulk += u32::from(entry.ticket.class == Class::Bulk);
+        self.progress = now;
+    }
+
+    fn remove_from_queue(&mut self, key: Key) {
+        if let Some(entry) = self.entries.get(key)
+            && let Phase::Waiting { start_by } = entry.phase
+        {
+            self.fair.remove(entry.flow, entry.ticket.deadline, key);
+            self.expiry.remove(&(start_by, key));
+        }
+    }
+
+    fn remove_waiting(&mut self, key: Key) {
+        self.remove_from_queue(key);
+        self.entries.remove(key);
+    }
+
+    fn shed_waiting(&mut self, reason: outcome::Reason, turn: &mut Turn) {
+        while let Some((_, key)) = self.expiry.first().copied() {
+            self.remove_waiting(key);
+            turn.shed.push((key, reason));
+        }
     }
 }
--- a/crates/traffic/src/health.rs
+++ b/crates/traffic/src/health.rs
@@ -7,6 +7,41 @@
 
 use sequoiayoke_model::clock;
 
+/// Time constant by which older requests lose weight.
+const FADE: Duration = Duration::from_secs(2);
+/// Requests that keep their weight however old they are, so that the few
+/// requests that a nearly idle or shedding node sends still count.
+const KEPT: f64 = 4.0;
+/// Requests below which failures are a share of this number.
+const ENOUGH: f64 = 3.0;
+/// Age after which the last request is no evidence any more.
+const PATH_FRESH: Duration = Duration::from_secs(15);
+/// Age after which the last probe is no evidence any more.
+const PROBE_FRESH: Duration = Duration::from_secs(10);
+/// Weight of the endpoint beside evidence from requests. It stays below
+/// `SUSPECT_ENTER`, so the endpoint cannot outvote requests that succeed.
+const PROBE_WEIGHT: f64 = 0.2;
+/// Weight of the endpoint alone. It stays below `FAILING_ENTER`, so the endpoint
+/// alone moves no slice.
+const PROBE_WEIGHT_ALONE: f64 = 0.5;
+/// Score from which a server is suspect, and below which it is so no more.
+const SUSPECT_ENTER: f64 = 0.3;
+const SUSPECT_LEAVE: f64 = 0.15;
+/// Score from which a server is failing, and below which it is so no more.
+const FAILING_ENTER: f64 = 0.6;
+const FAILING_LEAVE: f64 = 0.3;
+/// Time for which the score has to stay low before the state improves.
+const HOLD: Duration = Duration::from_secs(3);
+/// The same without requests: once the slices of a failing server have moved
+/// away, only the endpoint speaks for it, and it spoke for it before.
+const HOLD_ALONE: Duration = Duration::from_secs(30);
+/// A response this many times slower than the mean, and by `SLOW_SLACK`, counts as
+/// half a failure.
+const SLOW_FACTOR: f64 = 10.0;
+const SLOW_SLACK: Duration = Duration::from_millis(100);
+/// Weight of a response in the mean latency.
+const LATENCY_WEIGHT: f64 = 1.0 / 64.0;
+
 /// What happened to one request at the backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Sample {
@@ -56,36 +91,140 @@
 }
 
 /// Evidence about one backend server.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use sequoiayoke_model::clock;
+/// use sequoiayoke_traffic::health;
+///
+/// let now = clock::Instant::from_micros(0);
+/// let mut monitor = health::Monitor::new(now);
+/// monitor.probed(now, health::Probe::Healthy);
+/// for _ in 0..3 {
+///     monitor.observe(now, health::Sample::TimedOut);
+/// }
+/// assert_eq!(monitor.report(now).state, health::State::Failing);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Monitor {
+    total: f64,
+    failures: f64,
+    sampled: Option<clock::Instant>,
+    // Mean latency in seconds, once there was a response.
+    latency: Option<f64>,
+    probe: Option<(clock::Instant, Probe)>,
+    state: State,
+    // Since when the score has allowed a better state.
+    better_since: Option<clock::Instant>,
     started: clock::Instant,
 }
 
 impl Monitor {
     /// Makes a monitor of a server that is taken as healthy.
-    pub fn new(now: clock::Instant) -> Self {
-        Self { started: now }
+    pub const fn new(now: clock::Instant) -> Self {
+        Self {
+            total: 0.0,
+            failures: 0.0,
+            sampled: None,
+            latency: None,
+            probe: None,
+            state: State::Healthy,
+            better_since: None,
+            started: now,
+        }
     }
 
     /// Takes what happened to one request.
     pub fn observe(&mut self, now: clock::Instant, sample: Sample) {
-        let _ = (now, sample);
+        self.fade(now);
+        self.total += 1.0;
+        self.failures += match sample {
+            Sample::Answered(latency) => self.weigh(latency),
+            Sample::TimedOut | Sample::Failed => 1.0,
+        };
+        self.sampled = Some(now);
     }
 
     /// Takes what the health endpoint said.
-    pub fn probed(&mut self, now: clock::Instant, probe: Probe) {
-        let _ = (now, probe);
+    pub const fn probed(&mut self, now: clock::Instant, probe: Probe) {
+        self.probe = Some((now, probe));
     }
 
-    /// Judges the evidence up to `now`.
+    /// Judges the evidence up to `now`; call it at least once per second, since
+    /// the state improves only after the score was seen low for a while.
     pub fn report(&mut self, now: clock::Instant) -> Report {
-        let _ = now.saturating_since(self.started);
+        let path = self.path(now);
+        let probe = self.fresh_probe(now);
+        let bad = f64::from(u8::from(probe.is_some_and(|probe| probe != Probe::Healthy)));
+        let score = match path {
+            Some(path) => (1.0 - PROBE_WEIGHT) * path + PROBE_WEIGHT * bad,
+            None => PROBE_WEIGHT_ALONE * bad,
+        };
+        self.judge(now, score, path.is_some());
         Report {
-            state: State::Healthy,
-            score: 0.0,
-            path: None,
-            probe: None,
-            latency: Duration::ZERO,
+            state: self.state,
+            score,
+            path,
+            probe,
+            latency: Duration::from_secs_f64(self.latency.unwrap_or(0.0)),
+        }
+    }
+
+    fn judge(&mut self, now: clock::Instant, score: f64, path: bool) {
+        let entered = match score {
+            _ if score >= FAILING_ENTER => State::Failing,
+            _ if score >= SUSPECT_ENTER => State::Suspect,
+            _ => State::Healthy,
+        };
+        let left = match self.state {
+            State::Failing if score < FAILING_LEAVE => State::Suspect,
+            State::Suspect if score < SUSPECT_LEAVE => State::Healthy,
+            state => state,
+        };
+        if entered > self.state {
+            self.state = entered;
+            self.better_since = None;
+        } else if left < self.state {
+            let since = *self.better_since.get_or_insert(now);
+            let hold = if path { HOLD } else { HOLD_ALONE };
+            if now.saturating_since(since) >= hold {
+                self.state = left;
+                self.better_since = None;
+            }
+        } else {
+            self.better_since = None;
         }
     }
+
+    /// Lets older requests lose weight; their share of failures stays the same.
+    fn fade(&mut self, now: clock::Instant) {
+        let last = self.sampled.unwrap_or(self.started);
+        let elapsed = now.saturating_since(last).as_secs_f64();
+        let faded = self.total * (-elapsed / FADE.as_secs_f64()).exp();
+        let kept = faded.max(self.total.min(KEPT));
+        if self.total > 0.0 {
+            self.failures *= kept / self.total;
+            self.total = kept;
+        }
+    }
+
+    fn weigh(&mut self, latency: Duration) -> f64 {
+        let sample = latency.as_secs_f64();
+        let mean = self.latency.unwrap_or(sample);
+        self.latency = Some(mean + (sample - mean) * LATENCY_WEIGHT);
+        let slow = sample > mean * SLOW_FACTOR + SLOW_SLACK.as_secs_f64();
+        if slow { 0.5 } else { 0.0 }
+    }
+
+    fn path(&self, now: clock::Instant) -> Option<f64> {
+        let age = now.saturating_since(self.sampled?);
+        (age < PATH_FRESH).then(|| self.failures / self.total.max(ENOUGH))
+    }
+
+    fn fresh_probe(&self, now: clock::Instant) -> Option<Probe> {
+        let (at, probe) = self.probe?;
+        (now.saturating_since(at) < PROBE_FRESH).then_some(probe)
+    }
 }
