--- a/crates/traffic/src/window.rs
+++ b/crates/traffic/src/window.rs
@@ -254,7 +254,9 @@
 
     /// Evicts the ended entry with the smallest time of issue; `false` if all run.
     ///
-    /// A running entry stays: without it a resend would run a second time.
+    /// A running entry stays. The floor would keep a resend from running again, but
+    /// the caller would get "unknown" instead of the answer, and what runs would
+    /// no longer be bounded by the size of the window.
     fn evict(&mut self) -> bool {
         let mut entries = self.entries.iter();
         let oldest = entries.find(|(_, entry)| !matches!(entry.phase, Phase::Running));
--- /dev/null
+++ b/crates/traffic/tests/window/world.rs
@@ -0,0 +1,501 @@
+//! A small model: a log of grants, nodes that apply it late, callers that resend.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng, rngs};
+use sequoiayoke_model::outcome::{Outcome, Reason};
+use sequoiayoke_model::table::Holder;
+use sequoiayoke_model::{id, key, range, request, table};
+use sequoiayoke_traffic::window::{Answer, End, Export, Limits, Verdict, Window};
+
+const NODES: u32 = 3;
+const LIMITS: Limits = Limits {
+    entries: 4,
+    answer_bytes: 20,
+};
+
+/// How often the exploration reached each situation that the rules are about.
+pub(crate) type Reached = BTreeMap<&'static str, u64>;
+
+#[derive(Clone)]
+enum Entry {
+    Assign(key::Hash, Holder, Option<Export>),
+    Leave(id::Server, id::Incarnation),
+    Split(key::Hash),
+    Merge(key::Hash),
+}
+
+struct Node {
+    table: table::Table,
+    applied: usize,
+    windows: BTreeMap<key::Hash, Window>,
+    incarnation: id::Incarnation,
+    lease: bool,
+    skew: u64,
+}
+
+impl Node {
+    /// Applies the next entry of the log and names what it came to.
+    fn apply(&mut self, index: usize, entry: Entry) -> &'static str {
+        self.applied += 1;
+        apply_to_table(&mut self.table, &entry);
+        match entry {
+            Entry::Assign(start, holder, Some(export)) if self.is(index, &holder) => {
+                let window = Window::import(export, holder.epoch, LIMITS);
+                self.windows.insert(start, window.expect("a later grant"));
+                return "import";
+            }
+            Entry::Assign(start, holder, None) if self.is(index, &holder) => {
+                self.windows
+                    .insert(start, Window::new(holder.epoch, LIMITS));
+                return "grant";
+            }
+            Entry::Split(at) => {
+                let before = self.table.find(key::Hash(at.0 - 1)).1.first;
+                if let Some(window) = self.windows.get_mut(&before) {
+                    let upper = window.split(at);
+                    self.windows.insert(at, upper);
+                    return "split";
+                }
+            }
+            Entry::Merge(at) => {
+                let start = self.table.find(at).1.first;
+                let parts = (self.windows.remove(&start), self.windows.remove(&at));
+                if let (Some(mut lower), Some(upper)) = parts {
+                    lower.merge(upper);
+                    self.windows.insert(start, lower);
+                    return "merge";
+                }
+            }
+            _ => {}
+        }
+        "change elsewhere"
+    }
+
+    fn is(&self, index: usize, holder: &Holder) -> bool {
+        (holder.server.0 as usize, holder.incarnation) == (index, self.incarnation)
+    }
+}
+
+/// One sending that was handed to a backend server.
+struct Flight {
+    id: request::Id,
+    sending: usize,
+    server: u32,
+    incarnation: id::Incarnation,
+    executed: bool,
+    reported: bool,
+}
+
+struct Sending {
+    id: request::Id,
+    outcome: Option<Outcome>,
+    ran: bool,
+}
+
+impl Sending {
+    fn check(&self, seed: u64) {
+        let not_run = matches!(self.outcome, Some(Outcome::NotRun(_)));
+        let (id, outcome) = (self.id, self.outcome);
+        let lie = self.ran && not_run;
+        assert!(!lie, "seed {seed}: {id} ran, but got {outcome:?}");
+    }
+}
+
+pub(crate) struct World {
+    seed: u64,
+    random: rngs::SmallRng,
+    clock: u64,
+    table: table::Table,
+    log: Vec<Entry>,
+    nodes: Vec<Node>,
+    released: VecDeque<(range::Range, Holder, Export)>,
+    ids: Vec<(request::Id, key::Hash)>,
+    sendings: Vec<Sending>,
+    flights: Vec<Flight>,
+    runs: BTreeMap<request::Id, u32>,
+    pub(crate) reached: Reached,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut random = rngs::SmallRng::seed_from_u64(seed);
+        let nodes = (0..NODES).map(|_| Node {
+            table: table::Table::new(),
+            applied: 0,
+            windows: BTreeMap::new(),
+            incarnation: id::Incarnation(0),
+            lease: true,
+            skew: random.random_range(0..20),
+        });
+        Self {
+            nodes: nodes.collect(),
+            seed,
+            random,
+            clock: 100,
+            table: table::Table::new(),
+            log: Vec::new(),
+            released: VecDeque::new(),
+            ids: Vec::new(),
+            sendings: Vec::new(),
+            flights: Vec::new(),
+            runs: BTreeMap::new(),
+            reached: Reached::new(),
+        }
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.clock += self.random.random_range(0..3);
+        match self.random.random_range(0..100) {
+            0..14 => self.issue(),
+            14..44 => self.send(),
+            44..66 => self.advance_flight(),
+            66..84 => self.catch_up(),
+            84..90 => self.release(),
+            90..94 => self.assign(),
+            94 => {
+                let node = self.any_node();
+                self.lose(node);
+                if self.random.random_bool(0.5) {
+                    self.restart(node);
+                }
+            }
+            95..97 => self.split(),
+            _ => self.merge(),
+        }
+    }
+
+    /// Lets everything in flight run, then checks that a new id runs at its owner.
+    pub(crate) fn settle(&mut self) {
+        for index in 0..self.flights.len() {
+            self.execute(index);
+        }
+        for node in 0..NODES {
+            self.lose(node as usize);
+            self.restart(node as usize);
+        }
+        while self.table.slices().iter().any(|s| s.holder.is_none()) {
+            self.assign();
+        }
+        for node in 0..NODES as usize {
+            while self.nodes[node].applied < self.log.len() {
+                self.apply_next(node);
+            }
+        }
+        self.flights.clear();
+        self.clock += 1_000;
+        self.issue();
+        let (id, hash) = *self.ids.last().expect("all slices are granted");
+        let owner = self.table.find(hash).0.holder.map(|h| h.server.0);
+        self.send_to(self.ids.len() - 1, owner);
+        assert_eq!(self.flights.len(), 1, "seed {}: {id} is refused", self.seed);
+    }
+
+    fn any_hash(&mut self) -> key::Hash {
+        key::Hash(self.random.random_range(0..8_u64) << 61)
+    }
+
+    fn any_node(&mut self) -> usize {
+        self.random.random_range(0..NODES as usize)
+    }
+
+    fn issue(&mut self) {
+        let (hash, node) = (self.any_hash(), self.any_node());
+        let (slice, _) = self.nodes[node].table.find(hash);
+        if let Some(holder) = slice.holder {
+            let issued = self.clock + self.nodes[node].skew;
+            let id = request::Id::new(holder.epoch, issued, self.random.random());
+            self.ids.push((id, hash));
+        }
+    }
+
+    fn send(&mut self) {
+        if self.ids.is_empty() {
+            return;
+        }
+        // Mostly a recent id, sometimes an old one.
+        let recent = self.ids.len().saturating_sub(6);
+        let old = self.random.random_bool(0.2);
+        let from = if old { 0 } else { recent };
+        let index = self.random.random_range(from..self.ids.len());
+        let entry = self.any_node();
+        let holder = self.nodes[entry].table.find(self.ids[index].1).0.holder;
+        // Some callers go to the owner that they were told of earlier.
+        let server = match self.random.random_bool(0.2) {
+            true => Some(self.any_node() as u32),
+            false => holder.map(|holder| holder.server.0),
+        };
+        self.send_to(index, server);
+    }
+
+    fn send_to(&mut self, index: usize, server: Option<u32>) {
+        let (id, hash) = self.ids[index];
+        let sending = self.sendings.len();
+        self.sendings.push(Sending {
+            id,
+            outcome: None,
+            ran: false,
+        });
+        let outcome = match server {
+            Some(server) => self.arrive(server, id, hash, sending),
+            None => Some(Outcome::NotRun(Reason::Vacant)),
+        };
+        self.sendings[sending].outcome = outcome;
+    }
+
+    /// Handles a request at its owner; `None` if it was dispatched.
+    fn arrive(
+        &mut self,
+        server: u32,
+        id: request::Id,
+        hash: key::Hash,
+        sending: usize,
+    ) -> Option<Outcome> {
+        let node = &mut self.nodes[server as usize];
+        let not_owner = Some(Outcome::NotRun(Reason::NotOwner));
+        let (slice, range) = node.table.find(hash);
+        let own = slice
+            .holder
+            .filter(|holder| node.is(server as usize, holder));
+        let window = node.windows.get_mut(&range.first);
+        let (Some(_), Some(window)) = (own, window) else {
+            return not_owner;
+        };
+        let verdict = window.begin(id, hash);
+        if let Verdict::Replay(answer) = &verdict {
+            let own = id.random().to_be_bytes();
+            assert_eq!(answer.body, own, "seed {}: foreign answer", self.seed);
+        }
+        let name = verdict_name(&verdict);
+        let outcome = verdict.outcome();
+        *self.reached.entry(name).or_default() += 1;
+        if outcome.is_some() {
+            return outcome;
+        }
+        if !node.lease {
+            window.finish(id, End::NotRun);
+            return Some(Outcome::NotRun(Reason::LeaseExpired));
+        }
+        self.flights.push(Flight {
+            id,
+            sending,
+            server,
+            incarnation: node.incarnation,
+            executed: false,
+            reported: false,
+        });
+        None
+    }
+
+    fn advance_flight(&mut self) {
+        if self.flights.is_empty() {
+            return;
+        }
+        let index = self.random.random_range(0..self.flights.len());
+        let flight = &self.flights[index];
+        match (self.random.random_range(0..6), flight.executed) {
+            (0 | 1, false) => self.execute(index),
+            (2, false) if !flight.reported => {
+                let refused = Outcome::NotRun(Reason::RefusedByServer);
+                self.report(index, refused, End::NotRun);
+                self.flights.swap_remove(index);
+            }
+            (3, false) if flight.reported => {
+                self.flights.swap_remove(index);
+            }
+            (4, _) if !flight.reported => {
+                let reason = Reason::ConnectionLost;
+                self.report(index, Outcome::Unknown(reason), End::Unknown(reason));
+            }
+            (0..4, true) => {
+                let answer = Answer {
+                    status: 200,
+                    headers: Vec::new(),
+                    body: flight.id.random().to_be_bytes().to_vec(),
+                };
+                self.report(index, Outcome::Answered(200), End::Answered(Some(answer)));
+                self.flights.swap_remove(index);
+            }
+            _ => {}
+        }
+    }
+
+    fn execute(&mut self, index: usize) {
+        let flight = &mut self.flights[index];
+        if flight.executed {
+            return;
+        }
+        flight.executed = true;
+        let late = flight.reported;
+        let sending = &mut self.sendings[flight.sending];
+        sending.ran = true;
+        sending.check(self.seed);
+        let runs = self.runs.entry(sending.id).or_default();
+        *runs += 1;
+        let (seed, id) = (self.seed, sending.id);
+        assert!(*runs <= 1, "seed {seed}: {id} ran {runs} times");
+        if late {
+            self.reach("late run");
+        }
+    }
+
+    fn reach(&mut self, situation: &'static str) {
+        *self.reached.entry(situation).or_default() += 1;
+    }
+
+    fn report(&mut self, index: usize, outcome: Outcome, end: End) {
+        let flight = &mut self.flights[index];
+        let node = &mut self.nodes[flight.server as usize];
+        if node.incarnation == flight.incarnation {
+            // The window that holds the id now, whatever was split or merged.
+            for window in node.windows.values_mut() {
+                window.finish(flight.id, end.clone());
+            }
+        }
+        if !flight.reported {
+            flight.reported = true;
+            let sending = &mut self.sendings[flight.sending];
+            sending.outcome = Some(outcome);
+            sending.check(self.seed);
+        }
+    }
+
+    fn catch_up(&mut self) {
+        let node = self.any_node();
+        for _ in 0..self.random.random_range(1..4) {
+            if self.nodes[node].applied < self.log.len() {
+                self.apply_next(node);
+            }
+        }
+    }
+
+    fn apply_next(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let situation = node.apply(index, self.log[node.applied].clone());
+        self.reach(situation);
+    }
+
+    fn commit(&mut self, entry: Entry) {
+        apply_to_table(&mut self.table, &entry);
+        self.log.push(entry);
+    }
+
+    fn release(&mut self) {
+        let index = self.any_node();
+        let node = &mut self.nodes[index];
+        let starts: Vec<key::Hash> = node.windows.keys().copied().collect();
+        if starts.is_empty() {
+            return;
+        }
+        let start = starts[self.random.random_range(0..starts.len())];
+        let (slice, range) = node.table.find(start);
+        let holder = slice.holder.filter(|holder| node.is(index, holder));
+        if let (Some(window), Some(holder)) = (node.windows.remove(&start), holder) {
+            self.released.push_back((range, holder, window.export()));
+        }
+    }
+
+    /// Grants a released or a vacant slice.
+    fn assign(&mut self) {
+        let target = self.any_node();
+        let holder = Holder {
+            server: id::Server(target as u32),
+            incarnation: self.nodes[target].incarnation,
+            epoch: id::Epoch(self.log.len() as u64 + 1),
+        };
+        if !self.nodes[target].lease {
+            self.restart(target);
+        } else if let Some((range, old, export)) = self.released.pop_front() {
+            let (slice, present) = self.table.find(range.first);
+            if present == range && slice.holder == Some(old) {
+                self.commit(Entry::Assign(range.first, holder, Some(export)));
+            }
+        } else {
+            let hash = self.any_hash();
+            let (slice, range) = self.table.find(hash);
+            if self.is_stopped(slice.holder, range) {
+                self.commit(Entry::Assign(range.first, holder, None));
+            }
+        }
+    }
+
+    /// Tells whether the holder has given up the whole slice.
+    fn is_stopped(&self, holder: Option<Holder>, range: range::Range) -> bool {
+        holder.is_none_or(|holder| {
+            let node = &self.nodes[holder.server.0 as usize];
+            let start = node.table.find(range.first).1.first;
+            let windows = node.windows.range(start..=range.last).next().is_some();
+            node.applied == self.log.len() && !windows
+        })
+    }
+
+    /// Ends a lease: the node was killed, or paused and resumes later.
+    fn lose(&mut self, index: usize) {
+        let incarnation = self.nodes[index].incarnation;
+        self.nodes[index].lease = false;
+        self.commit(Entry::Leave(id::Server(index as u32), incarnation));
+        self.reach("loss");
+    }
+
+    fn restart(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.windows.clear();
+        node.incarnation = id::Incarnation(node.incarnation.0 + 1);
+        node.lease = true;
+        // A wall clock may be set back while the node is down.
+        node.skew = self.random.random_range(0..20);
+        let lost = self.flights.iter_mut();
+        for flight in lost.filter(|f| f.server == index as u32 && !f.reported) {
+            flight.reported = true;
+            let reason = Reason::ConnectionLost;
+            self.sendings[flight.sending].outcome = Some(Outcome::Unknown(reason));
+        }
+    }
+
+    fn split(&mut self) {
+        let at = self.any_hash();
+        if self.table.get(at).is_none() {
+            self.commit(Entry::Split(at));
+        }
+    }
+
+    fn merge(&mut self) {
+        let at = self.any_hash();
+        if self.table.clone().merge(at).is_ok() {
+            self.commit(Entry::Merge(at));
+        }
+    }
+}
+
+fn verdict_name(verdict: &Verdict<'_>) -> &'static str {
+    match verdict {
+        Verdict::Run => "run",
+        Verdict::Running => "running",
+        Verdict::Replay(_) => "replay",
+        Verdict::AnswerNotKept => "answer not kept",
+        Verdict::Unknown(_) => "unknown",
+        Verdict::TooOld => "too old",
+        Verdict::FutureEpoch => "future epoch",
+        Verdict::Full => "full",
+    }
+}
+
+fn apply_to_table(table: &mut table::Table, entry: &Entry) {
+    match entry {
+        Entry::Assign(start, holder, _) => {
+            table.set_holder(*start, Some(*holder));
+        }
+        Entry::Leave(server, incarnation) => {
+            let gone =
+                |holder: &Holder| holder.server == *server && holder.incarnation == *incarnation;
+            let slices = table.slices().iter();
+            let vacated = slices.filter(|slice| slice.holder.as_ref().is_some_and(gone));
+            let starts: Vec<key::Hash> = vacated.map(|slice| slice.start).collect();
+            for start in starts {
+                table.set_holder(start, None);
+            }
+        }
+        Entry::Split(at) => table.split(*at).expect("control checked it"),
+        Entry::Merge(at) => table.merge(*at).expect("control checked it"),
+    }
+}
