Add the control daemon and the daemons' binaries

Cause: the thin whole path needs replicated control state. Change: crate control in its final shape (one control thread that owns the log, the state machine, leases and placement; traffic threads for replicas, nodes and operators), messages between replicas, thin binaries.

--- /dev/null
+++ b/crates/control/src/coordinator.rs
@@ -0,0 +1,468 @@
+//! The control thread: the replicated log, its state machine and the leader's work.
+//!
+//! Children are values, not tasks: [`formation`], [`replica`] and, while this
+//! replica leads, [`leader`]. None is restarted on its own. A replica that cannot
+//! write its log must not go on, so the coordinator ends with an error and the
+//! whole process starts again from what is on disk.
+
+pub mod codec;
+pub mod documents;
+pub mod event;
+pub mod formation;
+pub mod leader;
+pub mod publish;
+pub mod replica;
+
+use std::collections;
+use std::net;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::ResultExt;
+use sequoiayoke_api::{error, status};
+use sequoiayoke_consensus::config;
+use sequoiayoke_consensus::event as log;
+use sequoiayoke_consensus::members;
+use sequoiayoke_consensus::position;
+use sequoiayoke_consensus::stored;
+use sequoiayoke_model::clock;
+use sequoiayoke_model::id;
+use sequoiayoke_storage::folder;
+use sequoiayoke_storage::medium;
+use sequoiayoke_supervise::{Stop, supervisor};
+use sequoiayoke_wire::frame;
+use sequoiayoke_wire::replica as message;
+use sequoiayoke_wire::session;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time;
+
+/// Events that may wait for the coordinator.
+pub const QUEUE: usize = 16_384;
+/// Events that share one sync of the log.
+const BATCH: usize = 512;
+/// Pause between two looks at replicas that have to be added or removed.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(500);
+
+type Disk = folder::Folder<medium::Disk>;
+
+/// Addresses of a replica.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// For nodes.
+    pub node: net::SocketAddr,
+    /// For operators.
+    pub operator: net::SocketAddr,
+    /// Frames to it; `None` for this replica.
+    pub outgoing: Option<mpsc::Sender<message::Frame>>,
+}
+
+/// What the coordinator needs.
+#[derive(Debug)]
+pub struct Config {
+    /// Settings of a leader.
+    pub leader: leader::Config,
+    /// Settings of the replicated log; identities are filled in later.
+    pub log: config::Config,
+    /// All replicas of the settings, this one included.
+    pub peers: Vec<Peer>,
+}
+
+/// The control thread's state.
+#[derive(Debug)]
+pub struct Coordinator {
+    config: Config,
+    formation: formation::Formation,
+    hello: watch::Sender<message::Hello>,
+    waiting: Option<(Disk, stored::Stored<Bytes>)>,
+    driver: Option<replica::Driver<Disk>>,
+    publisher: publish::Publisher,
+    leader: Option<leader::Leader>,
+    live: collections::BTreeMap<String, id::Replica>,
+    members_checked: clock::Instant,
+}
+
+type Failed = error_stack::Report<supervisor::Error>;
+
+fn failed<E>(error: E) -> Failed
+where
+    E: std::error::Error + Send + Sync + 'static,
+{
+    error_stack::Report::new(error).change_context(supervisor::Error::Child("replica"))
+}
+
+impl Coordinator {
+    /// Makes a coordinator that starts its replica once the group has formed.
+    pub fn new(
+        config: Config,
+        formation: formation::Formation,
+        hello: watch::Sender<message::Hello>,
+        disk: Disk,
+        stored: stored::Stored<Bytes>,
+    ) -> Self {
+        Self {
+            config,
+            formation,
+            hello,
+            waiting: Some((disk, stored)),
+            driver: None,
+            publisher: publish::Publisher::default(),
+            leader: None,
+            live: collections::BTreeMap::new(),
+            members_checked: clock::Instant::from_micros(0),
+        }
+    }
+
+    /// Runs until `stop`; a leader hands over first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the log cannot be written.
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<event::Event>,
+        stop: Stop,
+    ) -> supervisor::Outcome {
+        self.form()?;
+        loop {
+            let pause = clock::Instant::now().saturating_until(self.next_deadline());
+            tokio::select! {
+                Some(event) = inbox.recv() => self.handle(event)?,
+                () = time::sleep(pause) => {}
+                () = stop.cancelled() => break,
+            }
+            for _ in 0..BATCH {
+                match inbox.try_recv() {
+                    Ok(event) => self.handle(event)?,
+                    Err(_) => break,
+                }
+            }
+            self.advance()?;
+        }
+        self.hand_over()
+    }
+
+    fn hand_over(&mut self) -> supervisor::Outcome {
+        if let Some(leader) = self.leader.take() {
+            tracing::info!("handing leadership over");
+            leader.step_down();
+            let now = clock::Instant::now();
+            if let Some(driver) = &mut self.driver {
+                driver.step(now, log::Event::Transfer);
+            }
+            self.flush(now)?;
+        }
+        Ok(())
+    }
+
+    fn next_deadline(&self) -> clock::Instant {
+        let now = clock::Instant::now();
+        let far = now + Duration::from_secs(1);
+        let replica = self
+            .driver
+            .as_ref()
+            .map(|one| one.replica().next_deadline());
+        let leader = self.leader.as_ref().map(|one| one.next_deadline(now));
+        [replica, leader].into_iter().flatten().fold(far, Ord::min)
+    }
+
+    fn handle(&mut self, event: event::Event) -> supervisor::Outcome {
+        match event {
+            event::Event::ReplicaHello(hello) => self.replica_hello(&hello)?,
+            event::Event::ReplicaLog(from, message) => self.replica_log(from, message),
+            event::Event::NodeUp(outgoing, reply) => self.node_up(outgoing, reply),
+            event::Event::NodeFrame(key, frame) => self.node_frame(key, frame),
+            event::Event::NodeDown(key) => {
+                if let Some(leader) = &mut self.leader {
+                    leader.node_down(key);
+                }
+            }
+            event::Event::Operator(request) => self.operator(request),
+        }
+        Ok(())
+    }
+
+    fn replica_hello(&mut self, hello: &message::Hello) -> supervisor::Outcome {
+        if hello.region != self.config.leader.region {
+            tracing::error!(
+                region = hello.region,
+                name = hello.name,
+                "a replica belongs to another region"
+            );
+            return Ok(());
+        }
+        let listed = self.config.peers.iter().any(|peer| peer.name == hello.name);
+        if !listed {
+            tracing::error!(name = hello.name, "a replica is not listed in the settings");
+            return Ok(());
+        }
+        self.live.insert(hello.name.clone(), id::Replica(hello.id));
+        self.formation.hello(hello).map_err(failed)?;
+        self.form()
+    }
+
+    /// Starts the replica if the group has formed, and tells the others.
+    fn form(&mut self) -> supervisor::Outcome {
+        let step = self.formation.step().map_err(failed)?;
+        self.hello.send_if_modified(|hello| {
+            let next = self.formation.to_hello(&self.config.leader.region);
+            let changed = *hello != next;
+            *hello = next;
+            changed
+        });
+        let voters = match step {
+            formation::Step::Wait => return Ok(()),
+            formation::Step::Vote(voters) => voters,
+            formation::Step::Learn => Vec::new(),
+        };
+        let Some((disk, stored)) = self.waiting.take() else {
+            return Ok(());
+        };
+        let mut config = self.config.log.clone().with_voters(voters);
+        config.id = disk.id();
+        config.seed = disk.id().0;
+        let now = clock::Instant::now();
+        let driver = replica::Driver::new(disk, config, stored, now)
+            .change_context(supervisor::Error::Child("replica"))?;
+        self.publisher = publish::Publisher::new(driver.machine().view().version());
+        self.driver = Some(driver);
+        tracing::info!("the group has formed and the replica has started");
+        Ok(())
+    }
+
+    fn replica_log(&mut self, from: id::Replica, message: message::Log) {
+        let Some(driver) = &mut self.driver else {
+            return;
+        };
+        match message::decode(message) {
+            Ok(message) => {
+                let received = log::Event::Received { from, message };
+                driver.step(clock::Instant::now(), received);
+            }
+            Err(error) => tracing::error!(%from, %error, "a replica sent a malformed message"),
+        }
+    }
+
+    fn node_up(
+        &mut self,
+        outgoing: mpsc::Sender<Bytes>,
+        reply: tokio::sync::oneshot::Sender<event::Session>,
+    ) {
+        match &mut self.leader {
+            Some(leader) => {
+                if let Some(key) = leader.node_up(outgoing) {
+                    let _ = reply.send(key);
+                }
+            }
+            None => {
+                let leader = self.leader_peer().map(|peer| peer.node.to_string());
+                let leader = leader.unwrap_or_default();
+                let redirect = session::FromControl::from(session::Redirect { leader });
+                if let Ok(bytes) = frame::encode(&redirect) {
+                    let _ = outgoing.try_send(bytes);
+                }
+            }
+        }
+    }
+
+    fn node_frame(&mut self, key: event::Session, frame: session::FromNode) {
+        let now = clock::Instant::now();
+        let (Some(leader), Some(driver)) = (&mut self.leader, &self.driver) else {
+            return;
+        };
+        // A leader that was paused must not renew a lease on what it knew before.
+        if driver.replica().is_authoritative(now) {
+            leader.node_frame(now, driver.machine(), key, frame);
+        }
+    }
+
+    fn operator(&mut self, request: event::Request) {
+        let now = clock::Instant::now();
+        let address = self.leader_peer().map(|peer| peer.operator.to_string());
+        let base = self.status();
+        if let (Some(leader), Some(driver)) = (&mut self.leader, &self.driver)
+            && driver.replica().is_authoritative(now)
+        {
+            leader.operator(now, driver.machine(), request, || base);
+            return;
+        }
+        // Whoever answers as a leader that it no longer is may show an old state.
+        let error = error::Error::NotLeader { leader: address };
+        match request {
+            event::Request::Submit(_, reply) => drop(reply.send(Err(error))),
+            event::Request::Check(_, reply) => drop(reply.send(Err(error))),
+            event::Request::List(reply) => drop(reply.send(Err(error))),
+            event::Request::Show(_, reply) => drop(reply.send(Err(error))),
+            event::Request::Status(reply) => drop(reply.send(Err(error))),
+            event::Request::Explain { reply, .. } => drop(reply.send(Err(error))),
+        }
+    }
+
+    /// Lets time pass, proposes, writes, sends and applies until nothing is left.
+    fn advance(&mut self) -> supervisor::Outcome {
+        let now = clock::Instant::now();
+        if let Some(driver) = &mut self.driver {
+            driver.step(now, log::Event::Tick);
+        }
+        self.flush(now)?;
+        self.check_leadership(now);
+        self.propose(now);
+        self.flush(now)?;
+        self.check_members(now)?;
+        if let (Some(leader), Some(driver)) = (&mut self.leader, &self.driver) {
+            leader.publish(&self.publisher, driver.machine().view());
+        }
+        Ok(())
+    }
+
+    fn propose(&mut self, now: clock::Instant) {
+        let (Some(leader), Some(driver)) = (&mut self.leader, &mut self.driver) else {
+            return;
+        };
+        leader.tick(now, driver.machine());
+        for proposal in leader.take_proposals() {
+            let position = driver.propose(now, &proposal.command);
+            leader.proposed(now, proposal, position);
+        }
+    }
+
+    fn flush(&mut self, now: clock::Instant) -> supervisor::Outcome {
+        let Some(driver) = &mut self.driver else {
+            return Ok(());
+        };
+        let outcome = driver
+            .flush(now)
+            .change_context(supervisor::Error::Child("replica"))?;
+        if outcome.installed {
+            self.publisher = publish::Publisher::new(driver.machine().view().version());
+        }
+        for (to, message) in outcome.messages {
+            let name = self.formation.name_of(to);
+            let peer = self
+                .config
+                .peers
+                .iter()
+                .find(|peer| Some(peer.name.as_str()) == name);
+            if let Some(outgoing) = peer.and_then(|peer| peer.outgoing.as_ref()) {
+                // The log tolerates lost messages, so a full queue loses the newest.
+                let _ = outgoing.try_send(message::encode(message));
+            }
+        }
+        for applied in &outcome.applied {
+            let index = applied.position.index.0;
+            let changes = applied
+                .result
+                .as_ref()
+                .map_or(&[][..], |done| &done.changes);
+            let accepted = applied.result.as_ref().ok().and_then(|done| done.accepted);
+            if !changes.is_empty() || accepted == Some(id::Version(index)) {
+                self.publisher.push(id::Version(index), changes.to_vec());
+            }
+            if let Some(leader) = &mut self.leader {
+                leader.applied(now, driver.machine(), applied);
+            }
+        }
+        Ok(())
+    }
+
+    fn check_leadership(&mut self, now: clock::Instant) {
+        let Some(driver) = &self.driver else {
+            return;
+        };
+        let leads = driver.replica().is_authoritative(now);
+        match (leads, self.leader.is_some()) {
+            (true, false) => {
+                tracing::info!(term = %driver.replica().role().term, "this replica leads");
+                let config = self.config.leader.clone();
+                self.leader = Some(leader::Leader::new(config, driver.machine(), now));
+            }
+            (false, true) => {
+                tracing::warn!("this replica no longer leads");
+                if let Some(leader) = self.leader.take() {
+                    leader.step_down();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Replaces identities that a lost disk has taken away.
+    ///
+    /// One change at a time: the new identity learns, is promoted, and only then
+    /// is the old one removed, so that no voter is missing in between.
+    fn check_members(&mut self, now: clock::Instant) -> supervisor::Outcome {
+        let (Some(_), Some(driver)) = (&self.leader, &mut self.driver) else {
+            return Ok(());
+        };
+        if now.saturating_since(self.members_checked) < MEMBERS_PAUSE {
+            return Ok(());
+        }
+        self.members_checked = now;
+        let present = driver.replica().members().clone();
+        let change = self.live.iter().find_map(|(name, id)| {
+            if !present.contains(*id) {
+                return Some(members::Change::AddLearner(*id));
+            }
+            if !present.is_voter(*id) {
+                return Some(members::Change::Promote(*id));
+            }
+            let mut former = present.all().filter(|other| other != id);
+            let former = former.find(|other| self.formation.name_of(*other) == Some(name))?;
+            Some(members::Change::Remove(former))
+        });
+        if let Some(change) = change {
+            tracing::info!(?change, "changing the members of the group");
+            driver.step(now, log::Event::ChangeMember(change));
+        }
+        self.flush(now)
+    }
+
+    fn leader_peer(&self) -> Option<&Peer> {
+        let role = self.driver.as_ref()?.replica().role();
+        let name = self.formation.name_of(role.leader?)?;
+        self.config.peers.iter().find(|peer| peer.name == name)
+    }
+
+    /// Returns the part of the status that every replica knows.
+    fn status(&self) -> status::Status {
+        let replica = self.driver.as_ref().map(replica::Driver::replica);
+        let term = replica.map_or(position::Term(0), |replica| replica.role().term);
+        let commit = replica.map_or(position::Index(0), |replica| replica.commit());
+        let replicas = self.config.peers.iter().map(|peer| {
+            let driver = self.driver.as_ref();
+            let id = match &peer.outgoing {
+                Some(_) => self.live.get(&peer.name).copied(),
+                None => driver.map(|driver| driver.replica().id()),
+            };
+            let voting = id.is_some_and(|id| {
+                driver.is_some_and(|driver| driver.replica().members().is_voter(id))
+            });
+            let matched = driver.and_then(|driver| match &peer.outgoing {
+                None => Some(driver.replica().last().index.0),
+                Some(_) => {
+                    let mut matched = driver.replica().matched();
+                    matched.find(|(one, _)| Some(*one) == id).map(|(_, m)| m.0)
+                }
+            });
+            status::Replica {
+                name: peer.name.clone(),
+                address: peer.operator.to_string(),
+                voting,
+                matched: matched.unwrap_or(0),
+            }
+        });
+        status::Status {
+            region: self.config.leader.region.clone(),
+            leader: self.leader_peer().map(|peer| peer.name.clone()),
+            term: term.0,
+            commit: commit.0,
+            version: id::Version(0),
+            next_ticket: id::Ticket(0),
+            replicas: replicas.collect(),
+            servers: Vec::new(),
+            services: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/coordinator/leader/members.rs
@@ -0,0 +1,92 @@
+//! Nodes that join, renew, lapse and leave.
+
+use sequoiayoke_lease::registry;
+use sequoiayoke_model::clock;
+use sequoiayoke_model::id;
+use sequoiayoke_placement::server;
+use sequoiayoke_state::command;
+use sequoiayoke_state::machine;
+use sequoiayoke_state::member;
+use sequoiayoke_state::ticket;
+
+use super::Leader;
+
+/// Lists every run of a node that may hold a lease.
+pub(super) fn all(machine: &machine::Machine) -> impl Iterator<Item = registry::Member> {
+    machine.servers().flat_map(|(id, server)| {
+        let present = server.run.iter().map(|run| run.incarnation);
+        let stale = server.stale_runs.iter().copied();
+        present
+            .chain(stale)
+            .map(move |incarnation| registry::Member::new(id, incarnation))
+    })
+}
+
+impl Leader {
+    pub(super) fn note_join(
+        &mut self,
+        now: clock::Instant,
+        member: registry::Member,
+        repeated: bool,
+    ) {
+        if repeated {
+            return;
+        }
+        self.leaving.remove(&member.server);
+        self.joined_at.insert(member.server, now);
+        if let Err(refusal) = self.leases.joined(now, member) {
+            tracing::error!(?refusal, server = %member.server, "no lease for a node that joined");
+        }
+    }
+
+    /// Proposes the end of each run whose lease has lapsed.
+    pub(super) fn end_lapsed(&mut self, now: clock::Instant, machine: &machine::Machine) {
+        for member in self.leases.expired(now) {
+            if !self.ending.insert(member) {
+                continue;
+            }
+            let name = machine.server(member.server).map(|one| one.name.as_str());
+            tracing::warn!(
+                server = name.unwrap_or(""),
+                incarnation = %member.incarnation,
+                "the lease of a node has ended"
+            );
+            self.propose(command::Command::Leave {
+                server: member.server,
+                incarnation: member.incarnation,
+            });
+        }
+    }
+
+    /// Tells the planner about a server that this leader has heard of.
+    pub(super) fn note_server(&mut self, machine: &machine::Machine, id: id::Server) {
+        let Some((record, run)) = present(machine, id) else {
+            return;
+        };
+        let names = run.announcement.services.iter();
+        let services: Vec<_> = names
+            .filter_map(|name| Some(machine.view().service(name)?.0))
+            .collect();
+        let draining = record.intent == ticket::Intent::Draining || self.leaving.contains(&id);
+        let state = match (draining, self.joined_at.get(&id)) {
+            (true, _) => server::State::Draining,
+            (false, Some(since)) => server::State::Joining { since: *since },
+            (false, None) => server::State::Serving,
+        };
+        self.planner.server_changed(&server::Server {
+            id,
+            incarnation: run.incarnation,
+            services: &services,
+            failure_domain: &run.announcement.failure_domain,
+            slots: run.announcement.slots,
+            state,
+            health: server::Health::GOOD,
+        });
+        self.plan_due = true;
+    }
+}
+
+fn present(machine: &machine::Machine, id: id::Server) -> Option<(&member::Server, &member::Run)> {
+    let record = machine.server(id)?;
+    Some((record, record.run.as_ref()?))
+}
--- /dev/null
+++ b/crates/control/src/root.rs
@@ -0,0 +1,281 @@
+//! Root supervisor: one control thread, one pool of traffic threads.
+//!
+//! Neither child is restarted: a replica whose log failed has to start again from
+//! its disk. The process ends with an error and the platform starts it again.
+
+use std::net;
+use std::sync;
+use std::thread;
+use std::time::Duration;
+
+use error_stack::ResultExt;
+use sequoiayoke_consensus::config;
+use sequoiayoke_lease::registry;
+use sequoiayoke_model::id;
+use sequoiayoke_placement::config as placement;
+use sequoiayoke_settings::control;
+use sequoiayoke_storage::folder;
+use sequoiayoke_storage::identity;
+use sequoiayoke_supervise::{Stop, supervisor};
+use sequoiayoke_wire::replica;
+use tokio::runtime;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::coordinator;
+use crate::coordinator::{event, formation, leader};
+use crate::traffic;
+
+/// Frames that may wait for one replica.
+const LINK_QUEUE: usize = 1_024;
+/// Time to open and authenticate a connection.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Errors of a control replica.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[error("listen.{field}: cannot listen on {address}")]
+    Listen {
+        /// Name of the setting.
+        field: &'static str,
+        /// The address.
+        address: net::SocketAddr,
+    },
+    /// The data directory cannot be used.
+    #[error("data: cannot use {0}")]
+    Data(String),
+    /// A runtime or thread could not be started.
+    #[error("the threads could not be started")]
+    Start,
+    /// A part of the replica has failed for good.
+    #[error("the {0} has failed")]
+    Child(&'static str),
+}
+
+/// Addresses that a control replica listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For other replicas.
+    pub replica: net::SocketAddr,
+    /// For nodes.
+    pub node: net::SocketAddr,
+    /// For operators.
+    pub operator: net::SocketAddr,
+}
+
+/// A running control replica.
+#[derive(Debug)]
+pub struct Control {
+    addresses: Addresses,
+    stop: Stop,
+    coordinator: thread::JoinHandle<supervisor::Outcome>,
+    traffic: thread::JoinHandle<supervisor::Outcome>,
+}
+
+type Result<T> = std::result::Result<T, error_stack::Report<Error>>;
+
+impl Control {
+    /// Starts a control replica.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken, if the data directory belongs to another
+    /// replica or is damaged, or if a thread cannot be started.
+    pub fn start(settings: &control::Control) -> Result<Self> {
+        let listeners = traffic::Listeners {
+            replica: bind("replica", settings.listen.replica)?,
+            node: bind("node", settings.listen.node)?,
+            operator: bind("operator", settings.listen.operator)?,
+        };
+        let addresses = Addresses {
+            replica: local("replica", &listeners.replica)?,
+            node: local("node", &listeners.node)?,
+            operator: local("operator", &listeners.operator)?,
+        };
+        let (events, inbox) = mpsc::channel(coordinator::QUEUE);
+        let (hello, heard) = watch::channel(replica::Hello::default());
+        let (peers, links) = peers(settings);
+        let stop = Stop::new();
+        let traffic_stop = Stop::new();
+        let coordinator = start_coordinator(
+            settings,
+            peers,
+            hello,
+            inbox,
+            stop.clone(),
+            traffic_stop.clone(),
+        )?;
+        let config = traffic::Config {
+            secret: sync::Arc::from(settings.secret.reveal().as_bytes()),
+            connect: CONNECT,
+            events,
+            hello: heard,
+            stop: traffic_stop,
+        };
+        let traffic = start_traffic(settings, listeners, links, config, stop.clone())?;
+        Ok(Self {
+            addresses,
+            stop,
+            coordinator,
+            traffic,
+        })
+    }
+
+    /// Returns the addresses that the replica listens on.
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns the token that asks the replica to hand over and end.
+    pub const fn stop(&self) -> &Stop {
+        &self.stop
+    }
+
+    /// Waits until the replica has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part of the replica has failed for good.
+    pub fn wait(self) -> Result<()> {
+        let coordinator = join("coordinator", self.coordinator);
+        let traffic = join("traffic", self.traffic);
+        coordinator.and(traffic)
+    }
+}
+
+fn join(name: &'static str, child: thread::JoinHandle<supervisor::Outcome>) -> Result<()> {
+    match child.join() {
+        Ok(ended) => ended.change_context(Error::Child(name)),
+        Err(_) => Err(error_stack::Report::new(Error::Child(name))),
+    }
+}
+
+fn bind(field: &'static str, address: net::SocketAddr) -> Result<net::TcpListener> {
+    net::TcpListener::bind(address).change_context(Error::Listen { field, address })
+}
+
+fn local(field: &'static str, listener: &net::TcpListener) -> Result<net::SocketAddr> {
+    let address = net::SocketAddr::from(([0, 0, 0, 0], 0));
+    listener
+        .local_addr()
+        .change_context(Error::Listen { field, address })
+}
+
+fn peers(settings: &control::Control) -> (Vec<coordinator::Peer>, Vec<traffic::Link>) {
+    let mut peers = Vec::new();
+    let mut links = Vec::new();
+    for one in &settings.replicas {
+        let mut outgoing = None;
+        if one.name != settings.replica {
+            let (sender, queue) = mpsc::channel(LINK_QUEUE);
+            outgoing = Some(sender);
+            links.push(traffic::Link {
+                address: one.replica,
+                queue,
+            });
+        }
+        peers.push(coordinator::Peer {
+            name: one.name.clone(),
+            node: one.node,
+            operator: one.operator,
+            outgoing,
+        });
+    }
+    (peers, links)
+}
+
+fn log_config(settings: &control::Control) -> config::Config {
+    let timing = &settings.timing;
+    config::Config {
+        election_min: Duration::from_millis(timing.election_min_ms),
+        election_max: Duration::from_millis(timing.election_max_ms),
+        heartbeat: Duration::from_millis(timing.heartbeat_ms),
+        drift_percent: u32::try_from(timing.drift_percent).unwrap_or(u32::MAX),
+        // The identity is that of the data directory, once it is open.
+        ..config::Config::new(id::Replica(0))
+    }
+}
+
+fn leader_config(settings: &control::Control) -> leader::Config {
+    let (timing, moves) = (&settings.timing, &settings.placement);
+    leader::Config {
+        region: settings.region.clone(),
+        lease: registry::Config {
+            lease: Duration::from_millis(timing.lease_ms),
+            drift_permille: u32::try_from(timing.drift_percent * 10).unwrap_or(u32::MAX),
+            ..registry::Config::default()
+        },
+        placement: placement::Config {
+            max_moves: moves.max_moves,
+            budget: moves.move_budget,
+            budget_window: Duration::from_millis(moves.move_window_ms),
+            action_timeout: Duration::from_millis(moves.release_ms),
+            tolerance: moves.imbalance_percent.saturating_sub(100) * 10,
+            ..placement::Config::default()
+        },
+    }
+}
+
+fn start_coordinator(
+    settings: &control::Control,
+    peers: Vec<coordinator::Peer>,
+    hello: watch::Sender<replica::Hello>,
+    inbox: mpsc::Receiver<event::Event>,
+    stop: Stop,
+    traffic_stop: Stop,
+) -> Result<thread::JoinHandle<supervisor::Outcome>> {
+    let unusable = || Error::Data(settings.data.display().to_string());
+    let owner = identity::Owner::new(&settings.replica, &settings.region);
+    let log = settings.data.join("log");
+    std::fs::create_dir_all(&settings.data).change_context_lazy(unusable)?;
+    let (disk, stored) = folder::Folder::open_path(&log, &owner).change_context_lazy(unusable)?;
+    let listed = settings.replicas.iter().map(|one| one.name.clone());
+    let formation = formation::Formation::open(
+        &settings.data,
+        &settings.replica,
+        disk.id(),
+        listed.collect(),
+    )
+    .change_context_lazy(unusable)?;
+    let config = coordinator::Config {
+        leader: leader_config(settings),
+        log: log_config(settings),
+        peers,
+    };
+    let coordinator = coordinator::Coordinator::new(config, formation, hello, disk, stored);
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(Error::Start)?;
+    let run = move || {
+        let ended = runtime.block_on(coordinator.run(inbox, stop));
+        traffic_stop.cancel();
+        ended
+    };
+    let thread = thread::Builder::new().name("coordinator".to_owned());
+    thread.spawn(run).change_context(Error::Start)
+}
+
+fn start_traffic(
+    settings: &control::Control,
+    listeners: traffic::Listeners,
+    links: Vec<traffic::Link>,
+    config: traffic::Config,
+    replica_stop: Stop,
+) -> Result<thread::JoinHandle<supervisor::Outcome>> {
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .change_context(Error::Start)?;
+    let run = move || {
+        let ended = runtime.block_on(traffic::run(listeners, links, config));
+        // The coordinator cannot go on without traffic.
+        replica_stop.cancel();
+        ended
+    };
+    let thread = thread::Builder::new().name("traffic-main".to_owned());
+    thread.spawn(run).change_context(Error::Start)
+}
--- /dev/null
+++ b/crates/control/src/traffic.rs
@@ -0,0 +1,128 @@
+//! Traffic threads of a control replica: sockets only, no decisions.
+//!
+//! Children: [`peers`] (other replicas), [`nodes`] (sessions of nodes) and
+//! [`operators`] (HTTP). A listener that fails is restarted at once, at most
+//! [`RESTARTS`] times in [`WINDOW`]; then the process ends, and its platform starts
+//! it again.
+
+pub mod nodes;
+pub mod operators;
+pub mod peers;
+
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use poem::listener;
+use sequoiayoke_supervise::{Stop, Supervisor, budget, policy, supervisor};
+use sequoiayoke_wire::replica;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::coordinator::event;
+
+/// Restarts of listeners within [`WINDOW`].
+pub const RESTARTS: usize = 5;
+/// Window of [`RESTARTS`].
+pub const WINDOW: Duration = Duration::from_secs(10);
+
+/// Listeners, bound before anything starts, so that a taken address is an early error.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For other replicas.
+    pub replica: net::TcpListener,
+    /// For nodes.
+    pub node: net::TcpListener,
+    /// For operators.
+    pub operator: net::TcpListener,
+}
+
+/// Another replica, and the frames for it.
+#[derive(Debug)]
+pub struct Link {
+    /// Its address for replicas.
+    pub address: net::SocketAddr,
+    /// Frames for it.
+    pub queue: mpsc::Receiver<replica::Frame>,
+}
+
+/// What the traffic needs.
+#[derive(Debug)]
+pub struct Config {
+    /// Secret that the region's processes share.
+    pub secret: sync::Arc<[u8]>,
+    /// Time to open and authenticate a connection.
+    pub connect: Duration,
+    /// Where events go.
+    pub events: mpsc::Sender<event::Event>,
+    /// What this replica says about itself.
+    pub hello: watch::Receiver<replica::Hello>,
+    /// Asks all children to end.
+    pub stop: Stop,
+}
+
+/// Runs listeners and links until `stop`.
+///
+/// # Errors
+///
+/// Fails if a listener is restarted too often.
+pub async fn run(listeners: Listeners, links: Vec<Link>, config: Config) -> supervisor::Outcome {
+    let supervisor = Supervisor::new(
+        "traffic",
+        budget::Budget::new(RESTARTS, WINDOW),
+        config.stop.clone(),
+    );
+    let config = sync::Arc::new(config);
+    for link in links {
+        // A link never ends by itself: it connects again until the stop.
+        tokio::spawn(peers::dial(link, sync::Arc::clone(&config)));
+    }
+    let replica = || async {
+        let listener = clone(&listeners.replica)?;
+        peers::accept(listener, sync::Arc::clone(&config)).await;
+        Ok(())
+    };
+    let node = || async {
+        let listener = clone(&listeners.node)?;
+        nodes::accept(listener, sync::Arc::clone(&config)).await;
+        Ok(())
+    };
+    let operator = || async {
+        let listener = clone(&listeners.operator)?;
+        serve_http(listener, sync::Arc::clone(&config)).await
+    };
+    tokio::try_join!(
+        supervisor.run("peers", policy::Policy::Permanent, replica),
+        supervisor.run("nodes", policy::Policy::Permanent, node),
+        supervisor.run("operators", policy::Policy::Permanent, operator),
+    )?;
+    Ok(())
+}
+
+fn failed<E>(error: E) -> error_stack::Report<supervisor::Error>
+where
+    E: std::error::Error + Send + Sync + 'static,
+{
+    error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
+}
+
+fn clone(
+    listener: &net::TcpListener,
+) -> Result<TcpListener, error_stack::Report<supervisor::Error>> {
+    let cloned = listener.try_clone().and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    });
+    cloned.map_err(failed)
+}
+
+async fn serve_http(listener: TcpListener, config: sync::Arc<Config>) -> supervisor::Outcome {
+    let acceptor = listener::TcpAcceptor::from_tokio(listener).map_err(failed)?;
+    let endpoint = operators::Operators::new(config.events.clone());
+    let stopped = config.stop.clone().cancelled_owned();
+    poem::Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(endpoint, stopped, Some(Duration::from_secs(1)))
+        .await
+        .map_err(failed)
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -85,3 +85,17 @@
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 }
+
+/// Encodes a message as one frame, for several connections to send alike.
+///
+/// # Errors
+///
+/// Fails if the message exceeds the frame limit.
+pub fn encode<Out>(message: &Out) -> io::Result<bytes::Bytes>
+where
+    Out: prost::Message,
+{
+    let mut buffer = BytesMut::new();
+    codec::Encoder::encode(&mut Codec::<Out, Out>::new(), message, &mut buffer)?;
+    Ok(buffer.freeze())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod auth;
 pub mod convert;
 pub mod frame;
+pub mod replica;
 pub mod session;
 pub mod stream;
--- /dev/null
+++ b/crates/wire/src/replica.rs
@@ -0,0 +1,404 @@
+//! Messages between control replicas.
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+use sequoiayoke_consensus::entry;
+use sequoiayoke_consensus::members;
+use sequoiayoke_consensus::message;
+use sequoiayoke_consensus::position;
+use sequoiayoke_model::clock;
+use sequoiayoke_model::id;
+
+use crate::convert::Malformed;
+
+/// A frame between replicas.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// The message; absent only from a peer that breaks the protocol.
+    #[prost(oneof = "Body", tags = "1, 2")]
+    pub body: Option<Body>,
+}
+
+/// Bodies of [`Frame`].
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// Who the sender is.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// A message of the replicated log.
+    #[prost(message, tag = "2")]
+    Log(Log),
+}
+
+/// Who the sender is, and which replicas it knows as members.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Hello {
+    /// Region of the group.
+    #[prost(string, tag = "1")]
+    pub region: String,
+    /// Name of the replica.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Its identity.
+    #[prost(fixed64, tag = "3")]
+    pub id: u64,
+    /// Members with which the group was formed; empty if the sender is in none.
+    #[prost(message, repeated, tag = "4")]
+    pub members: Vec<Member>,
+}
+
+/// A named replica.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Member {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its identity.
+    #[prost(fixed64, tag = "2")]
+    pub id: u64,
+}
+
+/// A message of the replicated log.
+#[derive(Clone, PartialEq, Message)]
+pub struct Log {
+    /// Term of the sender.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The message; absent only from a peer that breaks the protocol.
+    #[prost(oneof = "Kind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub kind: Option<Kind>,
+}
+
+/// Kinds of [`Log`].
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Kind {
+    /// Asks whether a vote would be granted.
+    #[prost(message, tag = "2")]
+    PreVote(Position),
+    /// Responds to a pre-vote.
+    #[prost(bool, tag = "3")]
+    PreVoted(bool),
+    /// Asks for a vote.
+    #[prost(message, tag = "4")]
+    Vote(Vote),
+    /// Responds to a vote.
+    #[prost(bool, tag = "5")]
+    Voted(bool),
+    /// Entries.
+    #[prost(message, tag = "6")]
+    Append(Append),
+    /// Responds to entries.
+    #[prost(message, tag = "7")]
+    Appended(Appended),
+    /// Part of a snapshot.
+    #[prost(message, tag = "8")]
+    Chunk(Chunk),
+    /// Responds to a part of a snapshot.
+    #[prost(message, tag = "9")]
+    Received(Received),
+    /// Asks the receiver to stand for election.
+    #[prost(message, tag = "10")]
+    TimeoutNow(TimeoutNow),
+}
+
+/// A position in the log.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Position {
+    /// Term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Index.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+}
+
+/// Asks for a vote.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Vote {
+    /// Last entry of the candidate.
+    #[prost(message, required, tag = "1")]
+    pub last: Position,
+    /// Whether the leader asked the candidate to take over.
+    #[prost(bool, tag = "2")]
+    pub transfer: bool,
+}
+
+/// Entries.
+#[derive(Clone, PartialEq, Message)]
+pub struct Append {
+    /// Entry before the first one.
+    #[prost(message, required, tag = "1")]
+    pub previous: Position,
+    /// The entries.
+    #[prost(message, repeated, tag = "2")]
+    pub entries: Vec<Entry>,
+    /// Last committed index.
+    #[prost(uint64, tag = "3")]
+    pub commit: u64,
+    /// Time of sending, in microseconds of the leader's clock.
+    #[prost(uint64, tag = "4")]
+    pub sent: u64,
+}
+
+/// An entry of the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct Entry {
+    /// Its position.
+    #[prost(message, required, tag = "1")]
+    pub position: Position,
+    /// Its content; absent for the first entry of a term.
+    #[prost(oneof = "Content", tags = "2, 3")]
+    pub content: Option<Content>,
+}
+
+/// Content of an entry.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Content {
+    /// An encoded command.
+    #[prost(bytes = "bytes", tag = "2")]
+    Payload(Bytes),
+    /// The membership from here on.
+    #[prost(message, tag = "3")]
+    Members(Members),
+}
+
+/// A membership.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Members {
+    /// Identities of the voters.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub voters: Vec<u64>,
+    /// Identities of the learners.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub learners: Vec<u64>,
+}
+
+/// Responds to entries.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Appended {
+    /// Whether the logs match.
+    #[prost(bool, tag = "1")]
+    pub matched: bool,
+    /// Last matching index, or the rejected one.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// Latest entry that may match.
+    #[prost(message, required, tag = "3")]
+    pub hint: Position,
+    /// Time of sending of the request.
+    #[prost(uint64, tag = "4")]
+    pub sent: u64,
+}
+
+/// Part of a snapshot.
+#[derive(Clone, PartialEq, Message)]
+pub struct Chunk {
+    /// Last entry that the snapshot includes.
+    #[prost(message, required, tag = "1")]
+    pub position: Position,
+    /// Membership after it.
+    #[prost(message, required, tag = "2")]
+    pub members: Members,
+    /// Size of the snapshot in bytes.
+    #[prost(uint64, tag = "3")]
+    pub total: u64,
+    /// Bytes before this part.
+    #[prost(uint64, tag = "4")]
+    pub offset: u64,
+    /// This part.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub data: Bytes,
+    /// Time of sending.
+    #[prost(uint64, tag = "6")]
+    pub sent: u64,
+}
+
+/// Responds to a part of a snapshot.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Received {
+    /// The snapshot.
+    #[prost(message, required, tag = "1")]
+    pub position: Position,
+    /// Bytes received without a gap.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Time of sending of the request.
+    #[prost(uint64, tag = "3")]
+    pub sent: u64,
+}
+
+/// Asks the receiver to stand for election.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct TimeoutNow {}
+
+/// Encodes a message of the log.
+pub fn encode(message: message::Message<Bytes>) -> Frame {
+    let kind = match message.body {
+        message::Body::PreVote { last } => Kind::PreVote(from_position(last)),
+        message::Body::PreVoted { granted } => Kind::PreVoted(granted),
+        message::Body::Vote { last, transfer } => Kind::Vote(Vote {
+            last: from_position(last),
+            transfer,
+        }),
+        message::Body::Voted { granted } => Kind::Voted(granted),
+        message::Body::Append(append) => Kind::Append(Append {
+            previous: from_position(append.previous),
+            entries: append.entries.into_iter().map(from_entry).collect(),
+            commit: append.commit.0,
+            sent: append.sent.as_micros(),
+        }),
+        message::Body::Appended { outcome, sent } => Kind::Appended(from_outcome(outcome, sent)),
+        message::Body::Chunk(chunk) => Kind::Chunk(Chunk {
+            position: from_position(chunk.position),
+            members: from_members(&chunk.members),
+            total: chunk.total,
+            offset: chunk.offset,
+            data: chunk.data,
+            sent: chunk.sent.as_micros(),
+        }),
+        message::Body::Received {
+            position,
+            offset,
+            sent,
+        } => Kind::Received(Received {
+            position: from_position(position),
+            offset,
+            sent: sent.as_micros(),
+        }),
+        message::Body::TimeoutNow => Kind::TimeoutNow(TimeoutNow {}),
+    };
+    let log = Log {
+        term: message.term.0,
+        kind: Some(kind),
+    };
+    Frame {
+        body: Some(Body::Log(log)),
+    }
+}
+
+/// Decodes a message of the log.
+///
+/// # Errors
+///
+/// Fails if the message names no kind.
+pub fn decode(log: Log) -> Result<message::Message<Bytes>, Malformed> {
+    let body = match log.kind.ok_or(Malformed("log message without kind"))? {
+        Kind::PreVote(last) => message::Body::PreVote {
+            last: to_position(last),
+        },
+        Kind::PreVoted(granted) => message::Body::PreVoted { granted },
+        Kind::Vote(vote) => message::Body::Vote {
+            last: to_position(vote.last),
+            transfer: vote.transfer,
+        },
+        Kind::Voted(granted) => message::Body::Voted { granted },
+        Kind::Append(append) => message::Body::Append(message::Append {
+            previous: to_position(append.previous),
+            entries: append.entries.into_iter().map(to_entry).collect(),
+            commit: position::Index(append.commit),
+            sent: clock::Instant::from_micros(append.sent),
+        }),
+        Kind::Appended(appended) => message::Body::Appended {
+            outcome: to_outcome(&appended),
+            sent: clock::Instant::from_micros(appended.sent),
+        },
+        Kind::Chunk(chunk) => message::Body::Chunk(message::Chunk {
+            position: to_position(chunk.position),
+            members: to_members(&chunk.members),
+            total: chunk.total,
+            offset: chunk.offset,
+            data: chunk.data,
+            sent: clock::Instant::from_micros(chunk.sent),
+        }),
+        Kind::Received(received) => message::Body::Received {
+            position: to_position(received.position),
+            offset: received.offset,
+            sent: clock::Instant::from_micros(received.sent),
+        },
+        Kind::TimeoutNow(_) => message::Body::TimeoutNow,
+    };
+    Ok(message::Message {
+        term: position::Term(log.term),
+        body,
+    })
+}
+
+const fn from_position(one: position::Position) -> Position {
+    Position {
+        term: one.term.0,
+        index: one.index.0,
+    }
+}
+
+const fn to_position(one: Position) -> position::Position {
+    position::Position {
+        term: position::Term(one.term),
+        index: position::Index(one.index),
+    }
+}
+
+fn from_entry(one: entry::Entry<Bytes>) -> Entry {
+    let content = match one.content {
+        entry::Content::Empty => None,
+        entry::Content::Payload(payload) => Some(Content::Payload(payload)),
+        entry::Content::Members(members) => Some(Content::Members(from_members(&members))),
+    };
+    Entry {
+        position: from_position(one.position),
+        content,
+    }
+}
+
+fn to_entry(one: Entry) -> entry::Entry<Bytes> {
+    let content = match one.content {
+        None => entry::Content::Empty,
+        Some(Content::Payload(payload)) => entry::Content::Payload(payload),
+        Some(Content::Members(members)) => entry::Content::Members(to_members(&members)),
+    };
+    entry::Entry {
+        position: to_position(one.position),
+        content,
+    }
+}
+
+fn from_members(one: &members::Members) -> Members {
+    Members {
+        voters: one.voters().map(|id| id.0).collect(),
+        learners: one.learners().map(|id| id.0).collect(),
+    }
+}
+
+fn to_members(one: &Members) -> members::Members {
+    let voters = one.voters.iter().map(|id| id::Replica(*id));
+    let learners = one.learners.iter().map(|id| id::Replica(*id));
+    members::Members::new(voters, learners)
+}
+
+const fn from_outcome(outcome: message::Outcome, sent: clock::Instant) -> Appended {
+    let sent = sent.as_micros();
+    match outcome {
+        message::Outcome::Matched(index) => Appended {
+            matched: true,
+            index: index.0,
+            hint: Position { term: 0, index: 0 },
+            sent,
+        },
+        message::Outcome::Conflict { rejected, hint } => Appended {
+            matched: false,
+            index: rejected.0,
+            hint: from_position(hint),
+            sent,
+        },
+    }
+}
+
+const fn to_outcome(one: &Appended) -> message::Outcome {
+    let index = position::Index(one.index);
+    match one.matched {
+        true => message::Outcome::Matched(index),
+        false => message::Outcome::Conflict {
+            rejected: index,
+            hint: to_position(one.hint),
+        },
+    }
+}
--- /dev/null
+++ b/src/bin/sequoiayoke-control.rs
@@ -0,0 +1,7 @@
+//! Control replica.
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    sequoiayoke::daemon::run::<sequoiayoke::daemon::Control>()
+}
--- /dev/null
+++ b/src/bin/sequoiayoke-node.rs
@@ -0,0 +1,7 @@
+//! Node: the process beside each backend server.
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    sequoiayoke::daemon::run::<sequoiayoke::daemon::Node>()
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,189 @@
+//! What the daemons' binaries share: arguments, settings, logs, signals.
+
+use std::io;
+use std::io::Write;
+use std::path;
+use std::process;
+use std::thread;
+
+use clap::Parser;
+use error_stack::{Report, ResultExt};
+use sequoiayoke_settings::{check, common, control, node};
+use sequoiayoke_supervise::Stop;
+use sequoiayoke_telemetry::log;
+use tokio::runtime;
+use tokio::signal::unix;
+
+/// Exit status after malformed settings, as the command line has it.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Arguments of a daemon.
+#[derive(Debug, Parser)]
+#[command(version, about = "A sequoiayoke daemon. SIGTERM drains and ends it.")]
+struct Arguments {
+    /// Settings file, in JSON with comments.
+    #[arg(long, value_name = "FILE")]
+    settings: path::PathBuf,
+}
+
+/// Errors of a daemon.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings cannot be used.
+    #[error("the settings cannot be used")]
+    Settings,
+    /// The daemon could not be started.
+    #[error("the daemon could not be started")]
+    Start,
+    /// The daemon has failed.
+    #[error("the daemon has failed")]
+    Run,
+}
+
+/// A kind of daemon.
+pub trait Daemon: Sized {
+    /// Its settings.
+    type Settings: serde::de::DeserializeOwned + check::Check;
+
+    /// Returns the settings of its log.
+    fn log(settings: &Self::Settings) -> &common::Log;
+
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken, or a file or thread cannot be used.
+    fn start(settings: &Self::Settings) -> Result<Self, Report<Error>>;
+
+    /// Returns a text for operators that names its addresses.
+    fn addresses(&self) -> String;
+
+    /// Returns the token that asks it to end.
+    fn stop(&self) -> Stop;
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part of it has failed for good.
+    fn wait(self) -> Result<(), Report<Error>>;
+}
+
+/// A control replica.
+#[derive(Debug)]
+pub struct Control(sequoiayoke_control::Control);
+
+impl Daemon for Control {
+    type Settings = control::Control;
+
+    fn log(settings: &Self::Settings) -> &common::Log {
+        &settings.log
+    }
+
+    fn start(settings: &Self::Settings) -> Result<Self, Report<Error>> {
+        let started = sequoiayoke_control::Control::start(settings);
+        started.map(Self).change_context(Error::Start)
+    }
+
+    fn addresses(&self) -> String {
+        let all = self.0.addresses();
+        let (replica, node, operator) = (all.replica, all.node, all.operator);
+        format!("replica={replica} node={node} operator={operator}")
+    }
+
+    fn stop(&self) -> Stop {
+        self.0.stop().clone()
+    }
+
+    fn wait(self) -> Result<(), Report<Error>> {
+        self.0.wait().change_context(Error::Run)
+    }
+}
+
+/// A node.
+#[derive(Debug)]
+pub struct Node(sequoiayoke_node::Node);
+
+impl Daemon for Node {
+    type Settings = node::Node;
+
+    fn log(settings: &Self::Settings) -> &common::Log {
+        &settings.log
+    }
+
+    fn start(settings: &Self::Settings) -> Result<Self, Report<Error>> {
+        let started = sequoiayoke_node::Node::start(settings);
+        started.map(Self).change_context(Error::Start)
+    }
+
+    fn addresses(&self) -> String {
+        let all = self.0.addresses();
+        let (caller, peer, backend) = (all.caller, all.peer, all.backend);
+        format!("caller={caller} peer={peer} backend={backend}")
+    }
+
+    fn stop(&self) -> Stop {
+        self.0.stop().clone()
+    }
+
+    fn wait(self) -> Result<(), Report<Error>> {
+        self.0.wait().change_context(Error::Run)
+    }
+}
+
+/// Runs a daemon until it ends; SIGTERM or SIGINT asks it to.
+pub fn run<D>() -> process::ExitCode
+where
+    D: Daemon,
+{
+    match run_with::<D>(&Arguments::parse()) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(report) => {
+            // Standard error may be closed; the exit status tells the rest.
+            let _ = writeln!(io::stderr(), "{report:?}");
+            match report.current_context() {
+                Error::Settings => process::ExitCode::from(EXIT_SETTINGS),
+                Error::Start | Error::Run => process::ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn run_with<D>(arguments: &Arguments) -> Result<(), Report<Error>>
+where
+    D: Daemon,
+{
+    let settings: D::Settings =
+        sequoiayoke_settings::load(&arguments.settings).change_context(Error::Settings)?;
+    log::init(D::log(&settings)).change_context(Error::Settings)?;
+    let daemon = D::start(&settings)?;
+    watch_signals(daemon.stop())?;
+    // Scripts and tests wait for this line, and read the ports from it.
+    let mut output = io::stdout();
+    let _ = writeln!(output, "ready {}", daemon.addresses());
+    let _ = output.flush();
+    daemon.wait()
+}
+
+fn watch_signals(stop: Stop) -> Result<(), Report<Error>> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(Error::Start)?;
+    let _context = runtime.enter();
+    let mut terminate = unix::signal(unix::SignalKind::terminate()).change_context(Error::Start)?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).change_context(Error::Start)?;
+    drop(_context);
+    let watch = move || {
+        runtime.block_on(async {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        });
+        stop.cancel();
+    };
+    let thread = thread::Builder::new().name("signals".to_owned());
+    thread.spawn(watch).change_context(Error::Start)?;
+    Ok(())
+}
