--- a/crates/placement/src/config.rs
+++ b/crates/placement/src/config.rs
@@ -36,6 +36,11 @@
     pub horizon: Duration,
     /// Time for which a planned move makes a key unavailable.
     pub move_time: Duration,
+    /// Time until a server has the warm state of the keys that it received.
+    pub warm_up: Duration,
+    /// Time for which a server must report ill health until its slices are
+    /// moved away; it gets no new ones from the first report.
+    pub ill_time: Duration,
 }
 
 impl Default for Config {
@@ -54,6 +59,8 @@
             hot_key: 100,
             horizon: Duration::from_secs(60),
             move_time: Duration::from_millis(20),
+            warm_up: Duration::from_secs(5),
+            ill_time: Duration::from_secs(3),
         }
     }
 }
