--- a/crates/placement/examples/scale.rs
+++ b/crates/placement/examples/scale.rs
@@ -99,6 +99,24 @@
         self.planner.plan(self.now)
     }
 
+    /// Runs rounds until nothing is assigned any more; returns the longest
+    /// round, the time of all of them and the number of actions.
+    fn settle(&mut self) -> (time::Duration, time::Duration, usize) {
+        let (mut longest, mut total, mut count) = (time::Duration::ZERO, time::Duration::ZERO, 0);
+        loop {
+            let (actions, spent) = timed(|| self.plan());
+            total += spent;
+            longest = longest.max(spent);
+            count += actions.len();
+            let is_assign =
+                |action: &action::Action| matches!(action, action::Action::Assign { .. });
+            self.apply(&actions);
+            if !actions.iter().any(is_assign) {
+                return (longest, total, count);
+            }
+        }
+    }
+
     /// Applies the actions that give a slice to a server.
     fn apply(&mut self, actions: &[action::Action]) {
         for action in actions {
@@ -159,12 +177,10 @@
 fn measure(servers: u32) {
     let before = ALLOCATED.load(atomic::Ordering::Relaxed);
     let mut control = Control::new(servers);
-    let (actions, first) = timed(|| control.plan());
-    control.apply(&actions);
-    drop(actions);
+    let (first, _, _) = control.settle();
     let all = control.slices_of(|_| true);
     control.report(&all);
-    control.plan();
+    control.settle();
     let slices = all.len();
     let used = ALLOCATED.load(atomic::Ordering::Relaxed) - before;
     let own = std::mem::size_of::<table::Slice>() * slices + std::mem::size_of_val(&all[..]);
@@ -196,24 +212,23 @@
     });
     control.apply(&actions);
     let (_, scan) = timed(|| control.slices_of(|number| number == 1));
-    let (actions, domain) = timed(|| {
-        control.lose(|number| number % 3 == 2, servers);
-        control.plan()
-    });
+    control.lose(|number| number % 3 == 2, servers);
+    let (longest, total, count) = control.settle();
     let drain_rounds = ROUNDS.min(servers / 2);
     println!(
-        "{servers:>7} {slices:>8} {each:>7} B {first:>10.1?} {:>10.1?} {:>10.1?} {:>10.1?} {:>10.1?} for {}",
+        "{servers:>7} {slices:>8} {each:>6} B {first:>11.1?} {:>9.1?} {:>9.1?} {:>9.1?} {longest:>10.1?} {total:>10.1?} {count:>7}",
         reports / ROUNDS,
         drains / drain_rounds,
         one.saturating_sub(scan),
-        domain,
-        actions.len()
     );
 }
 
 fn main() {
     println!("seed {SEED}; {ROUNDS} rounds for each mean");
-    println!("servers   slices  memory      first  one load  one drain   one lost  domain lost");
+    println!(
+        "servers   slices   memory first round  one load one drain  one lost \
+         domain lost: longest round, all rounds, actions"
+    );
     for servers in SIZES {
         measure(servers);
     }
--- a/crates/placement/src/config.rs
+++ b/crates/placement/src/config.rs
@@ -10,6 +10,9 @@
     pub min_slices_per_server: usize,
     /// Slices per server of a service, on average, that are never exceeded.
     pub max_slices_per_server: usize,
+    /// Vacant slices that one round assigns, so that the control thread is not
+    /// held up for as long as an election takes.
+    pub max_assignments: usize,
     /// Moves that may be in progress at the same time.
     pub max_moves: usize,
     /// Moves that may leave one server at the same time.
@@ -48,6 +51,7 @@
         Self {
             min_slices_per_server: 8,
             max_slices_per_server: 64,
+            max_assignments: 4_096,
             max_moves: 16,
             max_moves_per_server: 4,
             budget: 16,
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -69,6 +69,7 @@
     pins: collections::BTreeMap<ledger::Place, pin::Pin>,
     /// Pins whose range may not be on their server; the starts of their ranges.
     loose: collections::BTreeSet<ledger::Place>,
+    // Invariant: the slices without a holder for which no action is in progress.
     vacant: collections::BTreeSet<ledger::Place>,
     /// Slices whose load was reported since the last round.
     loaded: collections::BTreeSet<ledger::Place>,
@@ -171,13 +172,7 @@
         }
         let was_held = std::mem::replace(&mut known.holder, slice.holder).is_some();
         book.held = book.held + usize::from(slice.holder.is_some()) - usize::from(was_held);
-        self.ledger.remove(place);
-        self.count(place, slice.holder.map(|holder| holder.server));
-        if slice.holder.is_some() {
-            self.vacant.remove(&place);
-        } else {
-            self.vacant.insert(place);
-        }
+        self.end(place);
         if let Some(pin) = self.pin_of(place) {
             self.loose.insert((service, pin.range.first));
         }
@@ -192,7 +187,7 @@
             return;
         };
         for start in [before, start] {
-            self.ledger.remove((service, start));
+            self.end((service, start));
             self.count((service, start), None);
         }
         self.vacant.remove(&(service, start));
@@ -242,8 +237,9 @@
             return;
         };
         let place = (service, book.find(position));
-        if self.ledger.remove(place).is_some() {
-            self.count_holder(place);
+        if self.ledger.is_busy(place) {
+            self.end(place);
+            self.vacant.remove(&place);
             self.ledger.back_off(now, place);
         }
     }
@@ -252,8 +248,7 @@
     pub fn plan(&mut self, now: clock::Instant) -> Vec<action::Action> {
         self.retry = None;
         for place in self.ledger.expired(now) {
-            self.ledger.remove(place);
-            self.count_holder(place);
+            self.end(place);
         }
         self.fleet.refresh(now, &self.config);
         let mut actions = Vec::new();
@@ -261,9 +256,10 @@
         self.assign(now, &mut actions);
         self.pin(now, &mut actions);
         self.evacuate(now, &mut actions);
-        self.isolate(now, &mut actions);
+        let places = self.examined(now);
+        self.isolate(now, &places, &mut actions);
         self.balance(now, &mut actions);
-        self.merge(now, &mut actions);
+        self.merge(now, &places, &mut actions);
         self.fleet.refresh(now, &self.config);
         actions
     }
@@ -318,6 +314,24 @@
         self.count(place, holder.map(|holder| holder.server));
     }
 
+    /// Ends the action in progress for a slice, if any, and has it count as
+    /// what the table says.
+    fn end(&mut self, place: ledger::Place) {
+        let merged = match self.ledger.remove(place) {
+            Some(ledger::Kind::Merge { with }) => Some((place.0, with)),
+            _ => None,
+        };
+        for place in merged.into_iter().chain([place]) {
+            self.count_holder(place);
+            let holder = self.slice(place).map(|slice| slice.holder);
+            if holder == Some(None) {
+                self.vacant.insert(place);
+            } else {
+                self.vacant.remove(&place);
+            }
+        }
+    }
+
     fn cut(&mut self, service: id::Service, at: key::Hash) {
         let Some(book) = self.books.get(&service) else {
             return;
@@ -334,14 +348,11 @@
         if let Some(book) = self.books.get_mut(&service) {
             book.cut(at);
         }
-        if self.ledger.get(place) == Some(ledger::Kind::Split { last: at }) {
-            self.ledger.remove(place);
-        }
         self.count(place, counted);
-        self.count_holder((service, at));
-        if self.vacant.contains(&place) {
-            self.vacant.insert((service, at));
+        if self.ledger.get(place) == Some(ledger::Kind::Split { last: at }) {
+            self.end(place);
         }
+        self.end((service, at));
         self.loaded.extend([place, (service, at)]);
     }
 
@@ -349,8 +360,7 @@
     fn drop_void(&mut self, server: id::Server) {
         let incarnation = self.fleet.incarnation(server);
         for place in self.ledger.void(server, incarnation) {
-            self.ledger.remove(place);
-            self.count_holder(place);
+            self.end(place);
         }
     }
 
@@ -373,6 +383,7 @@
     fn start(&mut self, now: clock::Instant, place: ledger::Place, kind: ledger::Kind) {
         let until = now + self.config.action_timeout;
         self.ledger.insert(place, kind, until);
+        self.vacant.remove(&place);
         if let Some(target) = kind.target() {
             self.count(place, Some(target.server));
         }
--- a/crates/placement/src/planner/assign.rs
+++ b/crates/placement/src/planner/assign.rs
@@ -12,12 +12,25 @@
 use crate::planner::ledger;
 
 impl planner::Planner {
-    /// Assigns all vacant slices, the heaviest first, so that the light ones
-    /// even out what the heavy ones leave.
+    /// Assigns vacant slices, the heaviest first, so that the light ones even
+    /// out what the heavy ones leave.
+    ///
+    /// What exceeds the bound of a round is due in the next one, at once.
     pub(super) fn assign(&mut self, now: clock::Instant, actions: &mut Vec<action::Action>) {
-        let vacant = self.vacant.iter().copied();
-        let idle = vacant.filter(|place| !self.ledger.is_busy(*place));
-        let mut due: Vec<_> = idle.map(|place| (self.weight(place), place)).collect();
+        let is_open = |service: &id::Service| {
+            let pool = self.fleet.pool(*service);
+            pool.is_some_and(|pool| pool.ready() > 0)
+        };
+        let services = self.books.keys().copied().filter(is_open);
+        let vacant = services.flat_map(|service| {
+            let all = (service, key::Hash::MIN)..=(service, key::Hash::MAX);
+            self.vacant.range(all).copied()
+        });
+        let first = vacant.take(self.config.max_assignments);
+        let mut due: Vec<_> = first.map(|place| (self.weight(place), place)).collect();
+        if due.len() == self.config.max_assignments {
+            self.look_again(now);
+        }
         due.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
         for (weight, place) in due {
             let Some((choice, cause)) = self.home(place, weight) else {
--- a/crates/placement/src/planner/balance.rs
+++ b/crates/placement/src/planner/balance.rs
@@ -4,6 +4,8 @@
 //! together are worse off: overloaded, cold at their new server, or
 //! unreachable. The weights of the service compare the three.
 
+use std::time::Duration;
+
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 
@@ -19,6 +21,10 @@
 /// single hot key may exceed the mean alone.
 const TRIED: usize = 8;
 
+/// Time until the next search after one without a result. A search reads all
+/// slices of `TRIED` servers, which at 358,400 slices takes most of a round.
+const IDLE: Duration = Duration::from_millis(200);
+
 /// A key that is unreachable is this much worse off than one on an overloaded
 /// or cold server: its request fails or waits a whole move, where the others
 /// are some tenths slower.
@@ -53,6 +59,11 @@
             if !pool.is_touched && !pool.is_active {
                 continue;
             }
+            let idle_until = pool.idle_until;
+            if now < idle_until {
+                self.look_again(idle_until);
+                continue;
+            }
             while self.balance_once(now, service, actions) {}
             self.fleet.pool_mut(service).is_touched = false;
         }
@@ -92,7 +103,8 @@
             self.split_large(now, &source, actions);
         }
         // Slices that rest may move later.
-        self.look_again(now + self.config.rest / 10);
+        self.fleet.pool_mut(service).idle_until = now + IDLE;
+        self.look_again(now + IDLE);
         false
     }
 
@@ -130,19 +142,26 @@
     }
 
     /// Returns the move off the server that pays most, if any pays.
+    ///
+    /// The target is the best one for a slice of average weight; to choose
+    /// anew for each slice costs ten times the time and seldom differs.
     fn best_offer(&self, now: clock::Instant, source: &Source) -> Option<Offer> {
-        let mut best: Option<Offer> = None;
-        for place in self.fleet.slices(source.server, source.service) {
-            if !self.may_balance(now, place) {
-                continue;
-            }
-            let offer = self.offer(source, place);
-            let is_better = |offer: &Offer| best.as_ref().is_none_or(|other| offer.net > other.net);
-            if let Some(offer) = offer.filter(is_better) {
-                best = Some(offer);
-            }
-        }
-        best
+        let places: Vec<_> = self
+            .fleet
+            .slices(source.server, source.service)
+            .filter(|place| self.may_balance(now, *place))
+            .map(|place| (place, self.weight(place)))
+            .collect();
+        let total: u64 = places.iter().map(|(_, weight)| weight).sum();
+        let average = total.checked_div(places.len() as u64)?;
+        let choice = self
+            .fleet
+            .choose(source.service, average, Some(source.server))?;
+        let offers = places
+            .into_iter()
+            .filter_map(|(place, weight)| self.offer(source, place, weight, choice));
+        // Of equal offers the first, so that decisions are reproducible.
+        offers.reduce(|best, offer| if offer.net > best.net { offer } else { best })
     }
 
     fn may_balance(&self, now: clock::Instant, place: ledger::Place) -> bool {
@@ -156,12 +175,14 @@
             && self.pin_of(place).is_none()
     }
 
-    fn offer(&self, source: &Source, place: ledger::Place) -> Option<Offer> {
+    fn offer(
+        &self,
+        source: &Source,
+        place: ledger::Place,
+        weight: u64,
+        choice: fleet::Choice,
+    ) -> Option<Offer> {
         let pool = self.fleet.pool(source.service)?;
-        let weight = self.weight(place);
-        let choice = self
-            .fleet
-            .choose(source.service, weight, Some(source.server))?;
         let before = source.stand.score();
         let source_after = source.stand.without(weight).score();
         let after = source_after.max(choice.stand.with(weight).score());
--- a/crates/placement/src/planner/pool.rs
+++ b/crates/placement/src/planner/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 
+use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 
 use crate::cause;
@@ -103,6 +104,8 @@
     pub(super) is_active: bool,
     /// Whether anything changed since balance was last considered.
     pub(super) is_touched: bool,
+    /// No move paid a short time ago, so none is looked for before this.
+    pub(super) idle_until: clock::Instant,
 }
 
 impl Pool {
--- a/crates/placement/src/planner/shape.rs
+++ b/crates/placement/src/planner/shape.rs
@@ -22,6 +22,9 @@
 /// whose load was reported.
 const SWEPT: usize = 16;
 
+/// Reported slices that one round examines; the rest is due in the next one.
+const MAX_EXAMINED: usize = 4_096;
+
 /// Interval at which the sweep goes on without any report.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 
@@ -112,13 +115,30 @@
         }
     }
 
+    /// Takes the slices that this round examines from those with a new load.
+    pub(super) fn examined(&mut self, now: clock::Instant) -> Vec<ledger::Place> {
+        let places = self.loaded.iter().take(MAX_EXAMINED);
+        let places: Vec<_> = places.copied().collect();
+        for place in &places {
+            self.loaded.remove(place);
+        }
+        if !self.loaded.is_empty() {
+            self.look_again(now);
+        }
+        places
+    }
+
     /// Gives hot keys slices of their own.
-    pub(super) fn isolate(&mut self, now: clock::Instant, actions: &mut Vec<action::Action>) {
-        let loaded: Vec<_> = self.loaded.iter().copied().collect();
-        for place in loaded {
-            let hottest = self.slice(place).and_then(book::Slice::hottest);
+    pub(super) fn isolate(
+        &mut self,
+        now: clock::Instant,
+        places: &[ledger::Place],
+        actions: &mut Vec<action::Action>,
+    ) {
+        for place in places {
+            let hottest = self.slice(*place).and_then(book::Slice::hottest);
             if let Some(hottest) = hottest {
-                self.isolate_one(now, place, hottest, actions);
+                self.isolate_one(now, *place, hottest, actions);
             }
         }
     }
@@ -168,14 +188,17 @@
 
     /// Merges cold slices with the one before them, and moves those left over
     /// from a hot key back to it first.
-    pub(super) fn merge(&mut self, now: clock::Instant, actions: &mut Vec<action::Action>) {
-        let mut places = std::mem::take(&mut self.loaded);
+    pub(super) fn merge(
+        &mut self,
+        now: clock::Instant,
+        places: &[ledger::Place],
+        actions: &mut Vec<action::Action>,
+    ) {
         let services: Vec<_> = self.books.keys().copied().collect();
-        for service in services {
-            places.extend(self.sweep(now, service));
-        }
-        for place in places {
-            self.merge_one(now, place, actions);
+        let swept = services.into_iter();
+        let swept: Vec<_> = swept.flat_map(|service| self.sweep(now, service)).collect();
+        for place in places.iter().chain(&swept) {
+            self.merge_one(now, *place, actions);
         }
     }
 
