Add the operators' command line

Cause: operators need to submit and check tickets, see the state, and learn who owns a key, also while leaders change and answers are lost.

Change: sequoiayoke-cli with ticket, status, explain, drain, settings check and completion; the thin binary src/bin/sequoiayoke.rs. Exit codes tell done, refused, malformed, unreachable and unknown apart. A 409 number-out-of-order after a lost answer is reported as unknown, since an earlier copy may still be under way.

--- /dev/null
+++ b/crates/cli/tests/sessions/main.rs
@@ -0,0 +1,238 @@
+//! Whole sessions of an operator against a small control plane, as golden files.
+
+#![allow(clippy::unwrap_used)]
+
+mod fake;
+mod session;
+
+use std::net;
+
+const FIRST: &str = r#"{
+  "number": 1, // the first one
+  "objects": [
+    { "service": { "name": "refunds", "weights": { "unavailable": 4 } } },
+    { "caller": { "name": "kiosks", "token_sha256": "0000000000000000000000000000000000000000000000000000000000000000" } },
+    { "server": { "name": "ank-refunds-2", "state": "serving" } },
+    { "pin": { "service": "refunds", "key": "kiosk-17", "server": "ank-refunds-2" } }
+  ]
+}"#;
+
+const SECOND: &str = r#"{ "number": 2, "objects": [{ "server": { "name": "ank-refunds-1", "state": "draining" } }] }"#;
+
+/// Returns an address at which nothing listens.
+fn closed() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn start() -> (fake::Control, session::Session) {
+    let control = fake::Control::start();
+    let session = session::Session::new(&[("control-1", control.address())]);
+    (control, session)
+}
+
+/// Guards against answers of tickets that mislead an operator or a script.
+#[tokio::test]
+async fn tickets() {
+    let (_control, mut session) = start();
+    session.file("0001.jsonc", FIRST);
+    session.file("0002.jsonc", SECOND);
+    session.run("ticket list").await;
+    session.run("ticket check files/0001.jsonc").await;
+    session.run("ticket submit files/0001.jsonc").await;
+    session.run("ticket submit files/0001.jsonc").await;
+    session.run("ticket check files/0001.jsonc").await;
+    session.run_with("ticket submit -", SECOND).await;
+    session.run("ticket list").await;
+    session.run("ticket show 2").await;
+    session.run("ticket show 9").await;
+    session.run("ticket list --output json").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// Guards against a refusal that does not say what to do, or has the wrong exit code.
+#[tokio::test]
+async fn refused_tickets() {
+    let (control, mut session) = start();
+    session.file("0001.jsonc", FIRST);
+    session.file("other.jsonc", &SECOND.replace('2', "1"));
+    session.file(
+        "late.jsonc",
+        &SECOND.replace("\"number\": 2", "\"number\": 7"),
+    );
+    session.run("ticket submit files/0001.jsonc").await;
+    session.run("ticket submit files/other.jsonc").await;
+    session.run("ticket submit files/late.jsonc").await;
+    session
+        .run("ticket submit files/late.jsonc --output json")
+        .await;
+    assert_eq!(control.tickets(), 1);
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// Guards against a lost answer that is reported as accepted or refused, and
+/// against a resent ticket that takes effect twice.
+#[tokio::test]
+async fn lost_answers() {
+    let (control, mut session) = start();
+    session.file("0001.jsonc", FIRST);
+    session.file("0002.jsonc", SECOND);
+    session.file(
+        "late.jsonc",
+        &SECOND.replace("\"number\": 2", "\"number\": 7"),
+    );
+    control.fail([fake::Fault::Cut]);
+    session.run("ticket submit files/0001.jsonc").await;
+    assert_eq!(control.tickets(), 1);
+    control.fail([fake::Fault::Stall]);
+    session
+        .run("ticket submit files/0002.jsonc --timeout-ms 500")
+        .await;
+    assert_eq!(control.tickets(), 2);
+    control.fail([fake::Fault::Truncate]);
+    session.run("ticket list").await;
+    control.fail([fake::Fault::Truncate]);
+    session
+        .run("ticket submit files/0002.jsonc --output json")
+        .await;
+    // The copy whose answer was lost may still be under way.
+    control.fail([fake::Fault::Unknown]);
+    session.run("ticket submit files/late.jsonc").await;
+    control.fail([fake::Fault::Foreign]);
+    session.run("ticket submit files/0002.jsonc").await;
+    control.fail_always(fake::Fault::Unknown);
+    session
+        .run("ticket submit files/0002.jsonc --wait-ms 290")
+        .await;
+    session
+        .run("ticket submit files/0002.jsonc --wait-ms 290 --output json")
+        .await;
+    session.run("ticket list --wait-ms 290").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// Guards against a command that stops at a follower, a lost replica or an election.
+#[tokio::test]
+async fn leaders() {
+    let (leader, follower) = (fake::Control::start(), fake::Control::start());
+    let mut session = session::Session::new(&[
+        ("closed", closed()),
+        ("control-2", follower.address()),
+        ("control-1", leader.address()),
+    ]);
+    session.file("0001.jsonc", FIRST);
+    follower.fail([fake::Fault::Follower(Some(leader.address()))]);
+    session.run("ticket submit files/0001.jsonc").await;
+    assert_eq!((leader.tickets(), follower.tickets()), (1, 0));
+
+    // No leader at first, then one is elected.
+    let election = [fake::Fault::Follower(None), fake::Fault::Follower(None)];
+    follower.fail(election.clone());
+    leader.fail(election);
+    session.run("ticket list").await;
+
+    // Each names the other one, for ever.
+    follower.fail_always(fake::Fault::Follower(Some(leader.address())));
+    leader.fail_always(fake::Fault::Follower(Some(follower.address())));
+    session.run("ticket list --wait-ms 290").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// Guards against an unreachable control plane that is reported as an unknown outcome.
+#[tokio::test]
+async fn unreachable() {
+    let mut session = session::Session::new(&[("closed-1", closed()), ("closed-2", closed())]);
+    session.file("0001.jsonc", FIRST);
+    session.run("ticket submit files/0001.jsonc").await;
+    session.run("status --output json").await;
+
+    let foreign = fake::Control::start();
+    foreign.fail_always(fake::Fault::Foreign);
+    let mut other = session::Session::new(&[("foreign", foreign.address())]);
+    other.run("status").await;
+    insta::assert_snapshot!(session.transcript() + &other.transcript());
+}
+
+/// Guards against tables that hide what needs attention.
+#[tokio::test]
+async fn status_and_explain() {
+    let (control, mut session) = start();
+    session.run("status").await;
+    session.run("explain refunds kiosk-17").await;
+    session
+        .run("explain refunds vacant/kiosk=å --scope mill-a/b")
+        .await;
+    session.run("explain refunds kiosk-17 --output json").await;
+    session.run("explain nothing kiosk-17").await;
+    session.run("explain refunds ..").await;
+    let path = "/v1/explain/refunds/vacant%2Fkiosk%3D%C3%A5?scope=mill-a%2Fb";
+    assert!(
+        control.paths().iter().any(|one| one == path),
+        "{:?}",
+        control.paths()
+    );
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// Guards against a drain that leaves a service without servers, or submits unasked.
+#[tokio::test]
+async fn drain() {
+    let (control, mut session) = start();
+    session.run("drain ank-refunds-1").await;
+    session.run("drain ank-photos-1 --submit").await;
+    session.run("drain ank-photos-9").await;
+    assert_eq!(control.tickets(), 0);
+    session.run("drain ank-refunds-1 --submit").await;
+    assert_eq!(control.tickets(), 1);
+    session.run("drain ank-refunds-1").await;
+    session.run("drain ank-refunds-2 --submit").await;
+    session
+        .run("drain ank-photos-1 --even-if-last --output json")
+        .await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// Guards against malformed input that is sent, or reported without its place.
+#[tokio::test]
+async fn malformed_input() {
+    let (control, mut session) = start();
+    session.file(
+        "comma.jsonc",
+        "{\n  /* a\n     b */\n  \"number\": 1,\n  \"objects\": [,]\n}",
+    );
+    session.file(
+        "values.jsonc",
+        r#"{ "number": 0, "objects": [{ "server": { "name": "a b", "state": "serving" } }] }"#,
+    );
+    session.file("node.jsonc", r#"{ "region": "skane", "lease": 7 }"#);
+    session.run("ticket submit files/comma.jsonc").await;
+    session.run("ticket submit files/values.jsonc").await;
+    session.run("ticket check files/missing.jsonc").await;
+    session
+        .run_with("ticket submit - --output json", "[]")
+        .await;
+    session.run("ticket show 0").await;
+    session.run("settings check node files/node.jsonc").await;
+    session.run("settings check node files/missing.jsonc").await;
+    session.run("status --control http://127.0.0.1:1").await;
+    assert_eq!(control.paths(), [""; 0]);
+
+    let mut alone = session::Session::new(&[]);
+    alone.run("status").await;
+    insta::assert_snapshot!(session.transcript() + &alone.transcript());
+}
+
+/// Guards against help without examples and exit codes, and against lost completions.
+#[tokio::test]
+async fn help() {
+    let mut session = session::Session::new(&[]);
+    session.run("--help").await;
+    session.run("ticket submit --help").await;
+    session.run("ticket").await;
+    insta::assert_snapshot!(session.transcript());
+
+    let mut session = session::Session::new(&[]);
+    session.run("completion bash").await;
+    let script = session.transcript();
+    assert!(script.contains("_sequoiayoke()") && script.ends_with("exit 0\n\n"));
+}
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -138,6 +138,7 @@
     let detail = match text.strip_suffix(&place).unwrap_or(&text) {
         "invalid socket address syntax" => "expected an address `IP:port`",
         "expected value" => "expected a value; a comment starts with `//` or `/*`",
+        other if other.starts_with("invalid length") => "expected an object in braces",
         other if other.starts_with("control character") => {
             "a string is not closed before the end of its line"
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,6 @@
 //! Typed settings of every process.
 //!
-//! A settings file is JSON with `//` and `/* */` comments. [`load`] reads it,
+//! A settings file is JSON with `//` and `/* */` comments. [`load()`] reads it,
 //! refuses fields that it does not know, and then checks the whole: every
 //! problem is reported at once, so that one edit can repair the file. Each
 //! setting has a unit, a default and a bound, which `docs/settings.md` lists.
@@ -69,7 +69,7 @@
 ///
 /// # Errors
 ///
-/// As [`load`], but for reading the file.
+/// As [`load()`], but for reading the file.
 ///
 /// # Examples
 ///
--- /dev/null
+++ b/src/bin/sequoiayoke.rs
@@ -0,0 +1,7 @@
+//! The operators' command line.
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    sequoiayoke_cli::main()
+}
