Test the stand-in and the load tool

Cause: the invariants of the router will be proved by the counts of the stand-in and the audit of the load tool, so both must be right first.

Three faults that the tests found are fixed: - poem goes on running a handler after its connection was closed, so a cancelled request kept its slot. The connection now cancels it. - An error from a connection that was reset on command made hyper fail a debug assertion, since poem polls a connection again after an error.

--- a/crates/emulator/src/load/client.rs
+++ b/crates/emulator/src/load/client.rs
@@ -41,6 +41,8 @@
 pub(super) struct Client {
     http: reqwest::Client,
     plan: sync::Arc<plan::Plan>,
+    // Bounds requests in flight by target, if the plan does.
+    rooms: collections::HashMap<net::SocketAddr, tokio::sync::Semaphore>,
     owners: sync::Mutex<collections::HashMap<key::Hash, net::SocketAddr>>,
 }
 
@@ -83,9 +85,16 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .pool_max_idle_per_host(plan.max_in_flight)
             .build()?;
+        let rooms = plan
+            .connections
+            .map_or_else(Default::default, |connections| {
+                let room = |target| (target, tokio::sync::Semaphore::new(connections));
+                plan.targets.iter().copied().map(room).collect()
+            });
         Ok(Self {
             http,
             plan,
+            rooms,
             owners: sync::Mutex::default(),
         })
     }
@@ -238,13 +247,23 @@
     }
 
     async fn attempt(&self, call: &Call<'_>, target: net::SocketAddr) -> judge::Judgement {
+        let fail = |verdict| judge::Judgement {
+            verdict,
+            wrong: None,
+            replayed: false,
+        };
+        let turn = async {
+            match self.rooms.get(&target) {
+                Some(room) => room.acquire().await.ok(),
+                None => None,
+            }
+        };
+        let Ok(_turn) = tokio::time::timeout(self.plan.deadline, turn).await else {
+            return fail(judge::Verdict::NotRun(Cow::Borrowed("tool-connections")));
+        };
         match self.exchange(call, target).await {
             Ok(judgement) => judgement,
-            Err(error) => judge::Judgement {
-                verdict: judge::Verdict::Lost(name_loss(&error)),
-                wrong: None,
-                replayed: false,
-            },
+            Err(error) => fail(judge::Verdict::Lost(name_loss(&error))),
         }
     }
 
--- a/crates/emulator/src/load/plan.rs
+++ b/crates/emulator/src/load/plan.rs
@@ -95,6 +95,8 @@
     pub follow_owner: bool,
     /// Requests in flight; an arrival beyond is dropped and reported.
     pub max_in_flight: usize,
+    /// Requests in flight to each target; others wait for their turn. `None` is unbounded.
+    pub connections: Option<usize>,
     /// Traffic threads of the tool.
     pub threads: usize,
     /// Callers that requests are spread over.
@@ -129,6 +131,7 @@
             resends: 3,
             follow_owner: false,
             max_in_flight: 10_000,
+            connections: None,
             threads: 2,
             callers: Vec::new(),
             pids: Vec::new(),
@@ -179,7 +182,7 @@
             "the rate is not above 0"
         } else if self.rate * self.duration.as_secs_f64() > MAX_REQUESTS as f64 {
             "the run has more requests than the tool can audit"
-        } else if self.max_in_flight == 0 || self.threads == 0 {
+        } else if self.max_in_flight == 0 || self.threads == 0 || self.connections == Some(0) {
             "no requests in flight or no threads are allowed"
         } else {
             return Ok(());
--- a/crates/emulator/src/load/program.rs
+++ b/crates/emulator/src/load/program.rs
@@ -96,6 +96,9 @@
     /// Requests in flight; arrivals beyond are dropped and reported.
     #[arg(long, default_value_t = 10_000)]
     max_in_flight: usize,
+    /// Requests in flight to each target, and so connections; others wait for their turn.
+    #[arg(long)]
+    connections: Option<usize>,
     /// Traffic threads of the tool.
     #[arg(long, default_value_t = 2)]
     threads: usize,
@@ -162,6 +165,7 @@
             resends: self.resends,
             follow_owner: self.follow_owner,
             max_in_flight: self.max_in_flight,
+            connections: self.connections,
             threads: self.threads,
             callers: self.callers,
             pids: self.pids,
--- a/crates/emulator/src/standin/traffic/endpoint.rs
+++ b/crates/emulator/src/standin/traffic/endpoint.rs
@@ -25,7 +25,12 @@
     async fn call(&self, request: poem::Request) -> poem::Result<poem::Response> {
         let path = request.uri().path().to_owned();
         let response = if let Some(path) = path.strip_prefix("/s/") {
-            self.traffic.run_request(path, request).await
+            let closed = self.traffic.connections.closed(request.remote_addr());
+            tokio::select! {
+                response = self.traffic.run_request(path, request) => response,
+                // Nobody reads this answer; returning ends the request.
+                () = closed.cancelled() => fail(StatusCode::REQUEST_TIMEOUT, "cancelled", path),
+            }
         } else if let Some(name) = path.strip_prefix("/fault/v1/") {
             self.traffic.run_fault(name, request).await
         } else if let Some(name) = path.strip_prefix("/v1/") {
--- a/crates/emulator/src/standin/traffic/listener.rs
+++ b/crates/emulator/src/standin/traffic/listener.rs
@@ -11,6 +11,7 @@
 use tokio::io::ReadBuf;
 
 use crate::standin::traffic;
+use crate::standin::traffic::connections;
 use crate::standin::traffic::counts;
 
 /// Header by which the endpoint tells the connection to mangle an answer.
@@ -24,6 +25,7 @@
 pub(super) struct Listener {
     inner: tokio::net::TcpListener,
     counts: sync::Arc<counts::Counts>,
+    connections: sync::Arc<connections::Connections>,
     room: sync::Arc<tokio::sync::Semaphore>,
 }
 
@@ -32,6 +34,7 @@
         Ok(Self {
             inner: tokio::net::TcpListener::from_std(inner)?,
             counts: traffic.counts.clone(),
+            connections: traffic.connections.clone(),
             room: sync::Arc::new(tokio::sync::Semaphore::new(
                 traffic.settings.connections + RESERVED,
             )),
@@ -69,13 +72,14 @@
             };
             socket.set_nodelay(true)?;
             let local = poem::web::LocalAddr(socket.local_addr()?.into());
-            let remote = poem::web::RemoteAddr(remote.into());
             let stream = Stream {
-                socket,
+                socket: Some(socket),
+                connection: self.connections.open(remote),
                 counts: self.counts.clone(),
                 pending: Pending::default(),
                 _permit: permit,
             };
+            let remote = poem::web::RemoteAddr(remote.into());
             return Ok((stream, local, remote, http::uri::Scheme::HTTP));
         }
     }
@@ -92,7 +96,10 @@
 /// A connection whose answers may be cut, doubled or replaced by a reset.
 #[derive(Debug)]
 pub(super) struct Stream {
-    socket: tokio::net::TcpStream,
+    // Gone once the stream was broken on purpose. It then reads as ended and takes
+    // writes without effect, since hyper must not be polled after an error, as poem does.
+    socket: Option<tokio::net::TcpStream>,
+    connection: connections::Connection,
     counts: sync::Arc<counts::Counts>,
     pending: Pending,
     _permit: tokio::sync::OwnedSemaphorePermit,
@@ -101,14 +108,17 @@
 impl Stream {
     /// Writes the bytes that replace an answer.
     fn poll_pending(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+        let Some(socket) = &mut self.socket else {
+            return task::Poll::Ready(Ok(()));
+        };
         while self.pending.written < self.pending.bytes.len() {
             let rest = &self.pending.bytes[self.pending.written..];
-            let written = task::ready!(Pin::new(&mut self.socket).poll_write(context, rest))?;
+            let written = task::ready!(Pin::new(&mut *socket).poll_write(context, rest))?;
             self.pending.written += written;
         }
         if self.pending.closes {
-            task::ready!(Pin::new(&mut self.socket).poll_shutdown(context))?;
-            return task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            task::ready!(Pin::new(socket).poll_shutdown(context))?;
+            self.socket = None;
         }
         self.pending = Pending::default();
         task::Poll::Ready(Ok(()))
@@ -121,8 +131,9 @@
         };
         match kind {
             counts::Mangle::Reset => {
-                self.socket.set_zero_linger()?;
-                return Err(io::ErrorKind::ConnectionReset.into());
+                if let Some(socket) = self.socket.take() {
+                    socket.set_zero_linger()?;
+                }
             }
             counts::Mangle::Truncate => {
                 self.pending.bytes = answer[..head + (answer.len() - head) / 2].to_vec();
@@ -157,7 +168,16 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(context, buffer)
+        let (before, room) = (buffer.filled().len(), buffer.remaining());
+        let Some(socket) = &mut self.socket else {
+            return task::Poll::Ready(Ok(()));
+        };
+        let result = task::ready!(Pin::new(socket).poll_read(context, buffer));
+        let ended = room > 0 && buffer.filled().len() == before;
+        if result.is_err() || ended {
+            self.connection.close();
+        }
+        task::Poll::Ready(result)
     }
 }
 
@@ -171,7 +191,10 @@
         if self.counts.is_armed() && self.mangle(buffer)? {
             return task::Poll::Ready(Ok(buffer.len()));
         }
-        Pin::new(&mut self.socket).poll_write(context, buffer)
+        match &mut self.socket {
+            Some(socket) => Pin::new(socket).poll_write(context, buffer),
+            None => task::Poll::Ready(Ok(buffer.len())),
+        }
     }
 
     fn poll_flush(
@@ -179,13 +202,19 @@
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
         task::ready!(self.poll_pending(context))?;
-        Pin::new(&mut self.socket).poll_flush(context)
+        match &mut self.socket {
+            Some(socket) => Pin::new(socket).poll_flush(context),
+            None => task::Poll::Ready(Ok(())),
+        }
     }
 
     fn poll_shutdown(
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+        match &mut self.socket {
+            Some(socket) => Pin::new(socket).poll_shutdown(context),
+            None => task::Poll::Ready(Ok(())),
+        }
     }
 }
--- a/crates/emulator/src/standin/traffic/mod.rs
+++ b/crates/emulator/src/standin/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! The traffic threads: sockets, commands and requests.
 
 mod commands;
+mod connections;
 pub mod counts;
 mod endpoint;
 pub mod ledger;
@@ -26,6 +27,7 @@
     board: sync::Arc<board::Board>,
     commands: mpsc::Sender<standin::Envelope>,
     counts: sync::Arc<counts::Counts>,
+    connections: sync::Arc<connections::Connections>,
     ledger: ledger::Ledger,
     store: store::Store,
     slots: slots::Slots,
@@ -43,6 +45,7 @@
             store: store::Store::new(settings.records),
             slots: slots::Slots::new(settings.slots, settings.queue),
             counts: sync::Arc::default(),
+            connections: sync::Arc::default(),
             settings,
             board,
             commands,
--- /dev/null
+++ b/crates/emulator/tests/standin/protocol.rs
@@ -0,0 +1,235 @@
+//! The stand-in must speak the protocol to the letter, or the router's tests mean nothing.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+use crate::support;
+use crate::support::Server;
+
+/// Guards against an announcement that lacks a field or is not repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn announces_itself_repeatedly() {
+    let (address, mut announcements) = support::node().await;
+    let mut settings = support::settings().with_node(address).with_fencing();
+    settings.announce_every = Duration::from_millis(10);
+    let server = Server::start(settings);
+    let first = announcements.recv().await.unwrap();
+    let second = announcements.recv().await.unwrap();
+    assert_eq!(first, second);
+    let instance = first["instance"].as_str().unwrap();
+    assert_eq!(
+        first,
+        json!({ "name": "ank-refunds-1", "instance": instance, "services": ["refunds"],
+            "address": server.standin.address().to_string(), "slots": 12, "connections": 130,
+            "checks_fencing": true, "checks_sender": false })
+    );
+}
+
+/// Guards against a stopped server that goes on serving.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_server_frees_its_address() {
+    let server = Server::start(support::settings());
+    let address = server.standin.address();
+    server.standin.stop();
+    assert!(tokio::net::TcpStream::connect(address).await.is_err());
+}
+
+/// Guards against an answer that does not name the request that it belongs to.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_echoes_the_request() {
+    let server = Server::start(support::settings());
+    let request = server
+        .post("/s/refunds/kiosk%2017%2Fa/photo?x=1")
+        .header("sequoiayoke-request-id", "4-1-0000000000000002")
+        .header("sequoiayoke-scope", "mill-a")
+        .header("sequoiayoke-epoch", "4")
+        .body("hello");
+    let answer: serde_json::Value = request.send().await.unwrap().json().await.unwrap();
+    let digest = "9555e8555c62dcfd";
+    assert_eq!(
+        answer,
+        json!({ "server": "ank-refunds-1", "service": "refunds", "key": "kiosk 17/a",
+            "scope": "mill-a", "epoch": 4, "request_id": "4-1-0000000000000002", "execution": 1,
+            "body_bytes": 5, "digest": digest,
+            "value": { "version": 1, "request_id": "4-1-0000000000000002", "digest": digest } })
+    );
+}
+
+/// Guards against values that two keys, scopes or services share.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_key_has_its_own_value() {
+    let server = Server::start(support::settings());
+    for version in 1..=2 {
+        let answer = server.post("/s/refunds/a").send().await.unwrap();
+        let answer: serde_json::Value = answer.json().await.unwrap();
+        assert_eq!(answer["value"]["version"], version);
+    }
+    assert_eq!(server.json("/s/refunds/a").await["value"]["version"], 2);
+    assert_eq!(server.json("/s/refunds/b").await["value"]["version"], 0);
+    assert_eq!(server.json("/s/parts/a").await["value"]["version"], 0);
+    let scoped = server.get("/s/refunds/a").header("sequoiayoke-scope", "m");
+    let scoped: serde_json::Value = scoped.send().await.unwrap().json().await.unwrap();
+    assert_eq!(scoped["value"]["version"], 0);
+}
+
+/// Guards against commands being taken from anybody by a server that checks the sender.
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_need_the_token_if_it_is_checked() {
+    let server = Server::start(support::settings().with_token("secret"));
+    for token in ["", "wrong"] {
+        let request = server.post("/v1/drain").header("sequoiayoke-sender", token);
+        assert_eq!(support::refusal(request).await.0, 403);
+    }
+    let request = server.post("/s/refunds/a");
+    assert_eq!(support::refusal(request).await.0, 200);
+    let request = server
+        .post("/v1/drain")
+        .header("sequoiayoke-sender", "secret");
+    assert_eq!(support::refusal(request).await.0, 200);
+    let refused = support::refusal(server.post("/s/refunds/a")).await;
+    assert_eq!(refused, (409, "draining".into()));
+}
+
+/// Guards against malformed commands changing anything or being taken for success.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_commands_are_refused() {
+    let server = Server::start(support::settings());
+    let bodies = [
+        ("/v1/grant", json!({})),
+        (
+            "/v1/grant",
+            json!({ "service": "s", "first": "0", "last": "f", "epoch": 1, "lease_until_us": 1 }),
+        ),
+        (
+            "/v1/revoke",
+            json!({ "service": "s", "first": "+000000000000000", "last": "ffffffffffffffff", "epoch": 1 }),
+        ),
+        (
+            "/v1/prepare",
+            json!({ "service": "s", "first": "ffffffffffffffff", "last": "0000000000000000" }),
+        ),
+        ("/v1/unknown", json!({})),
+        ("/fault/v1/unknown", json!({})),
+        ("/fault/v1/freeze", json!({ "for_ms": "long" })),
+        ("/s//", json!({})),
+        ("/s/refunds/%+f", json!({})),
+    ];
+    for (path, body) in bodies {
+        let answer = server.post(path).json(&body).send().await.unwrap();
+        assert_eq!(answer.status(), 400, "{path} {body}");
+    }
+}
+
+/// Guards against unbounded work: beyond slots and queue, requests are refused unrun.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_slots_and_queue_refuse_as_overload() {
+    let settings = support::settings().with_slots(1).with_queue(1);
+    let server = Server::start(settings.with_delay(support::LONG, Duration::ZERO));
+    let running = server.start_post("a");
+    server.load_reaches("running", 1).await;
+    let queued = server.start_post("b");
+    server.load_reaches("queued", 1).await;
+    // The deadline must not be what refuses it.
+    let third = server.post("/s/refunds/a");
+    let third = third.header("sequoiayoke-deadline-ms", "60000");
+    assert_eq!(support::refusal(third).await, (409, "overload".into()));
+    assert_eq!(server.executions().await["totals"]["POST"]["started"], 1);
+    queued.abort();
+    server.load_reaches("queued", 0).await;
+    running.abort();
+    server.load_reaches("running", 0).await;
+}
+
+/// Guards against a cancelled request that keeps its slot or completes.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connection_cancels_the_request() {
+    let server = Server::start(support::settings().with_delay(support::LONG, Duration::ZERO));
+    let request = server.start_post("a");
+    server.load_reaches("running", 1).await;
+    request.abort();
+    server.load_reaches("running", 0).await;
+    let record = &server.executions().await["ids"]["a"];
+    assert_eq!(
+        (&record["started"], &record["completed"]),
+        (&json!(1), &json!(0))
+    );
+}
+
+/// Guards against work beyond the deadline, running or queued.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_ends_the_request() {
+    let settings = support::settings().with_slots(1);
+    let server = Server::start(settings.with_delay(support::LONG, Duration::ZERO));
+    let hurried = || {
+        let request = server.post("/s/refunds/a");
+        request.header("sequoiayoke-deadline-ms", "20")
+    };
+    assert_eq!(support::refusal(hurried()).await, (504, String::new()));
+    let running = server.start_post("a");
+    server.load_reaches("running", 1).await;
+    assert_eq!(support::refusal(hurried()).await, (409, "overload".into()));
+    let totals = &server.executions().await["totals"]["POST"];
+    assert_eq!(totals, &json!({ "started": 2, "completed": 0 }));
+    running.abort();
+}
+
+/// Guards against an upload that was cut being taken for a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn interrupted_upload_does_not_complete() {
+    let server = Server::start(support::settings());
+    let mut socket = tokio::net::TcpStream::connect(server.standin.address())
+        .await
+        .unwrap();
+    let head = "POST /s/refunds/a HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nhalf";
+    socket.write_all(head.as_bytes()).await.unwrap();
+    server.load_reaches("running", 1).await;
+    drop(socket);
+    server.load_reaches("running", 0).await;
+    let totals = &server.executions().await["totals"]["POST"];
+    assert_eq!(totals, &json!({ "started": 1, "completed": 0 }));
+}
+
+/// Guards against an upload beyond all socket buffers that gets stuck or is miscounted.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_upload_is_counted_whole() {
+    let server = Server::start(support::settings());
+    let mut socket = tokio::net::TcpStream::connect(server.standin.address())
+        .await
+        .unwrap();
+    let (parts, part) = (256, vec![7; 256 * 1024]);
+    let length = parts * part.len();
+    let head = format!(
+        "PUT /s/refunds/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..parts {
+        socket.write_all(&part).await.unwrap();
+    }
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).await.unwrap();
+    assert!(
+        answer.contains(&format!("\"body_bytes\":{length}")),
+        "{answer}"
+    );
+}
+
+/// Guards against keys that stay warm on a server that lost them, or never turn warm.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_access_of_a_key_is_slow_unless_prepared() {
+    let settings = support::settings().with_delay(Duration::ZERO, support::LONG);
+    let server = Server::start(settings);
+    let all = ("0000000000000000", "ffffffffffffffff");
+    let ask = || {
+        let request = server.post("/s/refunds/a").header("sequoiayoke-epoch", "4");
+        support::refusal(request.header("sequoiayoke-deadline-ms", "50"))
+    };
+    assert_eq!(ask().await.0, 504, "the key is cold");
+    let body = json!({ "service": "refunds", "first": all.0, "last": all.1 });
+    server.command("/v1/prepare", body).await;
+    assert_eq!(ask().await.0, 200, "the range is prepared");
+    server.revoke(all, 4).await;
+    assert_eq!(ask().await.0, 504, "the range was lost");
+}
