--- /dev/null
+++ b/crates/harness/examples/demo.rs
@@ -0,0 +1,120 @@
+//! Starts the deployment of Ankesör on loopback, sends requests, loses a VM, and stops.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use reqwest::Method;
+use sequoiayoke_harness::{Deployment, Error, caller, settings};
+
+const DEADLINE: Duration = Duration::from_secs(5);
+const KEYS: usize = 8;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let bin = std::env::args().nth(1).unwrap_or_default();
+    match run(Path::new(&bin)).await {
+        Ok(0) => {
+            println!("done: every answer was right");
+            ExitCode::SUCCESS
+        }
+        Ok(wrong) => {
+            eprintln!("{wrong} answers were wrong");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("the demo failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(bin: &Path) -> Result<usize, Error> {
+    let spec = settings::Spec::new(3)
+        .with_service("kiosk-status", 5, 12, 2)
+        .with_service("refunds", 4, 12, 5)
+        .with_service("photos", 3, 12, 5);
+    println!("starting 3 control replicas, 12 nodes and 12 stand-ins");
+    let mut deployment = Deployment::start(bin, spec)?;
+    deployment.wait_joined().await?;
+    println!("ticket 1 creates the services");
+    deployment.create_services(16).await?;
+    let mut wrong = 0;
+    for service in ["kiosk-status", "refunds", "photos"] {
+        for number in 0..KEYS {
+            let entry = deployment.pairs[number % deployment.pairs.len()]
+                .caller()
+                .to_owned();
+            wrong += ask(&deployment, &entry, service, &format!("key-{number}")).await?;
+        }
+    }
+    wrong += lose_vm(&mut deployment).await?;
+    Ok(wrong)
+}
+
+/// Sends one request and returns the number of wrong answers.
+async fn ask(
+    deployment: &Deployment,
+    entry: &str,
+    service: &str,
+    key: &str,
+) -> Result<usize, Error> {
+    let method = match service {
+        "refunds" => Method::POST,
+        _ => Method::GET,
+    };
+    let path = format!("/s/{service}/{key}");
+    let answer = caller::send(deployment.http(), entry, method, &path, None, DEADLINE).await?;
+    println!(
+        "{service}/{key} through {entry}: {} by {} under epoch {} {}",
+        answer.outcome, answer.server, answer.epoch, answer.reason
+    );
+    let right = answer.outcome == "answered"
+        && answer.body["key"] == key
+        && answer.body["server"] == answer.server.as_str();
+    Ok(usize::from(!right))
+}
+
+/// Kills the VM that owns a key, and waits until another serves it.
+async fn lose_vm(deployment: &mut Deployment) -> Result<usize, Error> {
+    let (service, key) = ("kiosk-status", "key-0");
+    let path = format!("/s/{service}/{key}");
+    let entry = deployment.pairs[11].caller().to_owned();
+    let http = deployment.http().clone();
+    let before = caller::send(&http, &entry, Method::GET, &path, None, DEADLINE).await?;
+    let owner = deployment
+        .pairs
+        .iter()
+        .position(|pair| pair.server.name == before.server);
+    let Some(owner) = owner else {
+        return Ok(1);
+    };
+    println!("killing the VM of {}", before.server);
+    let start = Instant::now();
+    deployment.pairs[owner].kill();
+    let after = caller::send(&http, &entry, Method::GET, &path, None, DEADLINE).await?;
+    let elapsed = start.elapsed();
+    println!(
+        "{service}/{key} is served again by {} under epoch {} after {} ms",
+        after.server,
+        after.epoch,
+        elapsed.as_millis()
+    );
+    let url = format!(
+        "http://{}/v1/explain/{service}/{key}",
+        leader(deployment).await?
+    );
+    let why: serde_json::Value = http.get(url).send().await?.json().await?;
+    println!("why: {}", why["history"]);
+    let right = after.outcome == "answered"
+        && after.server != before.server
+        && after.epoch > before.epoch
+        && elapsed < Duration::from_secs(2);
+    Ok(usize::from(!right))
+}
+
+async fn leader(deployment: &Deployment) -> Result<String, Error> {
+    let leader = deployment.leader().await;
+    let leader = leader.ok_or_else(|| Error::Timeout("a leader".to_owned()))?;
+    Ok(settings::operator_address(&deployment.ip, leader))
+}
--- /dev/null
+++ b/crates/harness/src/deployment.rs
@@ -0,0 +1,301 @@
+//! A whole deployment.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::process;
+use crate::settings;
+use crate::{Error, caller};
+
+/// Time that a deployment has to reach an expected state.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// Pause between two looks at a state.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A backend server's VM: its node and its stand-in.
+#[derive(Debug)]
+pub struct Pair {
+    /// What it was made of.
+    pub server: settings::Server,
+    /// The node.
+    pub node: process::Process,
+    /// The stand-in of the backend server.
+    pub standin: process::Process,
+}
+
+impl Pair {
+    /// Returns the address for callers of the node.
+    pub fn caller(&self) -> &str {
+        self.node.field("caller").unwrap_or("")
+    }
+
+    /// Returns the address of the stand-in.
+    pub fn standin_address(&self) -> &str {
+        self.standin.last_word()
+    }
+
+    /// Ends both processes at once, as a lost VM would.
+    pub fn kill(&mut self) {
+        self.node.kill();
+        self.standin.kill();
+    }
+}
+
+/// Control replicas, nodes and stand-ins on one loopback address.
+#[derive(Debug)]
+pub struct Deployment {
+    /// What it was made of.
+    pub spec: settings::Spec,
+    /// Its loopback address.
+    pub ip: String,
+    /// Control replicas; `None` for one that was killed.
+    pub control: Vec<Option<process::Process>>,
+    /// Backend servers' VMs.
+    pub pairs: Vec<Pair>,
+    bin: PathBuf,
+    directory: tempfile::TempDir,
+    http: reqwest::Client,
+}
+
+impl Deployment {
+    /// Starts all processes; the programs are in the directory `bin`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not become ready.
+    pub fn start(bin: &Path, spec: settings::Spec) -> Result<Self, Error> {
+        let directory = tempfile::tempdir().map_err(|e| Error::Io("make a directory", e))?;
+        let mut deployment = Self {
+            ip: random_ip(),
+            control: (0..spec.replicas).map(|_| None).collect(),
+            pairs: Vec::new(),
+            bin: bin.to_owned(),
+            directory,
+            http: caller::client()?,
+            spec,
+        };
+        for index in 0..deployment.spec.replicas {
+            deployment.start_control(index)?;
+        }
+        for server in deployment.spec.servers.clone() {
+            let pair = deployment.start_pair(&server)?;
+            deployment.pairs.push(pair);
+        }
+        Ok(deployment)
+    }
+
+    /// Returns the HTTP client.
+    pub const fn http(&self) -> &reqwest::Client {
+        &self.http
+    }
+
+    /// Returns the data directory of a control replica.
+    pub fn data(&self, index: usize) -> PathBuf {
+        self.directory.path().join(format!("control-{index}"))
+    }
+
+    /// Starts or restarts a control replica.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not become ready.
+    pub fn start_control(&mut self, index: usize) -> Result<(), Error> {
+        let data = self.data(index);
+        let text = settings::control(&self.spec, &self.ip, index, &data.to_string_lossy());
+        let name = format!("control-{index}");
+        self.control[index] = Some(self.daemon(&name, "sequoiayoke-control", &text)?);
+        Ok(())
+    }
+
+    /// Starts a backend server's VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not become ready.
+    pub fn start_pair(&self, server: &settings::Server) -> Result<Pair, Error> {
+        let node = self.start_node(server)?;
+        let standin = self.start_standin(server, node.field("backend").unwrap_or(""))?;
+        Ok(Pair {
+            server: server.clone(),
+            node,
+            standin,
+        })
+    }
+
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not become ready.
+    pub fn start_node(&self, server: &settings::Server) -> Result<process::Process, Error> {
+        let text = settings::node(&self.spec, &self.ip, server);
+        self.daemon(&format!("node-{}", server.name), "sequoiayoke-node", &text)
+    }
+
+    /// Starts the stand-in of a backend server, which announces itself to `node`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not become ready.
+    pub fn start_standin(
+        &self,
+        server: &settings::Server,
+        node: &str,
+    ) -> Result<process::Process, Error> {
+        let mut arguments = vec![
+            format!("--name={}", server.name),
+            format!("--listen={}:0", self.ip),
+            format!("--node={node}"),
+            format!("--slots={}", server.slots),
+            format!("--delay-ms={}", server.delay_ms),
+            "--connections=130".to_owned(),
+            "--checks-sender".to_owned(),
+            format!("--token={}", settings::TOKEN),
+        ];
+        let services = server.services.iter();
+        arguments.extend(services.map(|service| format!("--service={service}")));
+        if server.checks_fencing {
+            arguments.push("--checks-fencing".to_owned());
+        }
+        let name = format!("standin-{}", server.name);
+        let log = self.directory.path().join(format!("{name}.log"));
+        let program = self.bin.join("sequoiayoke-standin");
+        process::Process::start(&name, &program, &arguments, log)
+    }
+
+    fn daemon(&self, name: &str, program: &str, text: &Value) -> Result<process::Process, Error> {
+        let file = self.directory.path().join(format!("{name}.jsonc"));
+        fs::write(&file, text.to_string()).map_err(|e| Error::Io("write settings", e))?;
+        let log = self.directory.path().join(format!("{name}.log"));
+        let arguments = ["--settings".to_owned(), file.to_string_lossy().into_owned()];
+        process::Process::start(name, &self.bin.join(program), &arguments, log)
+    }
+
+    /// Returns the addresses for operators.
+    pub fn operators(&self) -> Vec<String> {
+        let count = self.spec.replicas;
+        (0..count)
+            .map(|index| settings::operator_address(&self.ip, index))
+            .collect()
+    }
+
+    /// Asks the leader for its status.
+    pub async fn status(&self) -> Option<Value> {
+        for address in self.operators() {
+            let url = format!("http://{address}/v1/status");
+            let sent = self.http.get(url).send().await;
+            if let Ok(answer) = sent
+                && answer.status().is_success()
+            {
+                return answer.json().await.ok();
+            }
+        }
+        None
+    }
+
+    /// Returns the number of the replica that leads.
+    pub async fn leader(&self) -> Option<usize> {
+        let status = self.status().await?;
+        let name = status["leader"].as_str()?;
+        name.strip_prefix("control-")?.parse().ok()
+    }
+
+    /// Submits a ticket to the leader, and repeats it until it is decided.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader decides in time.
+    pub async fn submit(&self, ticket: &Value) -> Result<(u16, Value), Error> {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            for address in self.operators() {
+                let url = format!("http://{address}/v1/tickets");
+                let sent = self.http.post(url).json(ticket).send().await;
+                let Ok(answer) = sent else { continue };
+                let status = answer.status().as_u16();
+                if status == 421 || status == 504 {
+                    continue;
+                }
+                return Ok((status, answer.json().await?));
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(Error::Timeout("a decision about a ticket".to_owned()))
+    }
+
+    /// Waits until `condition` holds for the leader's status.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not hold in time.
+    pub async fn wait_status<F>(&self, what: &str, condition: F) -> Result<Value, Error>
+    where
+        F: Fn(&Value) -> bool,
+    {
+        let start = Instant::now();
+        let mut last = Value::Null;
+        while start.elapsed() < PATIENCE {
+            if let Some(status) = self.status().await {
+                if condition(&status) {
+                    return Ok(status);
+                }
+                last = status;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(Error::Timeout(format!("{what}; last status: {last}")))
+    }
+
+    /// Waits until every node has joined.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they do not join in time.
+    pub async fn wait_joined(&self) -> Result<(), Error> {
+        let count = self.pairs.len();
+        let all = |status: &Value| {
+            status["servers"]
+                .as_array()
+                .is_some_and(|s| s.len() == count)
+        };
+        self.wait_status("all nodes have joined", all).await?;
+        Ok(())
+    }
+
+    /// Creates every service of the deployment by ticket number 1, and waits until all is owned.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the ticket is not accepted or a slice stays vacant.
+    pub async fn create_services(&self, slices: u32) -> Result<(), Error> {
+        let mut names: Vec<_> = self.spec.servers.iter().flat_map(|s| &s.services).collect();
+        names.sort();
+        names.dedup();
+        let objects = names.iter().map(|name| {
+            json!({ "service": { "name": name, "idempotent": ["GET", "HEAD"], "slices": slices } })
+        });
+        let ticket = json!({ "number": 1, "objects": objects.collect::<Vec<_>>() });
+        let (status, answer) = self.submit(&ticket).await?;
+        if status != 200 {
+            return Err(Error::Timeout(format!("ticket 1: {status} {answer}")));
+        }
+        let count = names.len();
+        let owned = |status: &Value| {
+            let services = status["services"].as_array();
+            services.is_some_and(|all| {
+                all.len() == count && all.iter().all(|one| one["vacant"] == json!(0))
+            })
+        };
+        self.wait_status("every slice has an owner", owned).await?;
+        Ok(())
+    }
+}
+
+/// Returns a loopback address that no other deployment is likely to have.
+fn random_ip() -> String {
+    let part = |low: u8| low + rand::random::<u8>() % 200;
+    format!("127.{}.{}.{}", part(20), part(20), part(20))
+}
--- /dev/null
+++ b/crates/harness/src/settings.rs
@@ -0,0 +1,133 @@
+//! Settings files of a deployment.
+
+use serde_json::{Value, json};
+
+/// Secret that the processes of a deployment share.
+const SECRET: &str = "harness-shared-secret-0001";
+/// Token that nodes prove themselves to their backend servers with.
+pub const TOKEN: &str = "harness-backend-token-0001";
+/// Ports of control replica number 0; replica number n has them n * 10 higher.
+const CONTROL_PORT: u16 = 7100;
+
+/// One backend server and its node.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Its services.
+    pub services: Vec<String>,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Requests at the same time.
+    pub slots: u32,
+    /// Time that a request takes, in ms.
+    pub delay_ms: u64,
+    /// Whether it checks fencing.
+    pub checks_fencing: bool,
+}
+
+/// A deployment to start.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Number of control replicas.
+    pub replicas: usize,
+    /// Backend servers.
+    pub servers: Vec<Server>,
+    /// Level of the log.
+    pub level: String,
+}
+
+impl Spec {
+    /// Makes a deployment of `replicas` control replicas without backend servers.
+    pub fn new(replicas: usize) -> Self {
+        Self {
+            replicas,
+            servers: Vec::new(),
+            level: "info".to_owned(),
+        }
+    }
+
+    /// Adds `count` backend servers of one service, spread over three failure domains.
+    pub fn with_service(mut self, service: &str, count: usize, slots: u32, delay_ms: u64) -> Self {
+        for number in 1..=count {
+            self.servers.push(Server {
+                name: format!("{service}-{number}"),
+                services: vec![service.to_owned()],
+                failure_domain: format!("domain-{}", (number - 1) % 3 + 1),
+                slots,
+                delay_ms,
+                checks_fencing: true,
+            });
+        }
+        self
+    }
+
+    /// Sets whether the backend servers check fencing.
+    pub fn with_fencing(mut self, checks: bool) -> Self {
+        for server in &mut self.servers {
+            server.checks_fencing = checks;
+        }
+        self
+    }
+}
+
+/// Returns an address of a control replica.
+fn address(ip: &str, index: usize, offset: u16) -> String {
+    let port = CONTROL_PORT + 10 * u16::try_from(index).unwrap_or(0) + offset;
+    format!("{ip}:{port}")
+}
+
+/// Returns the address for nodes of a control replica.
+pub fn node_address(ip: &str, index: usize) -> String {
+    address(ip, index, 1)
+}
+
+/// Returns the address for operators of a control replica.
+pub fn operator_address(ip: &str, index: usize) -> String {
+    address(ip, index, 2)
+}
+
+/// Returns the settings of a control replica.
+pub fn control(spec: &Spec, ip: &str, index: usize, data: &str) -> Value {
+    let replicas = (0..spec.replicas).map(|one| {
+        json!({
+            "name": format!("control-{one}"),
+            "failure_domain": format!("domain-{}", one % 3 + 1),
+            "replica": address(ip, one, 0),
+            "node": node_address(ip, one),
+            "operator": operator_address(ip, one),
+        })
+    });
+    json!({
+        "region": "anatolia",
+        "replica": format!("control-{index}"),
+        "failure_domain": format!("domain-{}", index % 3 + 1),
+        "data": data,
+        "secret": SECRET,
+        "listen": {
+            "replica": address(ip, index, 0),
+            "node": node_address(ip, index),
+            "operator": operator_address(ip, index),
+        },
+        "replicas": replicas.collect::<Vec<_>>(),
+        "log": { "level": spec.level },
+    })
+}
+
+/// Returns the settings of a node.
+pub fn node(spec: &Spec, ip: &str, server: &Server) -> Value {
+    let control = (0..spec.replicas).map(|one| node_address(ip, one));
+    json!({
+        "region": "anatolia",
+        "failure_domain": server.failure_domain,
+        "secret": SECRET,
+        "listen": {
+            "caller": format!("{ip}:0"),
+            "peer": format!("{ip}:0"),
+            "backend": format!("{ip}:0"),
+        },
+        "control": control.collect::<Vec<_>>(),
+        "backend": { "token": TOKEN },
+        "log": { "level": spec.level },
+    })
+}
