--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -13,9 +13,9 @@
     pub nodes: Vec<net::SocketAddr>,
     /// Trace of requests, one JSON object a line.
     pub trace: path::PathBuf,
-    /// Token of the caller that sends them.
+    /// Callers of the trace; requests of others carry no token.
     #[serde(default)]
-    pub token: Option<common::Secret>,
+    pub callers: Vec<Caller>,
     /// Rate, connections and times.
     #[serde(default)]
     pub shape: Shape,
@@ -24,6 +24,16 @@
     pub log: common::Log,
 }
 
+/// A caller of the trace.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Caller {
+    /// Name in the trace.
+    pub name: String,
+    /// Its token.
+    pub token: common::Secret,
+}
+
 field::section! {
     /// Rate, connections and times of a run.
     pub struct Shape {
@@ -67,11 +77,25 @@
             "Trace of requests, one JSON object a line.",
         ),
         field::Field::new(
-            "token",
+            "callers",
+            "list",
+            "empty",
+            "0 to 4096",
+            "Callers of the trace; requests of others carry no token.",
+        ),
+        field::Field::new(
+            "callers[].name",
+            "name",
+            "required",
+            "distinct",
+            "Name in the trace.",
+        ),
+        field::Field::new(
+            "callers[].token",
             "text",
-            "none",
+            "required",
             "16 to 256 characters",
-            "Token of the caller that sends the requests.",
+            "Its token.",
         ),
     ];
 }
@@ -92,9 +116,18 @@
             "trace",
             "must name a file",
         );
-        if let Some(token) = &self.token {
-            token.check("token", problems);
+        problems.require(
+            self.callers.len() <= 4096,
+            "callers",
+            format!("{} callers listed; at most 4096 fit", self.callers.len()),
+        );
+        for (index, caller) in self.callers.iter().enumerate() {
+            problems.within(&format!("callers[{index}]"), |part| {
+                part.name("name", &caller.name);
+                caller.token.check("token", part);
+            });
         }
+        problems.distinct("callers", self.callers.iter().map(|caller| &caller.name));
         problems.within("shape", |part| self.shape.check(part));
         problems.within("log", |part| self.log.check(part));
     }
