Let settings cover the planner

Change: the placement section of the control settings has a setting for each field of the planner's configuration, with its default, and three cross checks. The setting imbalance_percent is replaced by tolerance_permille.

--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -38,7 +38,7 @@
     /// Lease and election times.
     #[serde(default)]
     pub timing: Timing,
-    /// Bounds on moves of slices.
+    /// Splits, assignments and moves of slices.
     #[serde(default)]
     pub placement: Placement,
     /// Traffic threads.
@@ -96,20 +96,44 @@
 }
 
 field::section! {
-    /// Bounds on moves of slices.
+    /// Splits, assignments and moves of slices.
     pub struct Placement {
+        /// Time between two plans.
+        interval_ms: u64 = 1000, "ms", 50..=60000;
+        /// Slices per server of a service that services are split up to, so that load can be spread evenly.
+        min_slices_per_server: usize = 8, "slices", 1..=64;
+        /// Slices per server of a service that are never exceeded, on average.
+        max_slices_per_server: usize = 64, "slices", 1..=64;
+        /// Vacant slices that one plan assigns.
+        max_assignments: usize = 4096, "slices", 1..=65536;
         /// Planned moves in progress at the same time.
         max_moves: usize = 16, "moves", 1..=1024;
-        /// Planned moves that may start within `move_window_ms`; drains and losses are not counted.
-        move_budget: usize = 64, "moves", 1..=65536;
+        /// Planned moves in progress from one server at the same time.
+        max_moves_per_server: usize = 4, "moves", 1..=1024;
+        /// Moves for evenness that may start within `move_window_ms`; drains and losses are not counted.
+        move_budget: usize = 16, "moves", 1..=65536;
         /// Window of `move_budget`.
-        move_window_ms: u64 = 60000, "ms", 1000..=3600000;
-        /// Time between two plans.
-        interval_ms: u64 = 1000, "ms", 50..=60000;
-        /// Time that a holder may take to release a slice before the move is given up.
+        move_window_ms: u64 = 10000, "ms", 1000..=3600000;
+        /// Time that a holder may take to release a slice.
         release_ms: u64 = 5000, "ms", 100..=60000;
-        /// Imbalance at or below which no slice is moved to even out load, in percent of the mean load.
-        imbalance_percent: u64 = 120, "%", 101..=1000;
+        /// Time after which a move without an outcome is given up.
+        move_timeout_ms: u64 = 10000, "ms", 200..=120000;
+        /// Time for which a slice stays after a move, unless its holder must lose it.
+        rest_ms: u64 = 10000, "ms", 0..=3600000;
+        /// Time from the start of a server until it takes its full share.
+        ramp_ms: u64 = 30000, "ms", 0..=3600000;
+        /// Excess over the mean load at or below which no slice is moved for evenness.
+        tolerance_permille: u64 = 100, "1/1000", 1..=10000;
+        /// Share of the mean load of a server from which a key gets a slice of its own.
+        hot_key_permille: u64 = 100, "1/1000", 1..=1000;
+        /// Time over which a gain in evenness is counted against the cost of a move.
+        horizon_ms: u64 = 60000, "ms", 1000..=3600000;
+        /// Time for which a planned move makes a key unavailable; an estimate for plans.
+        move_time_ms: u64 = 20, "ms", 1..=10000;
+        /// Time until a server has the warm state of keys that it received; an estimate for plans.
+        warm_up_ms: u64 = 5000, "ms", 0..=600000;
+        /// Time for which a server must report ill health until its slices move away.
+        ill_ms: u64 = 3000, "ms", 500..=600000;
     }
 }
 
@@ -386,5 +410,20 @@
 impl check::Check for Placement {
     fn check(&self, problems: &mut check::Problems) {
         self.bounds(problems);
+        problems.require(
+            self.min_slices_per_server <= self.max_slices_per_server,
+            "min_slices_per_server",
+            "must be at most `max_slices_per_server`",
+        );
+        problems.require(
+            self.max_moves_per_server <= self.max_moves,
+            "max_moves_per_server",
+            "must be at most `max_moves`",
+        );
+        problems.require(
+            self.release_ms < self.move_timeout_ms,
+            "release_ms",
+            "must be less than `move_timeout_ms`, since a move also prepares and commits",
+        );
     }
 }
