--- a/crates/traffic/src/admission/gate.rs
+++ b/crates/traffic/src/admission/gate.rs
@@ -16,6 +16,11 @@
 const STALL_MIN: Duration = Duration::from_secs(1);
 /// Multiple of the usual latency that replaces `STALL_MIN` for slow requests.
 const STALL_FACTOR: u32 = 8;
+/// Requests that have to be overdue for the server to count as silent: a single
+/// slow request is no sign of a frozen server.
+const SILENT_MIN: usize = 3;
+/// Time after the last start of a request for which earlier timeouts count.
+const SILENT_FRESH: Duration = Duration::from_secs(15);
 /// One in this many slots is kept free of bulk requests, and at least one.
 const INTERACTIVE_SHARE: u32 = 4;
 
@@ -149,6 +154,7 @@
     bulk: u32,
     // Last time at which a request started or the server responded.
     progress: clock::Instant,
+    responded: clock::Instant,
     // Last call of `expire`.
     expired: clock::Instant,
     draining: bool,
@@ -166,6 +172,7 @@
             in_flight: 0,
             bulk: 0,
             progress: now,
+            responded: now,
             expired: now,
             draining: false,
         }
@@ -263,11 +270,11 @@
                 let busy = self.in_flight * 2 >= self.limit.current(now);
                 let slow = self.fair.answered(flow, latency);
                 self.limit.answered(now, admitted, slow, busy);
-                self.progress = now;
+                self.responded(now);
             }
             Finish::Refused => {
                 self.limit.refused(now, admitted);
-                self.progress = now;
+                self.responded(now);
             }
             // A deadline shorter than the usual latency says nothing about the server.
             Finish::TimedOut if latency >= self.fair.mean(flow) => {
@@ -386,6 +393,33 @@
         self.limit.is_frozen() || self.is_stalled(now)
     }
 
+    /// Tells whether requests are overdue or timed out lately, and none was answered
+    /// since they started.
+    ///
+    /// Unlike [`Gate::is_blocked`] it does not need all slots to be in use, so it
+    /// finds a frozen server under little load too. It looks at every request in
+    /// the gate and is meant for reports, not for each request.
+    pub fn is_silent(&self, now: clock::Instant) -> bool {
+        let recent = now.saturating_since(self.progress) < SILENT_FRESH;
+        if self.limit.is_frozen() && recent {
+            return true;
+        }
+        let overdue = |entry: &&Entry| match entry.phase {
+            Phase::Running { admitted, .. } => {
+                let waited = now.saturating_since(admitted);
+                admitted >= self.responded && waited >= self.patience(entry.flow)
+            }
+            Phase::Waiting { .. } => false,
+        };
+        let count = self.entries.values().filter(overdue).count();
+        count >= SILENT_MIN.min(self.limit.slots() as usize)
+    }
+
+    fn responded(&mut self, now: clock::Instant) {
+        self.progress = now;
+        self.responded = now;
+    }
+
     fn has_slot(&self, now: clock::Instant) -> bool {
         self.in_flight < self.limit.current(now)
     }
--- a/crates/traffic/src/health.rs
+++ b/crates/traffic/src/health.rs
@@ -35,12 +35,19 @@
 /// The same without requests: once the slices of a failing server have moved
 /// away, only the endpoint speaks for it, and it spoke for it before.
 const HOLD_ALONE: Duration = Duration::from_secs(30);
-/// A response this many times slower than the mean, and by `SLOW_SLACK`, counts as
-/// half a failure.
+/// A response this many times slower than the mean, and by `SLOW_SLACK`, is slow.
 const SLOW_FACTOR: f64 = 10.0;
 const SLOW_SLACK: Duration = Duration::from_millis(100);
-/// Weight of a response in the mean latency.
+/// Share of a failure that a slow response counts as. Slow responses alone, even
+/// with a bad endpoint, stay below `FAILING_ENTER`.
+const SLOW_FAILURE: f64 = 0.4;
+/// Time constant of the mean latency. It is long, so that a server that becomes slow
+/// is compared with what it was before.
+const LATENCY_FADE: Duration = Duration::from_secs(30);
+/// Largest weight of a response in the mean latency, ...
 const LATENCY_WEIGHT: f64 = 1.0 / 64.0;
+/// ... and largest multiple of the mean that it counts as.
+const LATENCY_CLIP: f64 = 2.0;
 
 /// What happened to one request at the backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -51,6 +58,11 @@
     TimedOut,
     /// The connection failed.
     Failed,
+    /// No request is answered at all, as [`Gate::is_silent`] tells; passed on at
+    /// each report for as long as that lasts.
+    ///
+    /// [`Gate::is_silent`]: crate::admission::gate::Gate::is_silent
+    Silent,
 }
 
 /// What the health endpoint said.
@@ -138,11 +150,17 @@
 
     /// Takes what happened to one request.
     pub fn observe(&mut self, now: clock::Instant, sample: Sample) {
-        self.fade(now);
+        let elapsed = now.saturating_since(self.sampled.unwrap_or(self.started));
+        self.fade(elapsed);
         self.total += 1.0;
         self.failures += match sample {
-            Sample::Answered(latency) => self.weigh(latency),
+            Sample::Answered(latency) => self.weigh(elapsed, latency),
             Sample::TimedOut | Sample::Failed => 1.0,
+            Sample::Silent => {
+                // Earlier answers say nothing about a server that has stopped since.
+                self.total = KEPT;
+                KEPT - self.failures
+            }
         };
         self.sampled = Some(now);
     }
@@ -199,10 +217,8 @@
     }
 
     /// Lets older requests lose weight; their share of failures stays the same.
-    fn fade(&mut self, now: clock::Instant) {
-        let last = self.sampled.unwrap_or(self.started);
-        let elapsed = now.saturating_since(last).as_secs_f64();
-        let faded = self.total * (-elapsed / FADE.as_secs_f64()).exp();
+    fn fade(&mut self, elapsed: Duration) {
+        let faded = self.total * (-elapsed.div_duration_f64(FADE)).exp();
         let kept = faded.max(self.total.min(KEPT));
         if self.total > 0.0 {
             self.failures *= kept / self.total;
@@ -210,12 +226,15 @@
         }
     }
 
-    fn weigh(&mut self, latency: Duration) -> f64 {
+    /// Takes the latency of a response and returns its share of a failure.
+    fn weigh(&mut self, elapsed: Duration, latency: Duration) -> f64 {
         let sample = latency.as_secs_f64();
         let mean = self.latency.unwrap_or(sample);
-        self.latency = Some(mean + (sample - mean) * LATENCY_WEIGHT);
+        let weight = elapsed.div_duration_f64(LATENCY_FADE).min(LATENCY_WEIGHT);
+        let clipped = sample.min(mean * LATENCY_CLIP);
+        self.latency = Some(mean + (clipped - mean) * weight);
         let slow = sample > mean * SLOW_FACTOR + SLOW_SLACK.as_secs_f64();
-        if slow { 0.5 } else { 0.0 }
+        if slow { SLOW_FAILURE } else { 0.0 }
     }
 
     fn path(&self, now: clock::Instant) -> Option<f64> {
--- /dev/null
+++ b/crates/traffic/tests/gate.rs
@@ -0,0 +1,340 @@
+//! Admission to a backend server under load, under a hot caller, and when it freezes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs};
+use sequoiayoke_model::clock::Instant;
+use sequoiayoke_model::{id, outcome::Reason};
+use sequoiayoke_traffic::admission::gate::{
+    Arrival, Class, Finish, Gate, Key, Limits, Ticket, Turn,
+};
+
+const LIMITS: Limits = Limits {
+    slots: 12,
+    queue: 64,
+};
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// A gate with a server behind it, and the fate of each request.
+struct World {
+    now: Instant,
+    gate: Gate,
+    running: BTreeMap<Key, (Instant, u32)>,
+    waiting: BTreeMap<Key, u32>,
+    // Per caller.
+    admitted: BTreeMap<u32, u64>,
+    shed: BTreeMap<u32, u64>,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Instant::from_micros(0);
+        Self {
+            now,
+            gate: Gate::new(LIMITS, now),
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            admitted: BTreeMap::new(),
+            shed: BTreeMap::new(),
+        }
+    }
+
+    fn warm() -> Self {
+        let mut world = Self::new();
+        world.now = world.now + ms(10_000);
+        world
+    }
+
+    fn arrive(&mut self, caller: u32, class: Class, left: Duration) -> Arrival {
+        let ticket = Ticket {
+            caller: id::Caller(caller),
+            service: id::Service(1),
+            class,
+            deadline: self.now + left,
+            request: None,
+        };
+        let free = self.gate.running() < self.gate.limit(self.now);
+        let arrival = self.gate.arrive(self.now, &ticket);
+        match arrival {
+            Arrival::Admitted(key) => {
+                assert!(free, "admitted above the limit");
+                self.admit(key, caller);
+            }
+            Arrival::Queued(key) => {
+                assert!(self.waiting.insert(key, caller).is_none(), "doubled key");
+            }
+            Arrival::Shed(_) => *self.shed.entry(caller).or_default() += 1,
+        }
+        self.check();
+        arrival
+    }
+
+    fn admit(&mut self, key: Key, caller: u32) {
+        assert!(
+            self.running.insert(key, (self.now, caller)).is_none(),
+            "admitted twice"
+        );
+        *self.admitted.entry(caller).or_default() += 1;
+    }
+
+    fn take(&mut self, turn: Turn) {
+        for key in turn.admitted {
+            let caller = self.waiting.remove(&key).expect("it waited");
+            self.admit(key, caller);
+        }
+        for (key, _) in turn.shed {
+            let caller = self.waiting.remove(&key).expect("it waited");
+            *self.shed.entry(caller).or_default() += 1;
+        }
+        self.check();
+    }
+
+    fn check(&self) {
+        assert!(
+            self.gate.running() <= LIMITS.slots,
+            "more in flight than slots"
+        );
+        assert_eq!(
+            self.gate.running() as usize,
+            self.running.len(),
+            "lost in flight"
+        );
+        assert_eq!(
+            self.gate.waiting() as usize,
+            self.waiting.len(),
+            "lost in the queue"
+        );
+        assert!(
+            self.waiting.len() <= LIMITS.queue as usize,
+            "queue above its bound"
+        );
+    }
+
+    fn finish(&mut self, key: Key, finish: Finish) {
+        let (admitted, _) = self.running.remove(&key).expect("it runs");
+        let latency = self.now.saturating_since(admitted);
+        let turn = self.gate.finished(self.now, key, latency, finish);
+        self.take(turn);
+    }
+
+    /// Ends what has run for `latency` of its caller, as time passes.
+    fn pass<L>(&mut self, span: Duration, finish: Finish, latency: L)
+    where
+        L: Fn(u32) -> Duration,
+    {
+        self.now = self.now + span;
+        let due = |(key, (at, caller)): (&Key, &(Instant, u32))| {
+            (*at + latency(*caller) <= self.now).then_some(*key)
+        };
+        let due: Vec<Key> = self.running.iter().filter_map(due).collect();
+        for key in due {
+            self.finish(key, finish);
+        }
+        let turn = self.gate.expire(self.now);
+        self.take(turn);
+    }
+}
+
+/// Guards against lost or doubled admissions and waits without an end, in any
+/// order of arrivals, ends, cancellations, drains and resizes.
+#[test]
+fn every_request_ends_once_and_slots_are_never_exceeded() {
+    for seed in 0..2_000_u64 {
+        println!("seed {seed}");
+        let mut random = rngs::SmallRng::seed_from_u64(seed);
+        let mut world = World::new();
+        for _ in 0..300 {
+            let pick = |random: &mut rngs::SmallRng, keys: Vec<Key>| {
+                (!keys.is_empty()).then(|| keys[random.random_range(0..keys.len())])
+            };
+            match random.random_range(0..100) {
+                0..50 => {
+                    let bulk = random.random_bool(0.3);
+                    let class = if bulk {
+                        Class::Bulk
+                    } else {
+                        Class::Interactive
+                    };
+                    let left = ms(random.random_range(0..3_000));
+                    world.arrive(random.random_range(0..5), class, left);
+                }
+                50..80 => {
+                    let finish = [
+                        Finish::Completed,
+                        Finish::Completed,
+                        Finish::Refused,
+                        Finish::TimedOut,
+                        Finish::Failed,
+                        Finish::Withdrawn,
+                    ][random.random_range(0..6)];
+                    if let Some(key) = pick(&mut random, world.running.keys().copied().collect()) {
+                        world.finish(key, finish);
+                        // A second report of the same end has no effect.
+                        let turn = world.gate.finished(world.now, key, ms(1), finish);
+                        world.take(turn);
+                    }
+                }
+                80..85 => {
+                    if let Some(key) = pick(&mut random, world.waiting.keys().copied().collect()) {
+                        world.waiting.remove(&key);
+                        let turn = world.gate.cancel(world.now, key);
+                        world.take(turn);
+                    }
+                }
+                85..98 => world.pass(ms(random.random_range(0..50)), Finish::Completed, |_| {
+                    ms(60_000)
+                }),
+                98 => {
+                    let turn = world.gate.drain();
+                    world.take(turn);
+                    assert_eq!(world.gate.in_flight().count(), world.running.len());
+                    world.gate.resume();
+                }
+                _ => {
+                    let slots = random.random_range(1..=LIMITS.slots);
+                    let turn = world.gate.resize(world.now, slots);
+                    world.take(turn);
+                }
+            }
+        }
+        // With no response any more, the timer alone ends every wait.
+        let mut times = BTreeSet::new();
+        while let Some(next) = world.gate.next_deadline() {
+            assert!(
+                times.insert(next),
+                "the timer fires twice for the same time"
+            );
+            world.now = world.now.max(next);
+            let turn = world.gate.expire(world.now);
+            world.take(turn);
+        }
+        assert!(world.waiting.is_empty(), "a wait has no end");
+    }
+}
+
+/// Guards against a hot caller that keeps its queue full starving the others.
+#[test]
+fn a_hot_caller_delays_a_quiet_one_by_at_most_one_round_of_the_slots() {
+    let mut world = World::warm();
+    let mut waits = Vec::new();
+    for round in 0..2_000_u32 {
+        while !matches!(
+            world.arrive(1, Class::Interactive, ms(10_000)),
+            Arrival::Shed(_)
+        ) {}
+        let before = world.admitted.get(&1).copied().unwrap_or(0);
+        let mut quiet = Vec::new();
+        if round % 5 == 0 {
+            match world.arrive(2, Class::Interactive, ms(10_000)) {
+                Arrival::Queued(key) => quiet.push(key),
+                Arrival::Admitted(_) => {}
+                Arrival::Shed(reason) => panic!("the quiet caller is shed: {reason}"),
+            }
+        }
+        world.pass(ms(1), Finish::Completed, |_| ms(4));
+        while quiet.iter().any(|key| world.waiting.contains_key(key)) {
+            world.pass(ms(1), Finish::Completed, |_| ms(4));
+        }
+        if !quiet.is_empty() {
+            waits.push(world.admitted[&1] - before);
+        }
+    }
+    assert!(waits.len() > 300);
+    let worst = waits.iter().max().copied().unwrap_or(0);
+    assert!(
+        worst <= u64::from(LIMITS.slots),
+        "{worst} admissions of the hot caller"
+    );
+}
+
+/// Guards against an upload burst taking every slot and place in the queue.
+#[test]
+fn an_upload_burst_does_not_hold_up_status_reads() {
+    let mut world = World::warm();
+    let latency = |caller| if caller == 1 { ms(2_000) } else { ms(2) };
+    for step in 0..20_000_u32 {
+        while matches!(
+            world.arrive(1, Class::Bulk, ms(60_000)),
+            Arrival::Admitted(_)
+        ) {}
+        if step % 2 == 0 {
+            let read = world.arrive(2, Class::Interactive, ms(100));
+            assert!(
+                matches!(read, Arrival::Admitted(_)),
+                "read {step}: {read:?}"
+            );
+        }
+        world.pass(ms(1), Finish::Completed, latency);
+    }
+    assert!(world.admitted[&1] > 50, "uploads make no progress");
+}
+
+/// Guards against requests being dispatched to a frozen server, where their fate
+/// is unknown, instead of being refused as not run.
+#[test]
+fn a_frozen_server_leads_to_shedding_and_recovers() {
+    let mut world = World::warm();
+    for _ in 0..2_000 {
+        world.arrive(1, Class::Interactive, ms(1_000));
+        world.pass(ms(1), Finish::Completed, |_| ms(4));
+    }
+    let before = world.admitted[&1];
+    // Frozen for 30 s: nothing is answered, and requests time out after 1 s.
+    for step in 0..30_000 {
+        let arrival = world.arrive(1, Class::Interactive, ms(1_000));
+        let queued = matches!(arrival, Arrival::Queued(_));
+        assert!(!queued || step < 10_000, "queued behind a frozen server");
+        assert!(
+            step < 1_100 || world.gate.is_silent(world.now),
+            "step {step}: not silent"
+        );
+        world.pass(ms(1), Finish::TimedOut, |_| ms(1_000));
+    }
+    let unknown = world.admitted[&1] - before;
+    // The slots at first, then those that time out within the same round are
+    // replaced by one probe per second.
+    assert!(
+        unknown <= 2 * u64::from(LIMITS.slots) + 30,
+        "{unknown} unknown"
+    );
+    assert!(world.shed[&1] > 29_000);
+    for _ in 0..3_000 {
+        world.arrive(1, Class::Interactive, ms(1_000));
+        world.arrive(1, Class::Interactive, ms(1_000));
+        world.pass(ms(1), Finish::Completed, |_| ms(4));
+    }
+    assert_eq!(world.gate.limit(world.now), LIMITS.slots);
+}
+
+/// Guards against a wait that is certain to outlast the deadline.
+#[test]
+fn a_request_that_would_be_late_is_shed_at_once() {
+    let mut world = World::warm();
+    for _ in 0..200 {
+        world.arrive(1, Class::Interactive, ms(10_000));
+        world.pass(ms(5), Finish::Completed, |_| ms(50));
+    }
+    for _ in 0..30 {
+        world.arrive(1, Class::Interactive, ms(10_000));
+    }
+    let late = world.arrive(1, Class::Interactive, ms(40));
+    assert_eq!(late, Arrival::Shed(Reason::Overload));
+    let patient = world.arrive(1, Class::Interactive, ms(10_000));
+    assert!(matches!(patient, Arrival::Queued(_)), "{patient:?}");
+}
+
+/// Guards against a cold server getting its full load in its first second.
+#[test]
+fn a_cold_server_ramps_up() {
+    let mut world = World::new();
+    let mut limits = Vec::new();
+    for _ in 0..6 {
+        limits.push(world.gate.limit(world.now));
+        world.now = world.now + ms(1_000);
+    }
+    assert_eq!(limits, [3, 4, 6, 8, 10, 12]);
+}
--- /dev/null
+++ b/crates/traffic/tests/load.rs
@@ -0,0 +1,86 @@
+//! The load tracker against exact counts, and the retry budget.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs};
+use sequoiayoke_model::{clock, id, key};
+use sequoiayoke_traffic::{hot, retry};
+
+const SERVICE: id::Service = id::Service(1);
+
+/// Guards against a hot key that is missed, or a rate outside the stated error.
+#[test]
+fn hot_keys_are_tracked_within_the_stated_error() {
+    for seed in 0..4 {
+        println!("seed {seed}");
+        let mut random = rngs::SmallRng::seed_from_u64(seed);
+        let start = clock::Instant::from_micros(0);
+        let mut tracker = hot::Tracker::new(start, 64);
+        let mut exact: BTreeMap<u64, f64> = BTreeMap::new();
+        let mut now = start;
+        // The hot keys change half way; 400 s pass several rebases.
+        for step in 0..200_000_u64 {
+            now = now + Duration::from_millis(2);
+            let phase = step / 100_000 * 1_000;
+            let hash = match random.random_range(0..100) {
+                0..40 => phase + random.random_range(0..5),
+                _ => random.random_range(10_000..100_000),
+            };
+            let weight = (0.1 * now.as_micros() as f64 / 1e6 - 40.0).exp2();
+            *exact.entry(hash).or_default() += weight;
+            tracker.record(now, SERVICE, key::Hash(hash % 2), key::Hash(hash));
+        }
+        let top = tracker.top(now, 64);
+        let found: Vec<u64> = top.iter().take(5).map(|key| key.hash.0).collect();
+        assert!(
+            found.iter().all(|hash| (1_000..1_005).contains(hash)),
+            "{found:?}"
+        );
+        for key in &top {
+            let rate = exact[&key.hash.0] * std::f64::consts::LN_2 / 10.0;
+            // The weight is renewed every 3 ms, so a count may be 0.03 % too low.
+            assert!(key.rate >= rate * 0.9997, "{key:?} against {rate}");
+            assert!(
+                key.rate - key.excess <= rate * 1.0003,
+                "{key:?} against {rate}"
+            );
+        }
+        let slices = tracker.slices(now);
+        let total: f64 = slices.iter().map(|slice| slice.rate).sum();
+        assert_eq!(slices.len(), 2);
+        assert!(
+            (495.0..505.0).contains(&total),
+            "{total} requests/s, not 500"
+        );
+    }
+}
+
+/// Guards against retries that multiply the load on a failing owner.
+#[test]
+fn retries_stay_a_tenth_of_the_requests() {
+    let now = clock::Instant::from_micros(0);
+    let mut budget = retry::Budget::new(now);
+    // More callers than budgets: the rest share one.
+    for caller in 0..3_000 {
+        let mut retries = 0;
+        for _ in 0..100 {
+            budget.deposit(now, id::Caller(caller), SERVICE);
+            retries += u32::from(budget.withdraw(now, id::Caller(caller), SERVICE));
+        }
+        assert!(retries <= 11, "caller {caller} retried {retries} of 100");
+    }
+}
+
+/// Guards against retries of many nodes at the same time.
+#[test]
+fn backoff_covers_the_whole_span() {
+    let mut random = rngs::SmallRng::seed_from_u64(1);
+    let waits: Vec<u64> = (0..10_000)
+        .map(|_| retry::backoff(2, &mut random).as_millis() as u64)
+        .collect();
+    assert!(waits.iter().all(|wait| *wait <= 80));
+    let mean = waits.iter().sum::<u64>() / 10_000;
+    assert!((38..=42).contains(&mean), "mean {mean} ms, not 40");
+    assert!(retry::backoff(u32::MAX, &mut random) <= Duration::from_millis(500));
+}
--- /dev/null
+++ b/crates/traffic/tests/scenario.rs
@@ -0,0 +1,178 @@
+//! Scripted scenarios; `REWRITE=1` writes the present output into the scripts.
+
+use std::time::Duration;
+
+use datadriven::TestCase;
+use sequoiayoke_model::outcome::{Outcome, Reason};
+use sequoiayoke_model::{clock, id, key, table, view};
+use sequoiayoke_traffic::admission::gate;
+use sequoiayoke_traffic::{health, retry, route};
+
+fn arg(case: &mut TestCase, name: &str) -> Option<u64> {
+    case.try_take_arg(name).expect("a number")
+}
+
+/// Slices of a sixteenth each: own, vacant, of server 2, of a server that is gone,
+/// and of an earlier run of server 1.
+fn sample_view() -> view::View {
+    let server = |number: u32| view::Server {
+        name: format!("server-{number}"),
+        incarnation: id::Incarnation(10),
+        peer_address: ([127, 0, 0, 1], number as u16).into(),
+        caller_address: ([127, 0, 0, 1], number as u16).into(),
+        draining: false,
+    };
+    let holder = |number: u32, incarnation, epoch| table::Holder {
+        server: id::Server(number),
+        incarnation: id::Incarnation(incarnation),
+        epoch: id::Epoch(epoch),
+    };
+    let holders = [
+        Some(holder(1, 10, 20)),
+        None,
+        Some(holder(2, 10, 21)),
+        Some(holder(3, 10, 22)),
+        Some(holder(1, 9, 5)),
+    ];
+    let slices = (0..).zip(holders).map(|(index, holder)| {
+        let start = key::Hash(index << 60);
+        view::Change::Slice(id::Service(1), table::Slice { start, holder })
+    });
+    let mut view = view::View::new();
+    view.apply(id::Version(22), slices);
+    let servers = [1, 2].map(|number| view::Change::Server(id::Server(number), server(number)));
+    view.apply(id::Version(22), servers);
+    view
+}
+
+fn route(case: &mut TestCase) -> String {
+    let query = route::Query {
+        service: id::Service(arg(case, "service").unwrap_or(1) as u32),
+        hash: key::Hash(arg(case, "slice").unwrap_or(0) << 60),
+        forwarded: arg(case, "hint").map(id::Epoch),
+    };
+    let me = arg(case, "me").map(|number| route::Identity {
+        server: id::Server(number as u32),
+        incarnation: id::Incarnation(10),
+    });
+    format!("{:?}\n", route::decide(&sample_view(), me, &query))
+}
+
+/// Lists the decision for every outcome, for requests that are not and that are idempotent.
+fn retries() -> String {
+    let left = Duration::from_secs(1);
+    let outcomes: [fn(Reason) -> Outcome; 2] = [Outcome::NotRun, Outcome::Unknown];
+    let cases = outcomes.into_iter().flat_map(|outcome| {
+        Reason::ALL.iter().map(move |reason| {
+            let outcome = outcome(*reason);
+            let [plain, idempotent] =
+                [false, true].map(|idempotent| retry::may_retry(outcome, idempotent, left));
+            format!("{} {reason}: {plain:?} / {idempotent:?}\n", outcome.word())
+        })
+    });
+    cases.collect()
+}
+
+struct Monitored {
+    now: clock::Instant,
+    monitor: health::Monitor,
+}
+
+fn health(state: &mut Monitored, case: &mut TestCase) -> String {
+    let span = Duration::from_millis(arg(case, "every").unwrap_or(100));
+    let probe = match case.args.remove("probe").as_deref() {
+        Some([word]) if word == "healthy" => Some(health::Probe::Healthy),
+        Some([word]) if word == "unhealthy" => Some(health::Probe::Unhealthy),
+        Some(_) => Some(health::Probe::Silent),
+        None => None,
+    };
+    let latency = arg(case, "latency").map(Duration::from_millis);
+    let timeout = case.take_flag("timeout").expect("a flag");
+    let silent = case.take_flag("silent").expect("a flag");
+    let mut samples: Vec<health::Sample> =
+        latency.map(health::Sample::Answered).into_iter().collect();
+    samples.extend(timeout.then_some(health::Sample::TimedOut));
+    samples.extend(silent.then_some(health::Sample::Silent));
+    for _ in 0..arg(case, "count").unwrap_or(1) {
+        state.now = state.now + span;
+        if let Some(probe) = probe {
+            state.monitor.probed(state.now, probe);
+        }
+        for sample in &samples {
+            state.monitor.observe(state.now, *sample);
+        }
+        state.monitor.report(state.now);
+    }
+    let report = state.monitor.report(state.now);
+    format!("{:?} score {:.2}\n", report.state, report.score)
+}
+
+/// Admits one request, queues others with these deadlines, and shows the order.
+fn gate_order(case: &mut TestCase) -> String {
+    let drain_after = arg(case, "drain_after").unwrap_or(u64::MAX);
+    let latency = Duration::from_millis(arg(case, "latency").unwrap_or(10));
+    let mut now = clock::Instant::from_micros(0);
+    let mut gate = gate::Gate::new(gate::Limits { slots: 1, queue: 8 }, now);
+    let mut output = String::new();
+    let mut keys = Vec::new();
+    for word in case.input.split_whitespace() {
+        let ticket = gate::Ticket {
+            caller: id::Caller(1),
+            service: id::Service(1),
+            class: gate::Class::Interactive,
+            deadline: now + Duration::from_millis(word.parse().expect("a number")),
+            request: None,
+        };
+        match gate.arrive(now, &ticket) {
+            gate::Arrival::Admitted(key) | gate::Arrival::Queued(key) => keys.push((key, word)),
+            gate::Arrival::Shed(reason) => output += &format!("{word} shed: {reason}\n"),
+        }
+    }
+    let name = |key| {
+        keys.iter()
+            .find(|(other, _)| *other == key)
+            .map_or("", |(_, word)| word)
+    };
+    let mut running = vec![keys[0].0];
+    for round in 0.. {
+        if round == drain_after {
+            let left: Vec<&str> = gate.in_flight().map(|(key, _)| name(key)).collect();
+            let shed = gate.drain().shed;
+            let shed: Vec<_> = shed
+                .iter()
+                .map(|(key, why)| format!("{}: {why}", name(*key)))
+                .collect();
+            output += &format!("drain: left {left:?}, shed {shed:?}\n");
+        }
+        let Some(key) = running.pop() else {
+            break;
+        };
+        output += &format!("{} runs\n", name(key));
+        now = now + latency;
+        let turn = gate.finished(now, key, latency, gate::Finish::Completed);
+        running.extend(turn.admitted);
+        for (key, reason) in turn.shed {
+            output += &format!("{} shed: {reason}\n", name(key));
+        }
+    }
+    output
+}
+
+/// Guards against changes of decisions that no other test pins down.
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenario", |file| {
+        let now = clock::Instant::from_micros(0);
+        let monitor = health::Monitor::new(now);
+        let mut state = Monitored { now, monitor };
+        file.run(|case| -> String {
+            match case.directive.clone().as_str() {
+                "route" => route(case),
+                "retries" => retries(),
+                "gate" => gate_order(case),
+                "health" => health(&mut state, case),
+                other => panic!("no directive {other}"),
+            }
+        });
+    });
+}
