traffic: bind ids to their key, deny credit between flows

Cause: a request id that was sent again for another key in the same slice got the first key's answer. With several hot callers a quiet one waited for 22 admissions where 12 are allowed: a flow whose first requests were faster than estimated got the difference as credit. Slow responses left health at "healthy" (score 0.29). Change: window::Verdict::OtherKey (not run, bad-request) for such an id; a flow's tag stays above the tag served last; suspect from a score of 0.25; the expected wait of bulk requests counts only the slots that they may take.

--- a/crates/traffic/src/admission/flow.rs
+++ b/crates/traffic/src/admission/flow.rs
@@ -244,6 +244,9 @@
         let flow = &mut self.flows[key];
         flow.in_flight = flow.in_flight.saturating_sub(1);
         let tag = flow.tag.saturating_sub(charged).saturating_add(held);
+        // What was charged too much is no credit: flows that wait at the tag served
+        // last go first.
+        let tag = tag.max(self.served + 1);
         self.set_tag(key, tag);
     }
 
--- a/crates/traffic/src/admission/gate.rs
+++ b/crates/traffic/src/admission/gate.rs
@@ -203,7 +203,10 @@
         if self.is_blocked(now) {
             return false;
         }
-        let limit = self.limit.current(now);
+        let limit = match ticket.class {
+            Class::Interactive => self.limit.current(now),
+            Class::Bulk => self.bulk_limit(now),
+        };
         let expected = self.fair.expected(flow, ticket.deadline, limit);
         self.fair.has_room(flow, self.queue) && now + expected <= ticket.deadline
     }
@@ -424,11 +427,15 @@
         self.in_flight < self.limit.current(now)
     }
 
-    /// Tells whether a bulk request may start, so that uploads leave slots to others.
     fn bulk_allowed(&self, now: clock::Instant) -> bool {
+        self.bulk < self.bulk_limit(now)
+    }
+
+    /// Slots that bulk requests may take, so that uploads leave some to others.
+    fn bulk_limit(&self, now: clock::Instant) -> u32 {
         let limit = self.limit.current(now);
         let kept = limit.div_ceil(INTERACTIVE_SHARE);
-        self.bulk < limit.saturating_sub(kept).max(1)
+        limit.saturating_sub(kept).max(1)
     }
 
     fn is_stalled(&self, now: clock::Instant) -> bool {
--- a/crates/traffic/src/health.rs
+++ b/crates/traffic/src/health.rs
@@ -25,7 +25,7 @@
 /// alone moves no slice.
 const PROBE_WEIGHT_ALONE: f64 = 0.5;
 /// Score from which a server is suspect, and below which it is so no more.
-const SUSPECT_ENTER: f64 = 0.3;
+const SUSPECT_ENTER: f64 = 0.25;
 const SUSPECT_LEAVE: f64 = 0.15;
 /// Score from which a server is failing, and below which it is so no more.
 const FAILING_ENTER: f64 = 0.6;
--- a/crates/traffic/src/retry.rs
+++ b/crates/traffic/src/retry.rs
@@ -25,7 +25,8 @@
 const BACKOFF_BASE: Duration = Duration::from_millis(20);
 /// Longest back-off before any retry.
 const BACKOFF_MAX: Duration = Duration::from_millis(500);
-/// Time that a hop keeps for itself, so that it can still respond in time.
+/// Time that a hop keeps for itself, so that it can still respond in time: there and
+/// back between two failure domains, 1.5 ms each.
 const HOP_MARGIN: Duration = Duration::from_millis(3);
 
 /// Whether a request may be sent again.
--- a/crates/traffic/src/window.rs
+++ b/crates/traffic/src/window.rs
@@ -80,7 +80,7 @@
     /// running and exactly one call of [`Window::finish`] must follow.
     pub fn begin(&mut self, id: request::Id, hash: key::Hash) -> Verdict<'_> {
         if self.entries.contains_key(&id) {
-            return self.recall(id);
+            return self.recall(id, hash);
         }
         if id.epoch() > self.epoch {
             return Verdict::FutureEpoch;
@@ -96,16 +96,20 @@
         Verdict::Run
     }
 
-    fn recall(&self, id: request::Id) -> Verdict<'_> {
-        match self.entries.get(&id).map(|entry| &entry.phase) {
-            Some(Phase::Running) => Verdict::Running,
-            Some(Phase::Ended(State::Answered(Some(answer)))) => Verdict::Replay(answer),
-            Some(Phase::Ended(State::Unknown(reason))) => Verdict::Unknown(*reason),
-            Some(Phase::Ended(State::Answered(None))) | None => Verdict::AnswerNotKept,
+    fn recall(&self, id: request::Id, hash: key::Hash) -> Verdict<'_> {
+        let entry = &self.entries[&id];
+        match &entry.phase {
+            // The answer belongs to whoever may read the key of the first sending.
+            _ if entry.hash != hash => Verdict::OtherKey,
+            Phase::Running => Verdict::Running,
+            Phase::Ended(State::Answered(Some(answer))) => Verdict::Replay(answer),
+            Phase::Ended(State::Answered(None)) => Verdict::AnswerNotKept,
+            Phase::Ended(State::Unknown(reason)) => Verdict::Unknown(*reason),
         }
     }
 
-    /// Records how a run ended.
+    /// Records how a run ended, in the window that holds its key by now: a split
+    /// or a merge may have happened since [`Window::begin`].
     ///
     /// An id that did not run is forgotten, so that a resend can run. Only a
     /// running entry is changed, but for a late answer to an unknown outcome.
--- a/crates/traffic/src/window/record.rs
+++ b/crates/traffic/src/window/record.rs
@@ -88,6 +88,8 @@
     AnswerNotKept,
     /// The id may have run, and how it ended is not known.
     Unknown(outcome::Reason),
+    /// The id was used for another key.
+    OtherKey,
     /// The id is older than the record.
     TooOld,
     /// The id was issued under a later grant than the owner's.
@@ -116,6 +118,7 @@
             Self::Replay(answer) => Some(Outcome::Answered(answer.status)),
             Self::AnswerNotKept => Some(Outcome::Unknown(Reason::AnswerNotKept)),
             Self::Unknown(reason) => Some(Outcome::Unknown(*reason)),
+            Self::OtherKey => Some(Outcome::NotRun(Reason::BadRequest)),
             Self::TooOld => Some(Outcome::Unknown(Reason::IdTooOld)),
             Self::FutureEpoch => Some(Outcome::NotRun(Reason::NotOwner)),
             Self::Full => Some(Outcome::NotRun(Reason::Overload)),
--- a/crates/traffic/tests/window/rules.rs
+++ b/crates/traffic/tests/window/rules.rs
@@ -4,6 +4,7 @@
 use sequoiayoke_traffic::window::{Answer, End, Limits, Refusal, Verdict, Window};
 
 const HASH: key::Hash = key::Hash(7);
+const OTHER: key::Hash = key::Hash(8);
 
 fn limits(entries: usize, answer_bytes: usize) -> Limits {
     Limits {
@@ -73,6 +74,8 @@
     window.finish(issued(1), End::Answered(Some(answer(1))));
     window.finish(issued(1), End::Answered(Some(answer(2))));
     assert_eq!(window.begin(issued(1), HASH), Verdict::Replay(&answer(1)));
+    // The key may belong to another caller.
+    assert_eq!(window.begin(issued(1), OTHER), Verdict::OtherKey);
 }
 
 /// Guards against a window of an earlier or the same grant being continued, which
