Report outages of keys, and resend through another node

Change: the load tool follows, for each key, the time from its first unsuccessful request to the end of a later answered one. A resend and a repeated id fetch avoid the target of the attempt before.

--- a/crates/emulator/src/load/client.rs
+++ b/crates/emulator/src/load/client.rs
@@ -83,7 +83,7 @@
             // The tool alone decides what is sent again.
             .retry(reqwest::retry::never())
             .connect_timeout(CONNECT_TIMEOUT)
-            .pool_max_idle_per_host(plan.max_in_flight)
+            .pool_max_idle_per_host(plan.connections.unwrap_or(plan.max_in_flight))
             .build()?;
         let rooms = plan
             .connections
@@ -122,13 +122,15 @@
 
     /// Sends until the outcome is known or the resends are used up.
     async fn send(&self, call: &Call<'_>, sample: &mut tally::Sample) {
+        let mut before = None;
         for attempt in 0..=self.plan.resends {
             if attempt > 0 {
                 let jitter =
                     call.arrival.salt.rotate_left(attempt) % RESEND_PAUSE.as_millis() as u64;
                 tokio::time::sleep(RESEND_PAUSE + Duration::from_millis(jitter)).await;
             }
-            let target = self.target(call, attempt);
+            let target = self.target(call, attempt, before);
+            before = Some(target);
             let judgement = self.attempt(call, target).await;
             // An earlier attempt may still run; its answer can be fetched later.
             let runs = judgement.verdict == judge::Verdict::NotRun("duplicate-running".into());
@@ -166,7 +168,13 @@
         }
     }
 
-    fn target(&self, call: &Call<'_>, attempt: u32) -> net::SocketAddr {
+    /// Chooses the target of an attempt; a resend goes to another one than `before`.
+    fn target(
+        &self,
+        call: &Call<'_>,
+        attempt: u32,
+        before: Option<net::SocketAddr>,
+    ) -> net::SocketAddr {
         let targets = &self.plan.targets;
         if self.plan.mode == plan::Mode::Straight {
             return targets[(call.place.0 % targets.len() as u64) as usize];
@@ -177,8 +185,13 @@
                 return *owner;
             }
         }
-        let number = call.arrival.salt.wrapping_add(u64::from(attempt));
-        targets[(number % targets.len() as u64) as usize]
+        let count = targets.len() as u64;
+        let number = call.arrival.salt % count + u64::from(attempt);
+        let target = targets[(number % count) as usize];
+        match before == Some(target) {
+            true => targets[((number + 1) % count) as usize],
+            false => target,
+        }
     }
 
     /// Gets a request id from a node; straight to a stand-in, the tool makes it.
@@ -188,8 +201,10 @@
             let id = request::Id::new(id::Epoch(0), now_ms, rand::random());
             return Some(id.to_string());
         }
+        let mut before = None;
         for attempt in 0..=self.plan.resends {
-            let target = self.target(call, attempt);
+            let target = self.target(call, attempt, before);
+            before = Some(target);
             let url = format!("http://{target}/v1/request-ids/{}", call.path);
             let request = self.headers(self.http.post(url), call);
             let Ok(answer) = request.send().await else {
--- a/crates/emulator/src/load/mod.rs
+++ b/crates/emulator/src/load/mod.rs
@@ -9,6 +9,7 @@
 mod client;
 pub mod judge;
 pub mod mix;
+pub mod outage;
 pub mod payload;
 pub mod plan;
 pub mod process;
--- a/crates/emulator/src/load/program.rs
+++ b/crates/emulator/src/load/program.rs
@@ -96,7 +96,7 @@
     /// Requests in flight; arrivals beyond are dropped and reported.
     #[arg(long, default_value_t = 10_000)]
     max_in_flight: usize,
-    /// Requests in flight to each target, and so connections; others wait for their turn.
+    /// Requests in flight to each target; others wait for their turn.
     #[arg(long)]
     connections: Option<usize>,
     /// Traffic threads of the tool.
--- a/crates/emulator/src/load/report.rs
+++ b/crates/emulator/src/load/report.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::load::audit;
+use crate::load::outage;
 use crate::load::plan;
 use crate::load::process;
 
@@ -87,6 +88,8 @@
     pub first_attempts: collections::BTreeMap<String, u64>,
     /// Times at which the first and the last unsuccessful request were due.
     pub failures_ms: Option<(u64, u64)>,
+    /// How long keys had no owner that could be reached.
+    pub outages: outage::Summary,
     /// Attempts after the first.
     pub resends: u64,
     /// Requests that got the answer of an earlier run.
@@ -197,6 +200,18 @@
         if let Some((from, to)) = self.failures_ms {
             writeln!(f, "unsuccessful requests were due from {from} to {to} ms")?;
         }
+        if self.failures_ms.is_some() {
+            let outages = &self.outages;
+            writeln!(
+                f,
+                "outages of keys: {} ended, longest {} ms; {} open, longest {} ms; {} missed",
+                outages.ended,
+                outages.longest_ms,
+                outages.open,
+                outages.longest_open_ms,
+                outages.missed
+            )?;
+        }
         writeln!(f, "resends {}, replayed {}", self.resends, self.replayed)
     }
 
--- a/crates/emulator/src/load/tally.rs
+++ b/crates/emulator/src/load/tally.rs
@@ -5,8 +5,11 @@
 
 use hdrhistogram::Histogram;
 
+use sequoiayoke_model::key;
+
 use crate::load::arrival;
 use crate::load::judge;
+use crate::load::outage;
 use crate::load::report;
 
 /// Longest latency that is told apart, in microseconds.
@@ -34,6 +37,8 @@
 pub struct Sample {
     /// Time at which it was due.
     pub at: Duration,
+    /// Hash of its service and key.
+    pub place: key::Hash,
     /// Kind under which it is reported.
     pub kind: arrival::Kind,
     /// Whether its key is one of the hottest.
@@ -59,6 +64,7 @@
     pub fn new(arrival: &arrival::Arrival, lag: Duration) -> Self {
         Self {
             at: arrival.at,
+            place: key::Hash::new(&arrival.service, &arrival.key),
             kind: arrival.kind,
             hot: arrival.hot,
             lag,
@@ -98,6 +104,7 @@
     outcomes: collections::BTreeMap<arrival::Kind, collections::BTreeMap<String, u64>>,
     first: collections::BTreeMap<String, u64>,
     failures: Option<(Duration, Duration)>,
+    outages: outage::Outages,
     finished: u64,
     good: u64,
     lost: u64,
@@ -127,6 +134,7 @@
             outcomes: collections::BTreeMap::new(),
             first: collections::BTreeMap::new(),
             failures: None,
+            outages: outage::Outages::default(),
             finished: 0,
             good: 0,
             lost: 0,
@@ -156,6 +164,9 @@
             let (from, to) = self.failures.unwrap_or((sample.at, sample.at));
             self.failures = Some((from.min(sample.at), to.max(sample.at)));
         }
+        let reached = matches!(last, judge::Verdict::Answered(_));
+        self.outages
+            .add(sample.place, sample.at, sample.latency, reached);
         self.add_times(&sample);
         self.add_wrong(&sample);
         let fate = sample.fate();
@@ -221,6 +232,7 @@
             failures_ms: self
                 .failures
                 .map(|(from, to)| (from.as_millis() as u64, to.as_millis() as u64)),
+            outages: self.outages.summary(),
             finished: self.finished,
             throughput: self.finished as f64 / frame.seconds,
             goodput: self.good as f64 / frame.seconds,
--- a/crates/emulator/tests/load/node.rs
+++ b/crates/emulator/tests/load/node.rs
@@ -24,6 +24,8 @@
     Swap,
     /// Loses the first answer to each id, and runs a resend again.
     Forget,
+    /// Names this node as the owner of every key.
+    Owner(net::SocketAddr),
 }
 
 struct Node {
@@ -96,6 +98,12 @@
             _ => run().await,
         };
         match self.lie {
+            Lie::Owner(owner) => {
+                let mut response = respond(StatusCode::OK, "answered", "", answer);
+                let owner = owner.to_string().parse().unwrap();
+                response.headers_mut().insert("sequoiayoke-owner", owner);
+                return response;
+            }
             Lie::NotRun => {
                 return respond(StatusCode::SERVICE_UNAVAILABLE, "not-run", "vacant", vec![]);
             }
--- a/crates/emulator/tests/load/report.rs
+++ b/crates/emulator/tests/load/report.rs
@@ -8,10 +8,12 @@
 use sequoiayoke_emulator::load::arrival;
 use sequoiayoke_emulator::load::audit;
 use sequoiayoke_emulator::load::judge::Verdict;
+use sequoiayoke_emulator::load::outage;
 use sequoiayoke_emulator::load::plan;
 use sequoiayoke_emulator::load::process;
 use sequoiayoke_emulator::load::report;
 use sequoiayoke_emulator::load::tally;
+use sequoiayoke_model::key;
 
 fn sample(at_ms: u64, kind: arrival::Kind, verdicts: Vec<Verdict>) -> tally::Sample {
     let arrival = arrival::Arrival {
@@ -107,6 +109,33 @@
     assert_eq!(latency.count, 100_000);
 }
 
+/// Guards against outages that are cut short by late answers to earlier requests, or
+/// that vanish because they never ended.
+#[test]
+fn outages_last_until_a_later_request_is_answered() {
+    let ms = Duration::from_millis;
+    let (a, b) = (key::Hash(1), key::Hash(2));
+    let mut outages = outage::Outages::default();
+    for (place, at, latency, good) in [
+        (a, 50, 5, true),
+        (a, 100, 5, false),
+        (b, 150, 500, false),
+        (a, 90, 300, true),
+        (a, 80, 5, false),
+        (a, 400, 20, true),
+    ] {
+        outages.add(place, ms(at), ms(latency), good);
+    }
+    let expected = outage::Summary {
+        ended: 1,
+        longest_ms: 340,
+        open: 1,
+        longest_open_ms: 500,
+        missed: 0,
+    };
+    assert_eq!(outages.summary(), expected);
+}
+
 /// Guards against the fate of a request being read off its last attempt alone.
 #[test]
 fn fate_covers_all_attempts() {
--- a/crates/emulator/tests/load/runs.rs
+++ b/crates/emulator/tests/load/runs.rs
@@ -92,7 +92,7 @@
         let audit = report.frame.audit.clone().unwrap();
         assert_eq!(report.is_clean(), lie == Lie::None, "{lie:?}");
         let found = match lie {
-            Lie::None => audit.ids,
+            Lie::None | Lie::Owner(_) => audit.ids,
             Lie::NotRun => audit.false_not_run.count,
             Lie::Double => audit.doubled.count,
             Lie::Invent => audit.never_run.count,
@@ -129,6 +129,30 @@
     }
 }
 
+/// Guards against resends through the node that has just failed, also if it was named
+/// as the owner.
+#[test]
+fn resends_go_through_another_node() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let standin = self::standin();
+    let dead = self::standin();
+    fault(
+        &dead,
+        "reset",
+        &json!({ "count": 1_000_000, "at": "request" }),
+    );
+    let lie = Lie::Owner(dead.address());
+    let live = node::start(&runtime, standin.address(), lie);
+    let mut plan = plan(plan::Mode::Nodes, live, &standin);
+    plan.targets.push(dead.address());
+    plan.resends = 1;
+    plan.follow_owner = true;
+    let report = run(plan);
+    assert!(report.is_clean());
+    assert!(report.first_attempts["lost/connection"] > 0);
+    assert_eq!(count(&report, "answered"), report.finished);
+}
+
 /// Guards against refusals counted as lost, or as runs.
 #[test]
 fn refusals_are_reported_with_their_reason() {
