--- a/crates/consensus/tests/exploration.rs
+++ b/crates/consensus/tests/replica/exploration.rs
@@ -1,14 +1,14 @@
 //! Seeded random runs: any order of messages, crashes, pauses, partitions, lost
 //! disks and membership changes. The laws are checked at every step.
 
-mod group;
-
 use std::time::Duration;
 
 use rand::RngExt;
 use sequoiayoke_consensus::{effect, event, members};
 use sequoiayoke_model::id;
 
+use crate::group;
+
 /// Disturbances in one run.
 const ACTIONS: usize = 500;
 
--- a/crates/consensus/tests/group/laws.rs
+++ b/crates/consensus/tests/replica/group/laws.rs
@@ -3,9 +3,13 @@
 use std::collections::BTreeMap;
 
 use sequoiayoke_consensus::{effect, entry, message, position, replica, snapshot, stored};
+use sequoiayoke_model::id;
 
 use super::Group;
 
+type Message = message::Message<String>;
+type Stored = stored::Stored<String>;
+
 /// What has been seen so far.
 #[derive(Default)]
 pub(crate) struct Laws {
@@ -64,12 +68,33 @@
         }
     }
 
-    /// A replica grants its vote to one candidate per term, across restarts.
-    pub(crate) fn check_send(&mut self, from: u64, to: u64, message: &message::Message<String>) {
-        if message.body == (message::Body::Voted { granted: true }) {
-            let term = message.term;
-            let first = *self.votes.entry((from, term)).or_insert(to);
-            assert_eq!(first, to, "{from} voted twice in {term}");
+    /// What a replica acknowledges is on its disk, and it grants its vote to one
+    /// candidate per term, across restarts.
+    pub(crate) fn check_send(&mut self, id: u64, to: u64, message: &Message, stored: &Stored) {
+        let term = message.term;
+        match &message.body {
+            message::Body::Voted { granted: true } => {
+                let vote = Some(id::Replica(to));
+                let on_disk = stored.hard == stored::Hard { term, vote };
+                assert!(
+                    on_disk,
+                    "{id} granted a vote in {term} that is not on its disk"
+                );
+                let first = *self.votes.entry((id, term)).or_insert(to);
+                assert_eq!(first, to, "{id} voted twice in {term}");
+            }
+            message::Body::Appended {
+                outcome: message::Outcome::Matched(index),
+                ..
+            } => {
+                let last = stored.entries.last().map(|entry| entry.position);
+                let last = last.unwrap_or(stored.snapshot.position).index;
+                assert!(
+                    last >= *index,
+                    "{id} acknowledged {index}, has {last} on disk"
+                );
+            }
+            _ => {}
         }
     }
 
@@ -78,7 +103,7 @@
     pub(crate) fn check_persist(
         &mut self,
         id: u64,
-        stored: &stored::Stored<String>,
+        stored: &Stored,
         persist: &effect::Persist<String>,
     ) {
         match persist {
--- a/crates/consensus/tests/group/mod.rs
+++ b/crates/consensus/tests/replica/group/mod.rs
@@ -192,7 +192,7 @@
                 store(&mut node.stored, persist);
             }
             effect::Effect::Send { to, message } => {
-                self.laws.check_send(id, to.0, &message);
+                self.laws.check_send(id, to.0, &message, &node.stored);
                 self.transmit(id, to.0, message);
             }
             effect::Effect::Commit(entries) => {
--- /dev/null
+++ b/crates/consensus/tests/replica/main.rs
@@ -0,0 +1,5 @@
+//! Tests of groups of replicas.
+
+mod exploration;
+mod group;
+mod scenarios;
--- a/crates/consensus/tests/scenarios.rs
+++ b/crates/consensus/tests/replica/scenarios.rs
@@ -1,17 +1,17 @@
 //! Scripted scenarios: each file guards against the failure that its first
 //! comment names.
 
-mod group;
-
 use std::time::Duration;
 
 use datadriven::{TestCase, walk};
 use sequoiayoke_consensus::{effect, event, members};
 use sequoiayoke_model::id;
 
+use crate::group;
+
 #[test]
 fn scenarios_produce_the_recorded_outcome() {
-    walk("tests/scenarios", |file| {
+    walk("tests/replica/scenarios", |file| {
         let mut group = group::Group::new(3, 1);
         file.run(|case| {
             let mut case = case.clone();
