--- a/crates/consensus/tests/replica/exploration.rs
+++ b/crates/consensus/tests/replica/exploration.rs
@@ -66,8 +66,8 @@
             0..40 => self.propose(),
             40..45 => self.group.crash(id),
             45..65 => self.group.restart(id),
-            65..70 => self.set_paused(id, true),
-            70..80 => self.set_paused(id, false),
+            65..70 => self.group.set_paused(id, true),
+            70..80 => self.group.set_paused(id, false),
             80..84 => self.partition(),
             84..89 => self.group.network.cut.clear(),
             89..94 => self.group.compact(id),
@@ -88,11 +88,6 @@
         }
     }
 
-    fn set_paused(&mut self, id: u64, paused: bool) {
-        let node = self.group.nodes.get_mut(&id).expect("the node exists");
-        node.paused = paused && node.replica.is_some();
-    }
-
     fn partition(&mut self) {
         if self.group.chance(50) {
             let (a, b) = (self.any(), self.any());
@@ -157,7 +152,7 @@
         for _ in 0..100 {
             // A step of the repair can crash the leader again.
             for id in &ids {
-                self.set_paused(*id, false);
+                self.group.set_paused(*id, false);
                 self.group.restart(*id);
             }
             self.group.run(Duration::from_millis(100));
--- a/crates/consensus/tests/replica/group/mod.rs
+++ b/crates/consensus/tests/replica/group/mod.rs
@@ -123,6 +123,11 @@
         self.restart(id);
     }
 
+    pub(crate) fn set_paused(&mut self, id: u64, paused: bool) {
+        let node = self.nodes.get_mut(&id).expect("the node exists");
+        node.paused = paused && node.replica.is_some();
+    }
+
     /// Starts a replica from its disk, unless it runs.
     pub(crate) fn restart(&mut self, id: u64) {
         let now = self.clock(id);
--- a/crates/consensus/tests/replica/scenarios.rs
+++ b/crates/consensus/tests/replica/scenarios.rs
@@ -59,42 +59,26 @@
 
 /// Carries out a directive that disturbs replicas or links.
 fn disturb(group: &mut group::Group, case: &mut TestCase) -> String {
+    let named = nodes(group, case, "node");
     match case.directive.as_str() {
         "cut" => {
             let a = nodes(group, case, "a");
-            let rest = group.nodes.keys().copied().filter(|id| !a.contains(id));
-            let rest: Vec<_> = rest.collect();
-            let b = nodes(group, case, "b");
-            group.cut([&a, if b.is_empty() { &rest } else { &b }]);
-        }
-        "heal" => group.network.cut.clear(),
-        "crash" => {
-            for id in nodes(group, case, "node") {
-                group.crash(id);
-            }
-        }
-        "restart" => {
-            for id in nodes(group, case, "node") {
-                group.restart(id);
-            }
-        }
-        "pause" | "resume" => {
-            let paused = case.directive == "pause";
-            for id in nodes(group, case, "node") {
-                group.nodes.get_mut(&id).expect("the node exists").paused = paused;
+            let mut b = nodes(group, case, "b");
+            if b.is_empty() {
+                b.extend(group.nodes.keys().filter(|id| !a.contains(id)));
             }
+            group.cut([&a, &b]);
         }
+        "heal" => group.network.cut.clear(),
         "lose-disk" => {
-            let node = node(group, case, "node");
-            group.nodes.remove(&node);
+            group.nodes.remove(&named[0]);
             group.add(number(case, "new"), Vec::new(), 7);
         }
-        "add" => group.add(number(case, "new"), Vec::new(), 7),
-        "compact" => {
-            for id in nodes(group, case, "node") {
-                group.compact(id);
-            }
-        }
+        "crash" => named.iter().for_each(|id| group.crash(*id)),
+        "restart" => named.iter().for_each(|id| group.restart(*id)),
+        "compact" => named.iter().for_each(|id| group.compact(*id)),
+        "pause" => named.iter().for_each(|id| group.set_paused(*id, true)),
+        "resume" => named.iter().for_each(|id| group.set_paused(*id, false)),
         other => panic!("unknown directive {other}"),
     }
     String::new()
--- a/crates/storage/tests/folder/model.rs
+++ b/crates/storage/tests/folder/model.rs
@@ -61,7 +61,7 @@
 /// conflict, compactions, and a snapshot from a leader that replaces the log.
 pub(crate) fn life() -> Vec<Vec<Write>> {
     vec![
-        vec![hard(1, Some(7))],
+        vec![snapshot(0, 0), hard(1, Some(7))],
         vec![entries(1, 1..2)],
         vec![hard(2, None), entries(2, 2..6), entries(2, 6..9)],
         vec![hard(3, Some(8)), entries(3, 5..8)],
--- a/crates/storage/tests/folder/volatile.rs
+++ b/crates/storage/tests/folder/volatile.rs
@@ -47,11 +47,9 @@
     state: Rc<RefCell<State>>,
 }
 
+/// A file: the directory that holds it and its inode number.
 #[derive(Debug)]
-pub(crate) struct File {
-    state: Rc<RefCell<State>>,
-    inode: usize,
-}
+pub(crate) struct File(Volatile, usize);
 
 impl State {
     /// Counts a changing operation, which fails if that was asked for.
@@ -166,14 +164,12 @@
         let inode = state.inodes.len();
         state.inodes.push(Inode::default());
         state.change_names(|names| names.insert(name.to_owned(), inode));
-        let state = self.state.clone();
-        Ok(File { state, inode })
+        Ok(File(self.clone(), inode))
     }
 
     fn open(&self, name: &str) -> io::Result<File> {
         let inode = self.state.borrow().find(name)?;
-        let state = self.state.clone();
-        Ok(File { state, inode })
+        Ok(File(self.clone(), inode))
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
@@ -209,31 +205,27 @@
 
 impl medium::File for File {
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let state = &mut *self.state.borrow_mut();
+        let state = &mut *self.0.state.borrow_mut();
         let result = state.count();
         // A write that fails may have written a part.
-        let written = if result.is_ok() {
-            bytes.len()
-        } else {
-            bytes.len() / 2
-        };
-        let inode = &mut state.inodes[self.inode];
-        inode.content.extend_from_slice(&bytes[..written]);
+        let written = bytes.len() / if result.is_ok() { 1 } else { 2 };
+        let content = &mut state.inodes[self.1].content;
+        content.extend_from_slice(&bytes[..written]);
         result
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        let state = &mut *self.state.borrow_mut();
+        let state = &mut *self.0.state.borrow_mut();
         state.count()?;
-        let inode = &mut state.inodes[self.inode];
-        inode.synced = inode.content.clone();
+        let Inode { content, synced } = &mut state.inodes[self.1];
+        synced.clone_from(content);
         Ok(())
     }
 
     fn truncate(&mut self, length: u64) -> io::Result<()> {
-        let state = &mut *self.state.borrow_mut();
+        let state = &mut *self.0.state.borrow_mut();
         state.count()?;
-        state.inodes[self.inode].content.truncate(length as usize);
+        state.inodes[self.1].content.truncate(length as usize);
         Ok(())
     }
 }
