--- a/crates/placement/examples/scale.rs
+++ b/crates/placement/examples/scale.rs
@@ -99,7 +99,7 @@
         self.planner.plan(self.now)
     }
 
-    /// Runs rounds until nothing is assigned any more; returns the longest
+    /// Runs rounds until none is due at once; returns the longest
     /// round, the time of all of them and the number of actions.
     fn settle(&mut self) -> (time::Duration, time::Duration, usize) {
         let (mut longest, mut total, mut count) = (time::Duration::ZERO, time::Duration::ZERO, 0);
@@ -108,10 +108,9 @@
             total += spent;
             longest = longest.max(spent);
             count += actions.len();
-            let is_assign =
-                |action: &action::Action| matches!(action, action::Action::Assign { .. });
             self.apply(&actions);
-            if !actions.iter().any(is_assign) {
+            let deadline = self.planner.next_deadline();
+            if deadline.is_none_or(|deadline| deadline > self.now) {
                 return (longest, total, count);
             }
         }
