--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -208,10 +208,15 @@
         if let Some(book) = self.books.get_mut(&service)
             && let Some(slice) = book.get_mut(start)
         {
-            let former = std::mem::replace(&mut slice.part.rate, load.rate);
+            let rate = load.rate.min(load::MAX_RATE);
+            let former = std::mem::replace(&mut slice.part.rate, rate);
             let top = load.keys.iter().take(load::MAX_KEYS);
-            slice.set_keys(top.copied().collect());
-            book.rate = book.rate + load.rate - former;
+            let bounded = top.map(|key| load::Key {
+                rate: key.rate.min(rate),
+                ..*key
+            });
+            slice.set_keys(bounded.collect());
+            book.rate = book.rate + rate - former;
             self.fleet.set_base(service, book.base());
         }
         self.count(place, counted);
--- a/crates/placement/src/planner/balance.rs
+++ b/crates/placement/src/planner/balance.rs
@@ -12,6 +12,7 @@
 use crate::action;
 use crate::cause;
 use crate::planner;
+use crate::planner::book;
 use crate::planner::fleet;
 use crate::planner::ledger;
 use crate::planner::pool;
@@ -137,7 +138,7 @@
             service,
             stand,
             weights: book.weights,
-            total: (book.rate + pool.base).max(1),
+            total: book::to_load(book.rate + pool.base),
         })
     }
 
@@ -230,7 +231,7 @@
         let Some((weight, place)) = weighed.max() else {
             return;
         };
-        let share = weight * 1_000 / mean.max(1);
+        let share = scaled(weight, mean.max(1), 1_000);
         if share >= self.config.hot_key && self.may_balance(now, place) {
             self.halve(now, place, cause::Cause::Large { share }, actions);
         }
--- a/crates/placement/src/planner/book.rs
+++ b/crates/placement/src/planner/book.rs
@@ -16,6 +16,16 @@
 const SHARE_SHIFT: u32 = 24;
 const FULL_SHARE: u32 = 64 - SHARE_SHIFT;
 
+/// A thousandth of a request per second is 2^12 units of load: an idle slice
+/// among 358,400 still has a load above zero and is spread, and the sum over as
+/// many slices at the highest rate fits into 64 bits twice.
+const LOAD_SHIFT: u32 = 12;
+
+/// Converts a rate to units of load.
+pub(super) const fn to_load(rate: u64) -> u64 {
+    rate << LOAD_SHIFT
+}
+
 /// Rate and share of a slice or of a sum of slices.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Part {
@@ -24,9 +34,11 @@
 }
 
 impl Part {
-    /// Returns the load, where all keys that cause no load weigh `base` together.
+    /// Returns the load in units of load, where all keys that cause no load
+    /// weigh `base` together.
     pub(super) const fn load(&self, base: u64) -> u64 {
-        self.rate + ((self.share as u128 * base as u128) >> FULL_SHARE) as u64
+        let idle = (self.share as u128 * base as u128) >> (FULL_SHARE - LOAD_SHIFT);
+        to_load(self.rate) + idle as u64
     }
 
     pub(super) const fn add(&mut self, other: Self) {
--- a/crates/placement/src/planner/shape.rs
+++ b/crates/placement/src/planner/shape.rs
@@ -153,7 +153,9 @@
         let (Some(book), Some(pool)) = (self.books.get(&place.0), self.fleet.pool(place.0)) else {
             return;
         };
-        let share = hottest.rate.saturating_mul(1_000) / pool.mean().max(1);
+        let mean = u128::from(pool.mean().max(1));
+        let share = u128::from(book::to_load(hottest.rate)) * 1_000 / mean;
+        let share = u64::try_from(share).unwrap_or(u64::MAX);
         let range = book.range(place.1);
         let is_alone = range.first == range.last;
         let may = range.contains(hottest.hash) && self.has_slice_left(place.0);
