--- a/crates/placement/src/planner/balance.rs
+++ b/crates/placement/src/planner/balance.rs
@@ -119,7 +119,7 @@
             return false;
         }
         let halves = if pool.is_active { 1 } else { 2 };
-        let tolerance = self.config.tolerance * halves / 2;
+        let tolerance = self.tolerance(service) * halves / 2;
         let highest = pool.most_loaded(1);
         let highest = highest.first().map_or(0, |(score, _)| *score);
         let lowest = self.fleet.choose(service, 0, None);
@@ -128,6 +128,17 @@
             || pool.relative(lowest).0 + UNDERLOAD * tolerance < 1_000
     }
 
+    /// Returns what is tolerated: less the more imbalance counts against the
+    /// mean of the two other measures, from a half to three halves.
+    fn tolerance(&self, service: id::Service) -> u64 {
+        let usual = self.config.tolerance;
+        let weights = self.books.get(&service).map(|book| book.weights);
+        let weights = weights.unwrap_or_default();
+        let others = u64::from(weights.churn) + u64::from(weights.unavailable);
+        let own = 2 * u64::from(weights.imbalance).max(1);
+        scaled(usual, own, others).clamp(usual / 2, usual + usual / 2)
+    }
+
     fn source(&self, server: id::Server, service: id::Service) -> Option<Source> {
         let book = self.books.get(&service)?;
         let pool = self.fleet.pool(service)?;
