Pass every placement setting to the planner

Cause: the settings had gained the planner's later bounds and the daemon did not compile. Change: control/root.rs maps all of them. Conclusion: the workspace compiles.

--- a/crates/control/src/root.rs
+++ b/crates/control/src/root.rs
@@ -207,12 +207,22 @@
             ..registry::Config::default()
         },
         placement: placement::Config {
+            min_slices_per_server: moves.min_slices_per_server,
+            max_slices_per_server: moves.max_slices_per_server,
+            max_assignments: moves.max_assignments,
             max_moves: moves.max_moves,
+            max_moves_per_server: moves.max_moves_per_server,
             budget: moves.move_budget,
             budget_window: Duration::from_millis(moves.move_window_ms),
-            action_timeout: Duration::from_millis(moves.release_ms),
-            tolerance: moves.imbalance_percent.saturating_sub(100) * 10,
-            ..placement::Config::default()
+            action_timeout: Duration::from_millis(moves.move_timeout_ms),
+            rest: Duration::from_millis(moves.rest_ms),
+            ramp: Duration::from_millis(moves.ramp_ms),
+            tolerance: moves.tolerance_permille,
+            hot_key: moves.hot_key_permille,
+            horizon: Duration::from_millis(moves.horizon_ms),
+            move_time: Duration::from_millis(moves.move_time_ms),
+            warm_up: Duration::from_millis(moves.warm_up_ms),
+            ill_time: Duration::from_millis(moves.ill_ms),
         },
     }
 }
