Report load and health from the nodes to the planner

Cause: the planner knew no loads, so it could neither even them out nor split hot keys, and a frozen backend server kept its slices. Change: traffic threads record dispatches and results; the coordinator reports once a second, in a renewal, what has changed (at most 24 slices); the leader passes load, and speed relative to the servers of the same services, to the planner. Routing lines go through the shared decision log.

--- a/crates/control/src/coordinator/leader.rs
+++ b/crates/control/src/coordinator/leader.rs
@@ -6,6 +6,7 @@
 mod members;
 mod moves;
 mod operators;
+mod reports;
 mod sessions;
 
 use std::collections;
@@ -94,6 +95,7 @@
     members: collections::BTreeMap<registry::Member, event::Session>,
     joined_at: collections::BTreeMap<id::Server, clock::Instant>,
     leaving: collections::BTreeSet<id::Server>,
+    health: collections::BTreeMap<id::Server, reports::Health>,
     ending: collections::BTreeSet<registry::Member>,
     transfers: collections::BTreeMap<Place, moves::Transfer>,
     released: collections::BTreeMap<Place, moves::Released>,
@@ -117,6 +119,7 @@
             members: collections::BTreeMap::new(),
             joined_at: collections::BTreeMap::new(),
             leaving: collections::BTreeSet::new(),
+            health: collections::BTreeMap::new(),
             ending: collections::BTreeSet::new(),
             transfers: collections::BTreeMap::new(),
             released: collections::BTreeMap::new(),
--- a/crates/control/src/coordinator/leader/members.rs
+++ b/crates/control/src/coordinator/leader/members.rs
@@ -80,7 +80,7 @@
             failure_domain: &run.announcement.failure_domain,
             slots: run.announcement.slots,
             state,
-            health: server::Health::GOOD,
+            health: self.planned_health(id),
         });
         self.plan_due = true;
     }
--- a/crates/control/src/coordinator/leader/moves.rs
+++ b/crates/control/src/coordinator/leader/moves.rs
@@ -91,7 +91,10 @@
                     self.note_server(machine, *id);
                 }
             }
-            view::Change::ServerGone(id) => self.planner.server_removed(*id),
+            view::Change::ServerGone(id) => {
+                self.planner.server_removed(*id);
+                self.health.remove(id);
+            }
             view::Change::Slice(service, slice) => {
                 let place = (*service, slice.start);
                 self.transfers.remove(&place);
--- a/crates/control/src/coordinator/leader/sessions.rs
+++ b/crates/control/src/coordinator/leader/sessions.rs
@@ -155,6 +155,7 @@
         let version = id::Version(renew.version);
         match self.leases.renewed(now, member, version) {
             Ok(()) => {
+                self.note_report(machine, member, renew);
                 let version = machine.view().version().0;
                 let sequence = renew.sequence;
                 self.send(key, session::Renewed { sequence, version });
--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -7,6 +7,7 @@
 
 pub mod event;
 pub mod exports;
+pub mod report;
 pub mod session;
 pub mod state;
 
@@ -39,6 +40,10 @@
 const COMMANDS: usize = 8;
 /// Pause before a grant that the backend server did not take is sent again.
 const GRANT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two reports of load and health.
+const REPORT: Duration = Duration::from_secs(1);
+/// Time between two looks at the health endpoint.
+const PROBE: Duration = Duration::from_secs(1);
 /// Time for the last frames to reach control at a shutdown.
 const FAREWELL: Duration = Duration::from_millis(200);
 
@@ -70,7 +75,9 @@
     outgoing: Option<mpsc::Sender<message::FromNode>>,
     commander: Option<rc::Rc<command::Commander>>,
     commands: rc::Rc<Semaphore>,
-    deadlines: Option<task::JoinHandle<()>>,
+    // Tasks that serve the present backend server.
+    helpers: task::JoinSet<()>,
+    reporter: report::Reporter,
 }
 
 /// Runs the coordinator until `stop`; then it drains, bounded by the settings.
@@ -110,7 +117,8 @@
         outgoing: None,
         commander: None,
         commands: rc::Rc::new(Semaphore::new(COMMANDS)),
-        deadlines: None,
+        helpers: task::JoinSet::new(),
+        reporter: report::Reporter::default(),
     };
     tokio::select! {
         ended = session => ended,
@@ -122,6 +130,8 @@
     async fn run(mut self, mut inbox: mpsc::Receiver<event::Event>, stop: Stop) {
         let mut renewal = time::interval(self.config.renew);
         renewal.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut reports = time::interval(REPORT);
+        reports.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut drain_ends = None;
         loop {
             let drained =
@@ -133,6 +143,11 @@
                     self.state.tick(now);
                     self.state.renew(now);
                 }
+                _ = reports.tick() => {
+                    let now = clock::Instant::now();
+                    let report = self.reporter.report(now, self.path.evidence());
+                    self.state.report(report);
+                }
                 () = stop.cancelled(), if drain_ends.is_none() => {
                     tracing::info!(drain_ms = self.config.drain.as_millis() as u64, "draining");
                     drain_ends = Some(time::Instant::now() + self.config.drain);
@@ -176,6 +191,7 @@
             event::Event::Announced(backend) => self.state.announced(now, backend),
             event::Event::SessionUp(outgoing) => {
                 self.outgoing = Some(outgoing);
+                self.reporter.reset();
                 self.state.session_up();
             }
             event::Event::SessionDown => {
@@ -268,20 +284,29 @@
                 return;
             }
         };
-        let admission = sync::Arc::new(permit::Admission::new(gate::Limits {
+        let limits = gate::Limits {
             slots: backend.slots,
             queue: self.config.queue,
-        }));
+        };
+        let evidence = sync::Arc::clone(self.path.evidence());
+        let admission = sync::Arc::new(permit::Admission::new(limits, evidence));
         self.commander = Some(rc::Rc::new(command::Commander::new(
             client.clone(),
             sync::Arc::clone(&backend),
             sync::Arc::clone(&self.config.token),
         )));
+        self.helpers.abort_all();
         let deadlines = sync::Arc::clone(&admission);
-        let running = task::spawn_local(async move { deadlines.run_deadlines().await });
-        if let Some(former) = self.deadlines.replace(running) {
-            former.abort();
-        }
+        self.helpers
+            .spawn_local(async move { deadlines.run_deadlines().await });
+        let (prober, path) = (self.commander.clone(), sync::Arc::clone(&self.path));
+        self.helpers.spawn_local(async move {
+            while let Some(commander) = &prober {
+                let probe = commander.health().await;
+                path.evidence().probed(clock::Instant::now(), probe);
+                time::sleep(PROBE).await;
+            }
+        });
         self.path.set_target(Some(sync::Arc::new(path::Target {
             name: backend.name.clone(),
             server: server::Http::new(client, backend),
--- a/crates/node/src/coordinator/state.rs
+++ b/crates/node/src/coordinator/state.rs
@@ -21,6 +21,7 @@
 use sequoiayoke_wire::session;
 
 use super::event;
+use super::report;
 use crate::published;
 use crate::traffic::owned;
 use crate::traffic::server;
@@ -81,6 +82,7 @@
     releasing: collections::BTreeMap<event::Grant, Option<window::Export>>,
     prepared: collections::BTreeMap<(id::Service, sequoiayoke_model::key::Hash), window::Export>,
     stopping: bool,
+    report: report::Report,
     effects: Vec<Effect>,
 }
 
@@ -103,6 +105,7 @@
             releasing: collections::BTreeMap::new(),
             prepared: collections::BTreeMap::new(),
             stopping: false,
+            report: report::Report::default(),
             effects: Vec::new(),
         }
     }
@@ -244,6 +247,11 @@
         self.effects.push(Effect::Send(hello.into()));
     }
 
+    /// The next renewal carries this report.
+    pub fn report(&mut self, report: report::Report) {
+        self.report = report;
+    }
+
     /// A renewal of the lease is due.
     pub fn renew(&mut self, now: clock::Instant) {
         if !self.connected || self.me.is_none() {
@@ -251,10 +259,12 @@
         }
         self.sequence += 1;
         self.lease.sent(now, self.sequence);
+        let report = std::mem::take(&mut self.report);
         let renew = session::Renew {
             sequence: self.sequence,
             version: self.view.version().0,
-            load: Vec::new(),
+            load: report.load,
+            health: report.health,
         };
         self.effects.push(Effect::Send(renew.into()));
     }
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod callers;
+pub mod evidence;
 pub mod owned;
 pub mod path;
 pub mod peers;
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -18,6 +18,7 @@
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
+use sequoiayoke_telemetry::decision;
 use sequoiayoke_traffic::retry;
 use sequoiayoke_traffic::route;
 use sequoiayoke_wire::convert;
@@ -25,6 +26,7 @@
 use tokio::sync::watch;
 
 use super::answer;
+use super::evidence;
 use super::peers::dial;
 use super::request;
 use super::server;
@@ -67,6 +69,7 @@
     waiting: atomic::AtomicUsize,
     // Locked for one decision, never across an `await`.
     budget: sync::Mutex<retry::Budget>,
+    evidence: sync::Arc<evidence::Evidence>,
 }
 
 /// A body that can be sent more than once, or only once.
@@ -127,6 +130,7 @@
         limits: Limits,
     ) -> Self {
         let budget = sync::Mutex::new(retry::Budget::new(clock.now()));
+        let evidence = sync::Arc::new(evidence::Evidence::new(clock.now()));
         Self {
             clock,
             published,
@@ -135,6 +139,7 @@
             limits,
             waiting: atomic::AtomicUsize::new(0),
             budget,
+            evidence,
         }
     }
 
@@ -148,6 +153,11 @@
         &self.published
     }
 
+    /// Returns what requests tell about keys and about the backend server.
+    pub const fn evidence(&self) -> &sync::Arc<evidence::Evidence> {
+        &self.evidence
+    }
+
     /// Sets the backend server.
     pub fn set_target(&self, target: Option<sync::Arc<Target<S>>>) {
         self.target.store(target);
@@ -179,19 +189,16 @@
     fn log(&self, view: &request::View<'_>, answer: &answer::Answer, elapsed: Duration) {
         let snapshot = self.published.load();
         let service = snapshot.view.service_by_id(view.service);
-        tracing::info!(
-            target: "sequoiayoke::route",
-            service = service.map_or("", |service| service.name.as_str()),
-            hash = %view.hash,
-            owner = answer.server,
-            epoch = answer.epoch.map_or(0, |epoch| epoch.0),
-            outcome = answer.outcome.word(),
-            reason = answer.outcome.reason().map_or("", outcome::Reason::word),
-            elapsed_us = elapsed.as_micros() as u64,
-            request = view.id.map(tracing::field::display),
-            forwarded = view.forwarded.is_some(),
-            "request"
-        );
+        decision::Route {
+            service: service.map_or("", |service| service.name.as_str()),
+            hash: view.hash,
+            owner: Some(answer.server.as_str()).filter(|name| !name.is_empty()),
+            epoch: answer.epoch,
+            outcome: answer.outcome,
+            elapsed,
+            request: view.id,
+        }
+        .log();
     }
 
     async fn attempt_all<B>(&self, view: &request::View<'_>, body: B) -> answer::Answer
--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -93,6 +93,9 @@
         let entry = slice.enter();
         let entry = entry.ok_or_else(|| not_run(outcome::Reason::NotOwner))?;
         let run = begin(slice, view)?;
+        let (now, start) = (self.clock.now(), slice.range().first);
+        self.evidence
+            .dispatched(now, view.service, start, view.hash);
         let fence = server::Fence {
             epoch: slice.epoch(),
             lease_until: snapshot.lease_until,
--- a/crates/node/src/traffic/server/command.rs
+++ b/crates/node/src/traffic/server/command.rs
@@ -9,6 +9,7 @@
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::range;
+use sequoiayoke_traffic::health;
 
 use super::Backend;
 
@@ -23,6 +24,12 @@
     token: sync::Arc<str>,
 }
 
+/// Answer of the health endpoint.
+#[derive(Debug, serde::Deserialize)]
+struct Health {
+    healthy: bool,
+}
+
 /// The backend server did not take a command.
 #[derive(Clone, Debug, thiserror::Error)]
 #[error("the backend server did not take {command}: {detail}")]
@@ -110,6 +117,20 @@
         self.send("drain", &serde_json::json!({})).await
     }
 
+    /// Asks the health endpoint.
+    pub async fn health(&self) -> health::Probe {
+        let url = format!("http://{}/v1/health", self.backend.address);
+        let sent = self.client.get(url).timeout(TIMEOUT).send().await;
+        let Ok(response) = sent else {
+            return health::Probe::Silent;
+        };
+        match response.json::<Health>().await {
+            Ok(Health { healthy: true }) => health::Probe::Healthy,
+            Ok(Health { healthy: false }) => health::Probe::Unhealthy,
+            Err(_) => health::Probe::Silent,
+        }
+    }
+
     async fn send(&self, command: &'static str, body: &serde_json::Value) -> Result<(), Error> {
         let failed = |detail: String| Error { command, detail };
         let url = format!("http://{}/v1/{command}", self.backend.address);
--- a/crates/node/src/traffic/server/permit.rs
+++ b/crates/node/src/traffic/server/permit.rs
@@ -7,9 +7,12 @@
 use sequoiayoke_model::clock;
 use sequoiayoke_model::outcome;
 use sequoiayoke_traffic::admission::gate;
+use sequoiayoke_traffic::health;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use crate::traffic::evidence;
+
 type Decision = Result<(), outcome::Reason>;
 
 #[derive(Debug)]
@@ -25,6 +28,7 @@
     state: sync::Mutex<State>,
     // Wakes the timer when the earliest deadline may have changed.
     deadline_changed: Notify,
+    evidence: sync::Arc<evidence::Evidence>,
 }
 
 /// A place in the slots; it is given back when the permit is dropped.
@@ -63,11 +67,24 @@
         let now = clock::Instant::now();
         let latency = now.saturating_since(self.since);
         let (key, finish) = (self.key, self.finish);
+        if let Some(sample) = sample(finish, latency) {
+            self.admission.evidence.observed(now, sample);
+        }
         self.admission
             .turn(|gate| gate.finished(now, key, latency, finish));
     }
 }
 
+fn sample(finish: gate::Finish, latency: Duration) -> Option<health::Sample> {
+    match finish {
+        gate::Finish::Completed => Some(health::Sample::Answered(latency)),
+        gate::Finish::TimedOut => Some(health::Sample::TimedOut),
+        gate::Finish::Failed => Some(health::Sample::Failed),
+        // A refusal is an answer, and a withdrawal says nothing about the server.
+        gate::Finish::Refused | gate::Finish::Withdrawn => None,
+    }
+}
+
 /// Withdraws a waiting request whose future is dropped.
 struct Waiting<'a> {
     admission: &'a Admission,
@@ -85,13 +102,14 @@
 
 impl Admission {
     /// Makes the admission of a backend server that has just announced itself.
-    pub fn new(limits: gate::Limits) -> Self {
+    pub fn new(limits: gate::Limits, evidence: sync::Arc<evidence::Evidence>) -> Self {
         Self {
             state: sync::Mutex::new(State {
                 gate: gate::Gate::new(limits, clock::Instant::now()),
                 waiting: collections::HashMap::new(),
             }),
             deadline_changed: Notify::new(),
+            evidence,
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -19,7 +19,7 @@
 /// use tokio_util::codec::{Decoder, Encoder};
 ///
 /// let mut codec = frame::Codec::<session::FromNode, session::FromNode>::new();
-/// let sent = session::FromNode::from(session::Renew { sequence: 1, version: 2, load: vec![] });
+/// let sent = session::FromNode::from(session::Renew { sequence: 1, version: 2, load: vec![], health: None });
 /// let mut buffer = BytesMut::new();
 /// codec.encode(&sent, &mut buffer).expect("the frame is short");
 /// let received = codec.decode(&mut buffer).expect("the frame is well formed");
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -88,6 +88,23 @@
     /// Load of slices that changed since the last report; may be empty.
     #[prost(message, repeated, tag = "3")]
     pub load: Vec<Load>,
+    /// Health of the backend server; only if it was judged since the last renewal.
+    #[prost(message, optional, tag = "4")]
+    pub health: Option<Health>,
+}
+
+/// Health of a backend server as its node judges it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Health {
+    /// What the health endpoint said last.
+    #[prost(bool, tag = "1")]
+    pub reported: bool,
+    /// 0 healthy, 1 suspect, 2 failing.
+    #[prost(uint32, tag = "2")]
+    pub state: u32,
+    /// Mean latency of recent answers, in microseconds; 0 without any.
+    #[prost(uint32, tag = "3")]
+    pub latency_us: u32,
 }
 
 /// Load of one slice.
--- a/crates/wire/tests/auth.rs
+++ b/crates/wire/tests/auth.rs
@@ -16,6 +16,7 @@
         sequence: 1,
         version: 2,
         load: Vec::new(),
+        health: None,
     })
 }
 
