--- /dev/null
+++ b/crates/storage/src/identity.rs
@@ -0,0 +1,112 @@
+//! Identity of a replica, bound to its data directory.
+
+use error_stack::{Report, ResultExt};
+use prost::Message;
+use sequoiayoke_model::id;
+
+use crate::fault;
+use crate::frame;
+use crate::medium;
+use crate::medium::File;
+use crate::record;
+
+/// Name of the identity file.
+pub(crate) const FILE: &str = "identity";
+
+/// Name under which the identity is written before it is renamed.
+const TEMPORARY: &str = "identity.tmp";
+
+/// Replica that a data directory belongs to, as the settings name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    name: String,
+    region: String,
+}
+
+impl Owner {
+    /// Makes an owner.
+    pub fn new(name: &str, region: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            region: region.to_owned(),
+        }
+    }
+
+    fn describe(&self) -> String {
+        format!("{} of region {}", self.name, self.region)
+    }
+}
+
+/// Writes a new random identity.
+pub(crate) fn create<M>(
+    medium: &M,
+    owner: &Owner,
+    replica: id::Replica,
+) -> Result<(), Report<fault::Fault>>
+where
+    M: medium::Medium,
+{
+    let io = |operation| fault::Fault::Io {
+        operation,
+        file: FILE.to_owned(),
+    };
+    let mut file = medium
+        .create(TEMPORARY)
+        .change_context_lazy(|| io("create"))?;
+    // A rename keeps the inode number, so it can be part of the content.
+    let inodes = medium
+        .inodes(TEMPORARY)
+        .change_context_lazy(|| io("inspect"))?;
+    let (folder_inode, file_inode) = inodes;
+    let body = record::Identity {
+        replica: replica.0,
+        name: owner.name.clone(),
+        region: owner.region.clone(),
+        folder_inode,
+        file_inode,
+    };
+    let mut content = Vec::new();
+    frame::encode(&mut content, 0, 0, &body.encode_to_vec());
+    file.append(&content).change_context_lazy(|| io("write"))?;
+    file.sync().change_context_lazy(|| io("sync"))?;
+    medium
+        .rename(TEMPORARY, FILE)
+        .change_context_lazy(|| io("rename"))?;
+    medium
+        .sync()
+        .change_context_lazy(|| io("sync the directory of"))
+}
+
+/// Reads the identity and checks that the directory belongs to `owner`.
+pub(crate) fn load<M>(medium: &M, owner: &Owner) -> Result<id::Replica, Report<fault::Fault>>
+where
+    M: medium::Medium,
+{
+    let io = |operation| fault::Fault::Io {
+        operation,
+        file: FILE.to_owned(),
+    };
+    let damaged = |reason| fault::Fault::Damaged {
+        file: FILE.to_owned(),
+        offset: 0,
+        reason,
+    };
+    let content = medium.read(FILE).change_context_lazy(|| io("read"))?;
+    let body = frame::decode(&content, 0, 0).map_err(damaged)?;
+    let identity = record::Identity::decode(&content[body])
+        .change_context_lazy(|| damaged("the record cannot be decoded"))?;
+    let found = Owner::new(&identity.name, &identity.region);
+    if found != *owner {
+        return Err(Report::new(fault::Fault::Foreign {
+            expected: owner.describe(),
+            found: found.describe(),
+        }));
+    }
+    let inodes = medium.inodes(FILE).change_context_lazy(|| io("inspect"))?;
+    if inodes != (identity.folder_inode, identity.file_inode) {
+        return Err(Report::new(fault::Fault::Copied {
+            name: found.describe(),
+        }));
+    }
+    Ok(id::Replica(identity.replica))
+}
--- /dev/null
+++ b/crates/storage/src/replay.rs
@@ -0,0 +1,203 @@
+//! Reading the log back when a data directory is opened.
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use prost::Message;
+use sequoiayoke_consensus::entry;
+use sequoiayoke_consensus::position;
+use sequoiayoke_consensus::stored;
+use sequoiayoke_model::id;
+
+use crate::fault;
+use crate::frame;
+use crate::medium;
+use crate::record;
+use crate::segment;
+
+/// The log as the segments hold it.
+#[derive(Debug, Default)]
+pub(crate) struct Replay {
+    /// Latest term and vote.
+    pub(crate) hard: stored::Hard,
+    /// Position before the first entry.
+    pub(crate) base: position::Position,
+    /// Entries without gaps.
+    pub(crate) entries: Vec<entry::Entry<Bytes>>,
+    /// Segments that were read, oldest first.
+    pub(crate) segments: Vec<Segment>,
+    /// Whether any record other than the first head was found.
+    pub(crate) is_used: bool,
+}
+
+/// A segment that was read.
+#[derive(Debug)]
+pub(crate) struct Segment {
+    /// Number of the segment.
+    pub(crate) sequence: u64,
+    /// Largest index of an entry that it holds or follows.
+    pub(crate) last: position::Index,
+    /// Bytes up to the end of the last valid record.
+    pub(crate) length: u64,
+    /// Whether something incomplete follows.
+    pub(crate) torn: bool,
+}
+
+impl Replay {
+    /// Reads all segments. The last record of the last segment may be
+    /// incomplete, if nothing valid follows it; anything else is refused.
+    pub(crate) fn read<M>(
+        medium: &M,
+        replica: Option<id::Replica>,
+        sequences: &[u64],
+    ) -> Result<Self, Report<fault::Fault>>
+    where
+        M: medium::Medium,
+    {
+        let mut replay = Self::default();
+        for (number, sequence) in sequences.iter().enumerate() {
+            let name = segment::name(*sequence);
+            if number > 0 && *sequence != sequences[number - 1] + 1 {
+                let reason = "the segment before it is missing";
+                return Err(Report::new(damaged(&name, 0, reason)));
+            }
+            let content = medium
+                .read(&name)
+                .change_context_lazy(|| fault::Fault::Io {
+                    operation: "read",
+                    file: name.clone(),
+                })?;
+            let is_last = number + 1 == sequences.len();
+            replay.read_segment(replica, *sequence, Bytes::from(content), is_last)?;
+        }
+        Ok(replay)
+    }
+
+    fn read_segment(
+        &mut self,
+        replica: Option<id::Replica>,
+        sequence: u64,
+        content: Bytes,
+        is_last: bool,
+    ) -> Result<(), Report<fault::Fault>> {
+        let name = segment::name(sequence);
+        let mut segment = Segment {
+            sequence,
+            last: self.last().index,
+            length: 0,
+            torn: false,
+        };
+        let mut offset = 0;
+        while offset < content.len() {
+            let body = match frame::decode(&content, sequence, offset) {
+                Ok(body) => body,
+                Err(_) if is_last && !frame::is_any_after(&content, sequence, offset) => {
+                    tracing::warn!(
+                        file = name,
+                        offset,
+                        bytes = content.len() - offset,
+                        "cutting off an incomplete record at the end of the log"
+                    );
+                    segment.torn = true;
+                    break;
+                }
+                Err(reason) => return Err(Report::new(damaged(&name, offset, reason))),
+            };
+            let end = body.end;
+            let record = record::Record::decode(content.slice(body))
+                .change_context_lazy(|| damaged(&name, offset, "the record cannot be decoded"))?;
+            self.apply(replica, offset, record)
+                .map_err(|reason| damaged(&name, offset, reason))?;
+            segment.last = segment.last.max(self.last().index);
+            offset = end;
+        }
+        segment.length = offset as u64;
+        if offset == 0 && !segment.torn {
+            // A crash can leave a new segment without any byte.
+            if !is_last {
+                return Err(Report::new(damaged(&name, 0, "the segment is empty")));
+            }
+            segment.torn = true;
+        }
+        self.segments.push(segment);
+        Ok(())
+    }
+
+    fn apply(
+        &mut self,
+        replica: Option<id::Replica>,
+        offset: usize,
+        record: record::Record,
+    ) -> Result<(), &'static str> {
+        match record.head {
+            Some(head) if offset == 0 => self.apply_head(replica, &head)?,
+            None if offset > 0 => {}
+            _ => return Err("a segment starts with its only head"),
+        }
+        for change in record.changes {
+            self.is_used = true;
+            if let Some(hard) = change.hard {
+                self.hard = hard.into();
+            }
+            if let Some(entries) = change.entries {
+                self.apply_entries(entries)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn apply_head(
+        &mut self,
+        replica: Option<id::Replica>,
+        head: &record::Head,
+    ) -> Result<(), &'static str> {
+        if replica.is_some_and(|replica| replica.0 != head.replica) {
+            return Err("it belongs to another replica");
+        }
+        let last = head.last.unwrap_or_default().into();
+        if head.reset || self.segments.is_empty() {
+            self.base = last;
+            self.entries.clear();
+        } else if self.last() != last {
+            return Err("it does not continue the segment before it");
+        }
+        self.hard = head.hard.unwrap_or_default().into();
+        Ok(())
+    }
+
+    fn apply_entries(&mut self, entries: record::Entries) -> Result<(), &'static str> {
+        let after = entries.after;
+        match after.checked_sub(self.base.index.0) {
+            Some(keep) if keep <= self.entries.len() as u64 => {
+                self.entries.truncate(keep as usize);
+            }
+            Some(_) => return Err("entries are missing before it"),
+            None => {
+                // The entries before are in a segment that a snapshot made
+                // superfluous, so their terms no longer matter.
+                self.entries.clear();
+                self.base = position::Position::new(0, after);
+            }
+        }
+        for entry in entries.entries {
+            let entry = entry::Entry::from(entry);
+            if entry.position.index != self.last().index.next() {
+                return Err("its entries are not consecutive");
+            }
+            self.entries.push(entry);
+        }
+        Ok(())
+    }
+
+    /// Returns the last entry.
+    pub(crate) fn last(&self) -> position::Position {
+        self.entries.last().map_or(self.base, |e| e.position)
+    }
+}
+
+fn damaged(file: &str, offset: usize, reason: &'static str) -> fault::Fault {
+    fault::Fault::Damaged {
+        file: file.to_owned(),
+        offset: offset as u64,
+        reason,
+    }
+}
