--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -13,7 +13,8 @@
     /// Identity of this replica.
     pub id: id::Replica,
     /// Voters with which the group starts. Used only as long as no snapshot
-    /// and no entry holds a membership. Empty for a replica that joins later.
+    /// and no entry holds a membership, see [`crate::snapshot::Snapshot::new`].
+    /// Empty for a replica that joins later.
     pub voters: Vec<id::Replica>,
     /// Learners with which the group starts.
     pub learners: Vec<id::Replica>,
--- a/crates/consensus/src/effect.rs
+++ b/crates/consensus/src/effect.rs
@@ -79,30 +79,40 @@
 }
 
 /// Reason why an event was refused; it had no effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
     /// This replica is not leader, or not confirmed as leader by a majority.
+    #[error("this replica is not the leader")]
     NotAuthoritative {
         /// Leader to ask instead, if known.
         leader: Option<id::Replica>,
     },
     /// Too many entries await commitment.
+    #[error("too many entries await commitment")]
     Overloaded,
     /// The payload is larger than a message may be.
+    #[error("the payload is larger than a message may be")]
     TooLarge,
     /// Leadership is being handed over.
+    #[error("leadership is being handed over")]
     Transferring,
     /// An earlier membership change is not committed yet.
+    #[error("an earlier membership change is not committed yet")]
     ChangePending,
     /// The learner to promote lacks committed entries.
+    #[error("the learner has not caught up yet")]
     NotCaughtUp,
     /// The change does not fit the present membership.
+    #[error("the change does not fit the membership: {0}")]
     Members(members::Fault),
     /// Too few voters of the new membership were heard recently; the change
     /// could leave the group without a majority.
+    #[error("too few of the voters after the change were heard recently")]
     QuorumAtRisk,
     /// No other voter could take over.
+    #[error("no other voter could take over")]
     NoSuccessor,
     /// The index to compact is not committed or already compacted.
+    #[error("the index is not committed or already compacted")]
     NotCommitted,
 }
--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -24,15 +24,19 @@
 }
 
 /// Reason why a change is not possible from the present membership.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
     /// The replica to add is a member already.
+    #[error("the replica is a member already")]
     Present,
     /// The replica to promote or remove is not a learner or not a member.
+    #[error("the replica is no learner to promote, or no member to remove")]
     Absent,
     /// The change would leave no voter.
+    #[error("no voter would be left")]
     LastVoter,
     /// The group has [`MAX_MEMBERS`] members.
+    #[error("the group is full")]
     Full,
 }
 
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -198,10 +198,26 @@
     fn send_heartbeats(&mut self, now: clock::Instant) {
         for peer in self.peers() {
             self.send_append(now, peer, Vec::new());
-            self.resend_chunk(now, peer);
+            if self.is_probe_compacted(peer) {
+                self.start_snapshot(now, peer);
+            } else {
+                self.resend_chunk(now, peer);
+            }
         }
     }
 
+    /// Returns whether the entry that a probe needs was compacted, so that no
+    /// response to it can tell where the logs are equal.
+    fn is_probe_compacted(&self, peer: id::Replica) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        leadership.progress.get(&peer).is_some_and(|progress| {
+            matches!(progress.mode, progress::Mode::Probe)
+                && self.log.term_at(progress.next.previous()).is_none()
+        })
+    }
+
     /// Sends `entries`, which start at the peer's next index, or a heartbeat.
     fn send_append(
         &mut self,
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -15,3 +15,27 @@
     /// The state as encoded by the driver.
     pub data: Bytes,
 }
+
+impl Snapshot {
+    /// Makes the snapshot before the first entry.
+    ///
+    /// A driver that founds a group persists it on each of the first voters, so
+    /// that a restart does not depend on the settings to name the same ones.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_consensus::{members, position, snapshot};
+    /// use sequoiayoke_model::id;
+    ///
+    /// let members = members::Members::new([id::Replica(4), id::Replica(9)], []);
+    /// let snapshot = snapshot::Snapshot::new(members);
+    /// assert_eq!(snapshot.position, position::Position::default());
+    /// ```
+    pub fn new(members: members::Members) -> Self {
+        Self {
+            members,
+            ..Self::default()
+        }
+    }
+}
--- a/crates/consensus/src/stored.rs
+++ b/crates/consensus/src/stored.rs
@@ -2,6 +2,7 @@
 
 use sequoiayoke_model::id;
 
+use crate::effect;
 use crate::entry;
 use crate::position;
 use crate::snapshot;
@@ -36,3 +37,44 @@
         }
     }
 }
+
+impl<P> Stored<P>
+where
+    P: Clone,
+{
+    /// Changes the state as a write must change what the disk holds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_consensus::{effect, position, stored};
+    ///
+    /// let mut stored = stored::Stored::<String>::default();
+    /// let hard = stored::Hard { term: position::Term(3), vote: None };
+    /// stored.apply(&effect::Persist::Hard(hard));
+    /// assert_eq!(stored.hard, hard);
+    /// ```
+    pub fn apply(&mut self, write: &effect::Persist<P>) {
+        match write {
+            effect::Persist::Hard(hard) => self.hard = *hard,
+            effect::Persist::Entries { after, entries } => {
+                self.entries.retain(|entry| entry.position.index <= *after);
+                self.entries.extend_from_slice(entries);
+            }
+            effect::Persist::Snapshot(snapshot) => {
+                let position = snapshot.position;
+                let holds = self.entries.iter().any(|entry| entry.position == position);
+                self.entries
+                    .retain(|entry| holds && entry.position.index > position.index);
+                self.snapshot = snapshot.clone();
+            }
+        }
+    }
+
+    /// Returns the last entry, or that of the snapshot.
+    pub fn last(&self) -> position::Position {
+        self.entries
+            .last()
+            .map_or(self.snapshot.position, |entry| entry.position)
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/replica/main.rs
@@ -0,0 +1,6 @@
+//! Tests of groups of replicas.
+
+mod commitment;
+mod exploration;
+mod group;
+mod scenarios;
