Add measurements of recovery, tickets in force, and control cost

Cause: the design's targets (2 s, 7 s, 3 % of a core, 64 MB, 2 KB/s) need figures. Change: examples recovery and fleet of the harness; fleet speaks the real protocol for many simulated nodes beside real control replicas.

--- /dev/null
+++ b/crates/harness/examples/fleet.rs
@@ -0,0 +1,271 @@
+//! Measures what control costs at several numbers of nodes and slices.
+//!
+//! Real control replicas and one real node run beside many simulated nodes,
+//! which speak the real protocol: they join, renew, and read every change.
+//!
+//! `cargo run --release -p sequoiayoke-harness --example fleet -- target/release NODES SLICES`
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use sequoiayoke_harness::{Deployment, Error, settings, usage};
+use sequoiayoke_wire::{auth, frame, session};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::codec::FramedRead;
+
+const SERVICE: &str = "queue-board";
+const RENEW: Duration = Duration::from_millis(150);
+const STEADY: Duration = Duration::from_secs(10);
+const SECRET: &[u8] = b"harness-shared-secret-0001";
+
+/// Counts of all simulated nodes.
+#[derive(Debug, Default)]
+struct Counts {
+    sent: AtomicU64,
+    received: AtomicU64,
+    joined: AtomicU64,
+    lost: AtomicU64,
+    changes: AtomicU64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args().collect();
+    let number = |index: usize| arguments.get(index).and_then(|text| text.parse().ok());
+    let bin = arguments.get(1).map_or("target/release", String::as_str);
+    let (nodes, slices) = (number(2).unwrap_or(100), number(3).unwrap_or(800));
+    match run(Path::new(bin), nodes, slices).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("the measurement failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(bin: &Path, nodes: u32, slices: u32) -> Result<(), Error> {
+    let mut spec = settings::Spec::new(3).with_service(SERVICE, 1, 9, 1);
+    spec.level = "warn".to_owned();
+    let deployment = Deployment::start(bin, spec)?;
+    deployment.wait_joined().await?;
+    let counts = Arc::new(Counts::default());
+    let start = Instant::now();
+    let mut fleet = Vec::new();
+    for number in 0..nodes {
+        let (deployment_ip, counts) = (deployment.ip.clone(), Arc::clone(&counts));
+        fleet.push(tokio::spawn(async move {
+            loop {
+                let _ = simulate(&deployment_ip, number, &counts).await;
+                counts.lost.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }));
+        if number % 50 == 49 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    let joined = nodes as usize + 1;
+    deployment
+        .wait_status("all have joined", |status| {
+            status["servers"]
+                .as_array()
+                .is_some_and(|all| all.len() == joined)
+        })
+        .await?;
+    println!(
+        "nodes={nodes} slices={slices} joined_ms={}",
+        start.elapsed().as_millis()
+    );
+    let created = Instant::now();
+    deployment.create_services(slices).await?;
+    println!("all_slices_owned_ms={}", created.elapsed().as_millis());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    steady(&deployment, &counts, nodes).await?;
+    lose_one(&deployment, &counts, &mut fleet, nodes).await?;
+    for task in fleet {
+        task.abort();
+    }
+    Ok(())
+}
+
+/// Prints what a quiet fleet costs.
+async fn steady(deployment: &Deployment, counts: &Counts, nodes: u32) -> Result<(), Error> {
+    let leader = deployment.leader().await.unwrap_or(0);
+    let control: Vec<_> = deployment
+        .control
+        .iter()
+        .flatten()
+        .map(|one| one.id())
+        .collect();
+    let node = deployment.pairs[0].node.id();
+    let before: Vec<_> = control.iter().map(|id| usage::processor(*id)).collect();
+    let node_before = usage::processor(node);
+    let (sent, received) = (load(&counts.sent), load(&counts.received));
+    tokio::time::sleep(STEADY).await;
+    let seconds = STEADY.as_secs_f64();
+    for (index, id) in control.iter().enumerate() {
+        let used = (usage::processor(*id) - before[index]).as_secs_f64() / seconds;
+        println!(
+            "control-{index}{}: core_percent={:.2} memory_mb={:.1}",
+            if index == leader { " (leader)" } else { "" },
+            used * 100.0,
+            usage::memory(*id) as f64 / 1e6
+        );
+    }
+    println!(
+        "real node: core_percent={:.2} memory_mb={:.1}",
+        (usage::processor(node) - node_before).as_secs_f64() / seconds * 100.0,
+        usage::memory(node) as f64 / 1e6
+    );
+    let rate = |now: u64, before: u64| (now - before) as f64 / seconds / f64::from(nodes);
+    println!(
+        "per node and second, frames without TCP/IP headers: sent_bytes={:.0} received_bytes={:.0} lost_sessions={}",
+        rate(load(&counts.sent), sent),
+        rate(load(&counts.received), received),
+        load(&counts.lost)
+    );
+    Ok(())
+}
+
+/// Ends one simulated node, and prints how long and how many bytes its loss takes.
+async fn lose_one(
+    deployment: &Deployment,
+    counts: &Counts,
+    fleet: &mut Vec<tokio::task::JoinHandle<()>>,
+    nodes: u32,
+) -> Result<(), Error> {
+    let (received, changes) = (load(&counts.received), load(&counts.changes));
+    let control: Vec<_> = deployment
+        .control
+        .iter()
+        .flatten()
+        .map(|one| one.id())
+        .collect();
+    let before: Vec<_> = control.iter().map(|id| usage::processor(*id)).collect();
+    let start = Instant::now();
+    if let Some(task) = fleet.pop() {
+        task.abort();
+    }
+    let count = nodes as usize;
+    deployment
+        .wait_status("the loss is repaired", |status| {
+            let gone = status["servers"]
+                .as_array()
+                .is_some_and(|all| all.len() == count);
+            gone && status["services"][0]["vacant"] == 0
+        })
+        .await?;
+    let time = start.elapsed();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let used: Vec<_> = control
+        .iter()
+        .zip(before)
+        .map(|(id, before)| (usage::processor(*id) - before).as_millis())
+        .collect();
+    println!(
+        "loss of one node: repaired_ms={} control_cpu_ms={used:?} bytes_per_node={} changes_per_node={}",
+        time.as_millis(),
+        (load(&counts.received) - received) / u64::from(nodes - 1),
+        (load(&counts.changes) - changes) / u64::from(nodes - 1),
+    );
+    Ok(())
+}
+
+fn load(counter: &AtomicU64) -> u64 {
+    counter.load(Ordering::Relaxed)
+}
+
+/// Runs one session of a simulated node.
+async fn simulate(ip: &str, number: u32, counts: &Counts) -> io::Result<()> {
+    let io = connect(ip, number as usize).await?;
+    let (reader, mut writer) = io.into_split();
+    let codec = frame::Codec::<session::FromNode, session::FromControl>::new();
+    let mut frames = FramedRead::new(reader, codec);
+    send(&mut writer, &hello(number).into(), counts).await?;
+    let mut renewals = interval(RENEW);
+    renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut sequence, mut version, mut joined) = (0, 0, false);
+    loop {
+        tokio::select! {
+            frame = frames.next() => {
+                let Some(frame) = frame else { return Ok(()) };
+                let frame = frame?;
+                counts.received.fetch_add(size(&frame), Ordering::Relaxed);
+                match frame.body {
+                    Some(session::ControlBody::Welcome(_)) => {
+                        joined = true;
+                        counts.joined.fetch_add(1, Ordering::Relaxed);
+                    }
+                    Some(session::ControlBody::Delta(delta)) => {
+                        let changes = delta.changes.len() as u64;
+                        counts.changes.fetch_add(changes, Ordering::Relaxed);
+                        if !delta.more {
+                            version = delta.to;
+                        }
+                    }
+                    Some(session::ControlBody::Refused(_) | session::ControlBody::Redirect(_)) => {
+                        return Ok(());
+                    }
+                    _ => {}
+                }
+            }
+            _ = renewals.tick(), if joined => {
+                sequence += 1;
+                let renew = session::Renew { sequence, version, load: Vec::new(), health: None };
+                send(&mut writer, &renew.into(), counts).await?;
+            }
+        }
+    }
+}
+
+/// Connects to the replica that answers with something else than a redirect.
+async fn connect(ip: &str, number: usize) -> io::Result<TcpStream> {
+    // Later attempts start with another replica, until the leader is found.
+    let first = number + rand::random::<u8>() as usize;
+    let address = settings::node_address(ip, first % 3);
+    let io = TcpStream::connect(address).await?;
+    io.set_nodelay(true)?;
+    auth::connect(io, auth::Kind::Session, SECRET).await
+}
+
+async fn send(
+    writer: &mut tokio::net::tcp::OwnedWriteHalf,
+    frame: &session::FromNode,
+    counts: &Counts,
+) -> io::Result<()> {
+    let bytes = frame::encode(frame)?;
+    counts.sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    writer.write_all(&bytes).await
+}
+
+fn size(frame: &session::FromControl) -> u64 {
+    frame::encode(frame).map_or(0, |bytes| bytes.len() as u64)
+}
+
+fn hello(number: u32) -> session::Hello {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    session::Hello {
+        region: "anatolia".to_owned(),
+        announcement: Some(session::Announcement {
+            name: format!("simulated-{number}"),
+            nonce: rand::random(),
+            services: vec![SERVICE.to_owned()],
+            failure_domain: format!("domain-{}", number % 6 + 1),
+            peer_address: address.to_string(),
+            caller_address: address.to_string(),
+            slots: 9,
+            checks_fencing: false,
+            checks_sender: false,
+        }),
+        incarnation: 0,
+        version: 0,
+    }
+}
--- /dev/null
+++ b/crates/harness/examples/recovery.rs
@@ -0,0 +1,157 @@
+//! Measures how long a key is not served after a loss, and how long a ticket takes to be in force.
+//!
+//! `cargo run --release -p sequoiayoke-harness --example recovery -- target/release ROUNDS`
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use reqwest::Method;
+use sequoiayoke_harness::{Deployment, Error, caller, settings};
+use serde_json::json;
+
+const DEADLINE: Duration = Duration::from_secs(10);
+const SERVICE: &str = "kiosk-status";
+const KEY: &str = "kiosk-17";
+const SERVERS: usize = 6;
+
+/// What is lost in a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    Owner,
+    Leader,
+    Both,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args().collect();
+    let bin = arguments.get(1).map_or("target/release", String::as_str);
+    let rounds = arguments
+        .get(2)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(20);
+    match run(Path::new(bin), rounds).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("the measurement failed: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(bin: &Path, rounds: usize) -> Result<(), Error> {
+    let spec = settings::Spec::new(3).with_service(SERVICE, SERVERS, 12, 1);
+    let mut deployment = Deployment::start(bin, spec)?;
+    deployment.wait_joined().await?;
+    deployment.create_services(48).await?;
+    for loss in [Loss::Owner, Loss::Leader, Loss::Both] {
+        let mut times = histogram();
+        for _ in 0..rounds {
+            let time = lose(&mut deployment, loss).await?;
+            times.saturating_record(time.as_millis() as u64);
+        }
+        report(
+            &format!("lost {loss:?}: ms until the key was served again"),
+            &times,
+        );
+    }
+    let mut times = histogram();
+    for number in 0..rounds {
+        let time = in_force(&deployment, number as u64 + 2).await?;
+        times.saturating_record(time.as_millis() as u64);
+    }
+    report("ms from submission until in force everywhere", &times);
+    Ok(())
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000, 3).expect("the bounds are valid")
+}
+
+fn report(what: &str, times: &Histogram<u64>) {
+    println!(
+        "{what}: n={} min={} p50={} p90={} max={}",
+        times.len(),
+        times.min(),
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.9),
+        times.max()
+    );
+}
+
+/// Loses processes, waits for an answer, and starts them again.
+async fn lose(deployment: &mut Deployment, loss: Loss) -> Result<Duration, Error> {
+    let (http, path) = (deployment.http().clone(), format!("/s/{SERVICE}/{KEY}"));
+    let entry = deployment.pairs[0].caller().to_owned();
+    let before = caller::send(&http, &entry, Method::GET, &path, None, DEADLINE).await?;
+    let owner = deployment
+        .pairs
+        .iter()
+        .position(|pair| pair.server.name == before.server);
+    let owner = owner.ok_or_else(|| Error::Timeout(format!("an owner: {before:?}")))?;
+    let other = (owner + 1) % SERVERS;
+    let entry = deployment.pairs[other].caller().to_owned();
+    let leader = deployment.leader().await;
+    let leader = leader.ok_or_else(|| Error::Timeout("a leader".to_owned()))?;
+    if loss != Loss::Owner
+        && let Some(mut replica) = deployment.control[leader].take()
+    {
+        replica.kill();
+    }
+    if loss != Loss::Leader {
+        deployment.pairs[owner].kill();
+    }
+    let start = Instant::now();
+    let after = caller::send(&http, &entry, Method::GET, &path, None, DEADLINE).await?;
+    let time = start.elapsed();
+    if after.outcome != "answered" {
+        return Err(Error::Timeout(format!("an answer: {after:?}")));
+    }
+    if loss != Loss::Owner {
+        deployment.start_control(leader)?;
+    }
+    if loss != Loss::Leader {
+        let server = deployment.pairs[owner].server.clone();
+        deployment.pairs[owner] = deployment.start_pair(&server)?;
+    }
+    deployment.wait_joined().await?;
+    deployment
+        .wait_status("the replicas have caught up", |status| {
+            let commit = status["commit"].as_u64().unwrap_or(u64::MAX);
+            let replicas = status["replicas"].as_array();
+            replicas.is_some_and(|all| {
+                let near = |one: &serde_json::Value| one["matched"].as_u64() >= Some(commit);
+                all.iter().all(near)
+            })
+        })
+        .await?;
+    Ok(time)
+}
+
+async fn in_force(deployment: &Deployment, number: u64) -> Result<Duration, Error> {
+    let ticket = json!({ "number": number, "objects": [
+        { "server": { "name": format!("{SERVICE}-1"), "state": "serving" } },
+    ] });
+    let start = Instant::now();
+    let (status, answer) = deployment.submit(&ticket).await?;
+    if status != 200 {
+        return Err(Error::Timeout(format!(
+            "ticket {number}: {status} {answer}"
+        )));
+    }
+    let leader = deployment.leader().await;
+    let leader = leader.ok_or_else(|| Error::Timeout("a leader".to_owned()))?;
+    let address = settings::operator_address(&deployment.ip, leader);
+    let url = format!("http://{address}/v1/tickets/{number}");
+    while start.elapsed() < DEADLINE {
+        let answer = deployment.http().get(&url).send().await?;
+        let entry: serde_json::Value = answer.json().await?;
+        if entry["in_force"]["complete"] == json!(true) {
+            return Ok(start.elapsed());
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    Err(Error::Timeout(format!("ticket {number} in force")))
+}
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod process;
 pub mod settings;
+pub mod usage;
 
 pub use deployment::Deployment;
 
