Sign request ids, and count a silent backend server as evidence

Cause: an owner trusts epoch and time of issue in an id, so a caller that made up ids could raise the floor of a slice's record and have other callers' requests refused as too old; and a frozen backend server showed only at the deadlines of its requests (10 s by default). Change: ids carry a truncated HMAC; the coordinator feeds the gate's silence into the health evidence at each report.

--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -145,6 +145,7 @@
                 }
                 _ = reports.tick() => {
                     let now = clock::Instant::now();
+                    self.path.observe_silence();
                     let report = self.reporter.report(now, self.path.evidence());
                     self.state.report(report);
                 }
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -201,6 +201,7 @@
             default_deadline: Duration::from_millis(limits.default_deadline_ms),
             max_deadline: Duration::from_millis(limits.max_deadline_ms),
         },
+        signer: callers::ids::Signer::new(settings.secret.reveal().as_bytes()),
         serve: peers::serve::Config {
             secret: secret(settings),
             streams: limits.streams,
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -48,6 +48,8 @@
 pub struct Config {
     /// Bounds of what callers may send.
     pub callers: callers::Limits,
+    /// Signs request ids.
+    pub signer: callers::ids::Signer,
     /// Connections from other nodes.
     pub serve: peers::serve::Config,
     /// Time for connections to end at a shutdown.
@@ -72,7 +74,7 @@
         stop.clone(),
     );
     let caller = || {
-        let endpoint = callers::Callers::new(path.clone(), config.callers);
+        let endpoint = callers::Callers::new(path.clone(), config.callers, config.signer.clone());
         serve_http(&listeners.caller, endpoint, config.drain, stop.clone())
     };
     let backend = || {
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -3,6 +3,8 @@
 //! This front end only translates: it turns an HTTP request into a
 //! [`request::View`] and an answer back into HTTP. The path decides.
 
+pub mod ids;
+
 mod caller;
 mod parse;
 mod reply;
@@ -39,6 +41,7 @@
 pub struct Callers<C, S> {
     path: sync::Arc<path::Path<C, S>>,
     limits: Limits,
+    signer: ids::Signer,
 }
 
 /// What is wrong with a request: the reason and a text for the caller.
@@ -76,8 +79,16 @@
     S: server::Dispatch,
 {
     /// Makes the endpoint.
-    pub const fn new(path: sync::Arc<path::Path<C, S>>, limits: Limits) -> Self {
-        Self { path, limits }
+    pub const fn new(
+        path: sync::Arc<path::Path<C, S>>,
+        limits: Limits,
+        signer: ids::Signer,
+    ) -> Self {
+        Self {
+            path,
+            limits,
+            signer,
+        }
     }
 
     async fn answer(&self, mut http: poem::Request) -> Result<poem::Response, Problem> {
@@ -97,7 +108,7 @@
             path: &path_and_query,
             headers: &headers,
             deadline,
-            id: parse::request_id(&http)?,
+            id: parse::request_id(&http, &self.signer)?,
             caller: subject.caller,
             scope: &subject.scope,
             idempotent: subject.idempotent,
@@ -149,7 +160,7 @@
         let id = self.new_id(view).ok_or_else(|| {
             Problem::new(outcome::Reason::Vacant, "the key has no owner at present")
         })?;
-        let body = serde_json::json!({ "request_id": id.to_string() });
+        let body = serde_json::json!({ "request_id": self.signer.sign(id) });
         Ok(poem::Response::builder()
             .content_type("application/json")
             .body(body.to_string()))
@@ -168,7 +179,8 @@
         let table = snapshot.view.table(view.service);
         let holder = table.and_then(|table| table.find(view.hash).0.holder);
         let owner = holder.and_then(|holder| snapshot.view.server(holder.server));
-        reply::response(view, answer, owner.map(|owner| owner.caller_address))
+        let id = view.id.map(|id| self.signer.sign(id));
+        reply::response(answer, id, owner.map(|owner| owner.caller_address))
     }
 }
 
--- a/crates/node/src/traffic/callers/reply.rs
+++ b/crates/node/src/traffic/callers/reply.rs
@@ -7,7 +7,6 @@
 use sequoiayoke_model::outcome;
 
 use crate::traffic::answer;
-use crate::traffic::request;
 
 /// Seconds after which a request that was not run may be sent again.
 const RETRY_AFTER_S: u64 = 1;
@@ -43,8 +42,8 @@
 
 /// Turns an answer into HTTP.
 pub(super) fn response(
-    view: &request::View<'_>,
     answer: answer::Answer,
+    id: Option<String>,
     owner: Option<net::SocketAddr>,
 ) -> poem::Response {
     let mut builder = poem::Response::builder()
@@ -68,8 +67,8 @@
     if let Some(epoch) = answer.epoch {
         builder = builder.header("sequoiayoke-epoch", epoch.0);
     }
-    if let Some(id) = view.id {
-        builder = builder.header("sequoiayoke-request-id", id.to_string());
+    if let Some(id) = id {
+        builder = builder.header("sequoiayoke-request-id", id);
     }
     if !answer.server.is_empty() {
         builder = builder.header("sequoiayoke-server", &answer.server);
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -19,6 +19,7 @@
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
 use sequoiayoke_telemetry::decision;
+use sequoiayoke_traffic::health;
 use sequoiayoke_traffic::retry;
 use sequoiayoke_traffic::route;
 use sequoiayoke_wire::convert;
@@ -158,6 +159,18 @@
         &self.evidence
     }
 
+    /// Adds to the evidence that the backend server answers nothing, if so.
+    ///
+    /// Requests that wait for a frozen server are evidence only at their
+    /// deadlines, which may be far away.
+    pub fn observe_silence(&self) {
+        let target = self.target.load();
+        if target.as_ref().is_some_and(|one| one.admission.is_silent()) {
+            let now = self.clock.now();
+            self.evidence.observed(now, health::Sample::Silent);
+        }
+    }
+
     /// Sets the backend server.
     pub fn set_target(&self, target: Option<sync::Arc<Target<S>>>) {
         self.target.store(target);
--- a/crates/node/src/traffic/server/permit.rs
+++ b/crates/node/src/traffic/server/permit.rs
@@ -155,6 +155,11 @@
         (state.gate.running(), state.gate.waiting())
     }
 
+    /// Tells whether the backend server answers no request at all.
+    pub fn is_silent(&self) -> bool {
+        self.lock().gate.is_silent(clock::Instant::now())
+    }
+
     /// Ends the waits whose deadline has passed; runs until it is dropped.
     pub async fn run_deadlines(&self) {
         loop {
