--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -93,6 +93,19 @@
     error_stack::Report::new(error).change_context(supervisor::Error::Child("replica"))
 }
 
+/// Time that the control thread may be busy without a look at the log's deadlines.
+///
+/// It is half the time between two heartbeats; beyond it a leader risks its quorum.
+const SLOW: Duration = Duration::from_millis(30);
+
+fn warn_if_slow(part: &'static str, start: clock::Instant, items: usize) {
+    let elapsed = clock::Instant::now().saturating_since(start);
+    if elapsed >= SLOW {
+        let elapsed_ms = elapsed.as_millis() as u64;
+        tracing::warn!(part, items, elapsed_ms, "the control thread was busy");
+    }
+}
+
 impl Coordinator {
     /// Makes a coordinator that starts its replica once the group has formed.
     pub fn new(
@@ -133,13 +146,16 @@
                 () = time::sleep(pause) => {}
                 () = stop.cancelled() => break,
             }
-            for _ in 0..BATCH {
-                match inbox.try_recv() {
-                    Ok(event) => self.handle(event)?,
-                    Err(_) => break,
-                }
+            let start = clock::Instant::now();
+            let mut events = 1;
+            while events < BATCH
+                && let Ok(event) = inbox.try_recv()
+            {
+                self.handle(event)?;
+                events += 1;
             }
             self.advance()?;
+            warn_if_slow("round", start, events);
         }
         self.hand_over()
     }
@@ -312,17 +328,22 @@
         self.flush(now)?;
         self.check_members(now)?;
         if let (Some(leader), Some(driver)) = (&mut self.leader, &self.driver) {
+            let start = clock::Instant::now();
             leader.publish(&self.publisher, driver.machine().view());
+            warn_if_slow("publish", start, 1);
         }
         Ok(())
     }
 
     fn propose(&mut self, now: clock::Instant) {
+        let start = clock::Instant::now();
         let (Some(leader), Some(driver)) = (&mut self.leader, &mut self.driver) else {
             return;
         };
         leader.tick(now, driver.machine());
-        for proposal in leader.take_proposals() {
+        let proposals = leader.take_proposals();
+        warn_if_slow("plan", start, proposals.len());
+        for proposal in proposals {
             let position = driver.propose(now, &proposal.command);
             leader.proposed(now, proposal, position);
         }
@@ -332,9 +353,11 @@
         let Some(driver) = &mut self.driver else {
             return Ok(());
         };
+        let start = clock::Instant::now();
         let outcome = driver
             .flush(now)
             .change_context(supervisor::Error::Child("replica"))?;
+        warn_if_slow("log", start, outcome.applied.len());
         if outcome.installed {
             self.publisher = publish::Publisher::new(driver.machine().view().version());
         }
--- a/crates/harness/examples/fleet.rs
+++ b/crates/harness/examples/fleet.rs
@@ -88,12 +88,21 @@
     deployment.create_services(slices).await?;
     println!("all_slices_owned_ms={}", created.elapsed().as_millis());
     tokio::time::sleep(Duration::from_secs(2)).await;
-    steady(&deployment, &counts, nodes).await?;
-    lose_one(&deployment, &counts, &mut fleet, nodes).await?;
+    let steady = steady(&deployment, &counts, nodes).await;
+    let lost = lose_one(&deployment, &counts, &mut fleet, nodes).await;
+    let warnings = deployment.warnings();
+    println!("warnings={}", warnings.len());
+    for line in warnings
+        .iter()
+        .filter(|line| line.contains("busy"))
+        .take(20)
+    {
+        println!("{line}");
+    }
     for task in fleet {
         task.abort();
     }
-    Ok(())
+    steady.and(lost)
 }
 
 /// Prints what a quiet fleet costs.
--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -12,6 +12,8 @@
 
 /// Time that a deployment has to reach an expected state.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// Bytes of a status that an error shows.
+const MAX_SHOWN: usize = 1_500;
 /// Pause between two looks at a state.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -264,6 +266,8 @@
             }
             tokio::time::sleep(LOOK).await;
         }
+        let mut last = last.to_string();
+        last.truncate(MAX_SHOWN);
         Err(Error::Timeout(format!("{what}; last status: {last}")))
     }
 
