Keep nodes waiting during an election instead of sending them away

Cause: with no leader known, each node was redirected nowhere and connected again after 30 ms; 1,200 nodes were some 40,000 authenticated connections a second, which took the processor that the election needed. Each join was published on its own to every node, and slices were planned after every change. Change: replicas keep nodes waiting until a leader is known; nodes back off with jitter; changes of 10 ms are published together; plans are 20 ms apart; when most leases lapse at once the leader waits 300 ms for the nodes to come back.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -41,6 +41,10 @@
 pub const QUEUE: usize = 16_384;
 /// Events that share one sync of the log.
 const BATCH: usize = 512;
+/// Nodes that may wait until a leader is known.
+const MAX_PARKED: usize = 12_288;
+/// Pause between two publications of changes.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(10);
 /// Pause between two looks at replicas that have to be added or removed.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(500);
 
@@ -82,6 +86,9 @@
     leader: Option<leader::Leader>,
     live: collections::BTreeMap<String, id::Replica>,
     members_checked: clock::Instant,
+    // Sessions of nodes that wait until a leader is known.
+    parked: Vec<mpsc::Sender<Bytes>>,
+    published: clock::Instant,
 }
 
 type Failed = error_stack::Report<supervisor::Error>;
@@ -125,6 +132,8 @@
             leader: None,
             live: collections::BTreeMap::new(),
             members_checked: clock::Instant::from_micros(0),
+            parked: Vec::new(),
+            published: clock::Instant::from_micros(0),
         }
     }
 
@@ -175,7 +184,11 @@
 
     fn next_deadline(&self) -> clock::Instant {
         let now = clock::Instant::now();
-        let far = now + Duration::from_secs(1);
+        // While this replica leads, a change waits no longer than the pause of publications.
+        let far = match &self.leader {
+            Some(leader) if leader.is_behind() => now + PUBLISH_PAUSE,
+            _ => now + Duration::from_secs(1),
+        };
         let replica = self
             .driver
             .as_ref()
@@ -272,13 +285,25 @@
                     let _ = reply.send(key);
                 }
             }
-            None => {
-                let leader = self.leader_peer().map(|peer| peer.node.to_string());
-                let leader = leader.unwrap_or_default();
-                let redirect = session::FromControl::from(session::Redirect { leader });
-                if let Ok(bytes) = frame::encode(&redirect) {
-                    let _ = outgoing.try_send(bytes);
-                }
+            // Nodes that were sent away during an election would only connect again at once,
+            // thousands of them, and take the processor that the election needs.
+            None if self.parked.len() < MAX_PARKED => self.parked.push(outgoing),
+            None => {}
+        }
+    }
+
+    /// Sends the nodes that wait to the leader, once one is known.
+    fn redirect_parked(&mut self) {
+        if self.parked.is_empty() {
+            return;
+        }
+        let Some(leader) = self.leader_peer().map(|peer| peer.node.to_string()) else {
+            return;
+        };
+        let redirect = session::FromControl::from(session::Redirect { leader });
+        if let Ok(bytes) = frame::encode(&redirect) {
+            for outgoing in self.parked.drain(..) {
+                let _ = outgoing.try_send(bytes.clone());
             }
         }
     }
@@ -324,17 +349,32 @@
         }
         self.flush(now)?;
         self.check_leadership(now);
+        self.redirect_parked();
         self.propose(now);
         self.flush(now)?;
         self.check_members(now)?;
-        if let (Some(leader), Some(driver)) = (&mut self.leader, &self.driver) {
-            let start = clock::Instant::now();
-            leader.publish(&self.publisher, driver.machine().view());
-            warn_if_slow("publish", start, 1);
-        }
+        self.publish(now);
         Ok(())
     }
 
+    /// Sends changes to the nodes, those of a short time together.
+    ///
+    /// When thousands of nodes join at once, one frame for each join and node
+    /// would be tens of millions of frames.
+    fn publish(&mut self, now: clock::Instant) {
+        let (Some(leader), Some(driver)) = (&mut self.leader, &self.driver) else {
+            return;
+        };
+        if now.saturating_since(self.published) < PUBLISH_PAUSE {
+            return;
+        }
+        let start = clock::Instant::now();
+        if leader.publish(&self.publisher, driver.machine().view()) {
+            self.published = now;
+        }
+        warn_if_slow("publish", start, 1);
+    }
+
     fn propose(&mut self, now: clock::Instant) {
         let start = clock::Instant::now();
         let (Some(leader), Some(driver)) = (&mut self.leader, &mut self.driver) else {
--- a/crates/control/src/coordinator/leader.rs
+++ b/crates/control/src/coordinator/leader.rs
@@ -35,6 +35,9 @@
 /// Otherwise the first node to connect would get every vacant slice.
 const SETTLE: Duration = Duration::from_millis(300);
 
+/// Pause between two plans, so that a storm of changes is planned for together.
+const PLAN_PAUSE: Duration = Duration::from_millis(20);
+
 /// Settings of a leader.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -91,6 +94,7 @@
     planner: planner::Planner,
     plan_from: clock::Instant,
     plan_due: bool,
+    unpublished: bool,
     sessions: slotmap::SlotMap<event::Session, Node>,
     members: collections::BTreeMap<registry::Member, event::Session>,
     joined_at: collections::BTreeMap<id::Server, clock::Instant>,
@@ -115,6 +119,7 @@
             planner,
             plan_from: now + SETTLE,
             plan_due: true,
+            unpublished: true,
             sessions: slotmap::SlotMap::with_key(),
             members: collections::BTreeMap::new(),
             joined_at: collections::BTreeMap::new(),
@@ -168,6 +173,7 @@
             }
             None => Waiter::Nobody,
         };
+        self.unpublished = true;
         if let Ok(done) = &applied.result {
             for change in &done.changes {
                 self.note_change(now, machine, change);
@@ -187,6 +193,7 @@
         let due = self.planner.next_deadline().is_some_and(|at| at <= now);
         if now >= self.plan_from && (self.plan_due || due) {
             self.plan_due = false;
+            self.plan_from = now + PLAN_PAUSE;
             self.plan(now, machine);
         }
     }
@@ -213,8 +220,9 @@
         }
     }
 
-    /// Sends each node the changes that it lacks.
-    pub fn publish(&mut self, publisher: &super::publish::Publisher, view: &view::View) {
+    /// Sends each node the changes that it lacks; tells whether there were any.
+    pub fn publish(&mut self, publisher: &super::publish::Publisher, view: &view::View) -> bool {
+        self.unpublished = false;
         let mut frames: collections::BTreeMap<id::Version, Vec<Bytes>> =
             collections::BTreeMap::new();
         let mut broken = Vec::new();
@@ -234,10 +242,17 @@
                 false => broken.push(key),
             }
         }
+        let any = !frames.is_empty();
         for key in broken {
             // A node that does not read its connection starts over with a new one.
             self.close(key);
         }
+        any
+    }
+
+    /// Tells whether nodes may lack changes.
+    pub const fn is_behind(&self) -> bool {
+        self.unpublished
     }
 
     fn propose(&mut self, command: command::Command) {
--- a/crates/control/src/coordinator/leader/members.rs
+++ b/crates/control/src/coordinator/leader/members.rs
@@ -9,7 +9,7 @@
 use sequoiayoke_state::member;
 use sequoiayoke_state::ticket;
 
-use super::Leader;
+use super::{Leader, SETTLE};
 
 /// Lists every run of a node that may hold a lease.
 pub(super) fn all(machine: &machine::Machine) -> impl Iterator<Item = registry::Member> {
@@ -41,7 +41,13 @@
 
     /// Proposes the end of each run whose lease has lapsed.
     pub(super) fn end_lapsed(&mut self, now: clock::Instant, machine: &machine::Machine) {
-        for member in self.leases.expired(now) {
+        let lapsed = self.leases.expired(now);
+        if lapsed.len() > self.members.len() {
+            // Most nodes are gone at once, most likely cut off for a moment: they join again
+            // shortly, and the few that are left could not carry all slices.
+            self.plan_from = self.plan_from.max(now + SETTLE);
+        }
+        for member in lapsed {
             if !self.ending.insert(member) {
                 continue;
             }
--- a/crates/control/src/coordinator/leader/sessions.rs
+++ b/crates/control/src/coordinator/leader/sessions.rs
@@ -131,6 +131,7 @@
         if let Some(former) = self.members.insert(member, key).filter(|one| *one != key) {
             self.sessions.remove(former);
         }
+        self.unpublished = true;
         self.send(
             key,
             session::Welcome {
--- a/crates/harness/examples/fleet.rs
+++ b/crates/harness/examples/fleet.rs
@@ -23,6 +23,7 @@
 
 const SERVICE: &str = "queue-board";
 const RENEW: Duration = Duration::from_millis(150);
+const SILENCE: Duration = Duration::from_millis(600);
 const STEADY: Duration = Duration::from_secs(10);
 const SECRET: &[u8] = b"harness-shared-secret-0001";
 
@@ -62,10 +63,12 @@
     for number in 0..nodes {
         let (deployment_ip, counts) = (deployment.ip.clone(), Arc::clone(&counts));
         fleet.push(tokio::spawn(async move {
+            let mut node = Node::new(number);
             loop {
-                let _ = simulate(&deployment_ip, number, &counts).await;
+                let _ = node.run(&deployment_ip, &counts).await;
                 counts.lost.fetch_add(1, Ordering::Relaxed);
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                let pause = 20 + rand::random::<u64>() % 140;
+                tokio::time::sleep(Duration::from_millis(pause)).await;
             }
         }));
         if number % 50 == 49 {
@@ -152,6 +155,13 @@
     nodes: u32,
 ) -> Result<(), Error> {
     let (received, changes) = (load(&counts.received), load(&counts.changes));
+    println!(
+        "terms: {}",
+        deployment
+            .status()
+            .await
+            .map_or(0, |one| one["term"].as_u64().unwrap_or(0))
+    );
     let control: Vec<_> = deployment
         .control
         .iter()
@@ -192,57 +202,103 @@
     counter.load(Ordering::Relaxed)
 }
 
-/// Runs one session of a simulated node.
-async fn simulate(ip: &str, number: u32, counts: &Counts) -> io::Result<()> {
-    let io = connect(ip, number as usize).await?;
-    let (reader, mut writer) = io.into_split();
-    let codec = frame::Codec::<session::FromNode, session::FromControl>::new();
-    let mut frames = FramedRead::new(reader, codec);
-    send(&mut writer, &hello(number).into(), counts).await?;
-    let mut renewals = interval(RENEW);
-    renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut sequence, mut version, mut joined) = (0, 0, false);
-    loop {
-        tokio::select! {
-            frame = frames.next() => {
-                let Some(frame) = frame else { return Ok(()) };
-                let frame = frame?;
-                counts.received.fetch_add(size(&frame), Ordering::Relaxed);
-                match frame.body {
-                    Some(session::ControlBody::Welcome(_)) => {
-                        joined = true;
-                        counts.joined.fetch_add(1, Ordering::Relaxed);
-                    }
-                    Some(session::ControlBody::Delta(delta)) => {
-                        let changes = delta.changes.len() as u64;
-                        counts.changes.fetch_add(changes, Ordering::Relaxed);
-                        if !delta.more {
-                            version = delta.to;
+/// A simulated node; like a real one it keeps its run and its version over sessions.
+struct Node {
+    number: u32,
+    nonce: u64,
+    sequence: u64,
+    version: u64,
+    leader: Option<String>,
+}
+
+impl Node {
+    fn new(number: u32) -> Self {
+        Self {
+            number,
+            nonce: rand::random(),
+            sequence: 0,
+            version: 0,
+            leader: None,
+        }
+    }
+
+    /// Runs one session.
+    async fn run(&mut self, ip: &str, counts: &Counts) -> io::Result<()> {
+        let any = || settings::node_address(ip, rand::random::<u8>() as usize % 3);
+        let address = self.leader.take().unwrap_or_else(any);
+        let io = TcpStream::connect(address).await?;
+        io.set_nodelay(true)?;
+        let io = auth::connect(io, auth::Kind::Session, SECRET).await?;
+        let (reader, mut writer) = io.into_split();
+        let codec = frame::Codec::<session::FromNode, session::FromControl>::new();
+        let mut frames = FramedRead::new(reader, codec);
+        send(&mut writer, &self.hello().into(), counts).await?;
+        let mut renewals = interval(RENEW);
+        renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut joined = false;
+        loop {
+            tokio::select! {
+                frame = tokio::time::timeout(SILENCE, frames.next()) => {
+                    let Some(frame) = frame? else { return Ok(()) };
+                    let frame = frame?;
+                    counts.received.fetch_add(size(&frame), Ordering::Relaxed);
+                    match frame.body {
+                        Some(session::ControlBody::Welcome(_)) => {
+                            joined = true;
+                            counts.joined.fetch_add(1, Ordering::Relaxed);
                         }
+                        Some(session::ControlBody::Delta(delta)) => {
+                            let changes = delta.changes.len() as u64;
+                            counts.changes.fetch_add(changes, Ordering::Relaxed);
+                            if !delta.more {
+                                self.version = delta.to;
+                            }
+                        }
+                        Some(session::ControlBody::Refused(_)) => {
+                            self.nonce = rand::random();
+                            return Ok(());
+                        }
+                        Some(session::ControlBody::Redirect(to)) => {
+                            self.leader = Some(to.leader).filter(|leader| !leader.is_empty());
+                            return Ok(());
+                        }
+                        _ => {}
                     }
-                    Some(session::ControlBody::Refused(_) | session::ControlBody::Redirect(_)) => {
-                        return Ok(());
-                    }
-                    _ => {}
                 }
-            }
-            _ = renewals.tick(), if joined => {
-                sequence += 1;
-                let renew = session::Renew { sequence, version, load: Vec::new(), health: None };
-                send(&mut writer, &renew.into(), counts).await?;
+                _ = renewals.tick(), if joined => {
+                    self.sequence += 1;
+                    let renew = session::Renew {
+                        sequence: self.sequence,
+                        version: self.version,
+                        load: Vec::new(),
+                        health: None,
+                    };
+                    send(&mut writer, &renew.into(), counts).await?;
+                }
             }
         }
     }
-}
 
-/// Connects to the replica that answers with something else than a redirect.
-async fn connect(ip: &str, number: usize) -> io::Result<TcpStream> {
-    // Later attempts start with another replica, until the leader is found.
-    let first = number + rand::random::<u8>() as usize;
-    let address = settings::node_address(ip, first % 3);
-    let io = TcpStream::connect(address).await?;
-    io.set_nodelay(true)?;
-    auth::connect(io, auth::Kind::Session, SECRET).await
+    fn hello(&self) -> session::Hello {
+        let number = self.number;
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        session::Hello {
+            region: "anatolia".to_owned(),
+            announcement: Some(session::Announcement {
+                name: format!("simulated-{number}"),
+                nonce: self.nonce,
+                services: vec![SERVICE.to_owned()],
+                failure_domain: format!("domain-{}", number % 6 + 1),
+                peer_address: address.to_string(),
+                caller_address: address.to_string(),
+                slots: 9,
+                checks_fencing: false,
+                checks_sender: false,
+            }),
+            incarnation: 0,
+            version: self.version,
+        }
+    }
 }
 
 async fn send(
@@ -258,23 +314,3 @@
 fn size(frame: &session::FromControl) -> u64 {
     frame::encode(frame).map_or(0, |bytes| bytes.len() as u64)
 }
-
-fn hello(number: u32) -> session::Hello {
-    let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    session::Hello {
-        region: "anatolia".to_owned(),
-        announcement: Some(session::Announcement {
-            name: format!("simulated-{number}"),
-            nonce: rand::random(),
-            services: vec![SERVICE.to_owned()],
-            failure_domain: format!("domain-{}", number % 6 + 1),
-            peer_address: address.to_string(),
-            caller_address: address.to_string(),
-            slots: 9,
-            checks_fencing: false,
-            checks_sender: false,
-        }),
-        incarnation: 0,
-        version: 0,
-    }
-}
--- a/crates/node/src/coordinator/session.rs
+++ b/crates/node/src/coordinator/session.rs
@@ -15,6 +15,7 @@
 use sequoiayoke_wire::session;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time;
 use tokio_util::codec;
 
 use super::event;
@@ -23,8 +24,10 @@
 
 /// Frames that may wait for the socket.
 const QUEUE: usize = 64;
-/// Pause before the next replica is tried.
-const PAUSE: Duration = Duration::from_millis(30);
+/// Pause before the next replica is tried; it doubles with each failure in a row.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause before the next replica is tried.
+const MAX_PAUSE: Duration = Duration::from_millis(160);
 /// Time without a frame from control after which a connection counts as dead.
 const SILENCE: Duration = Duration::from_millis(600);
 
@@ -43,6 +46,7 @@
 pub async fn run(config: Config, events: mpsc::Sender<event::Event>) {
     let mut next = 0;
     let mut redirect = None;
+    let mut pause = PAUSE;
     loop {
         let address = match redirect.take() {
             Some(address) => address,
@@ -51,7 +55,11 @@
                 config.control[next]
             }
         };
+        let start = time::Instant::now();
         let ended = one(&config, address, &events, &mut redirect).await;
+        if start.elapsed() >= SILENCE {
+            pause = PAUSE;
+        }
         if let Err(error) = ended {
             tracing::debug!(%address, %error, "session with control ended");
         }
@@ -59,7 +67,9 @@
             return;
         }
         if redirect.is_none() {
-            tokio::time::sleep(PAUSE).await;
+            // Jitter keeps thousands of nodes from connecting at the same moment.
+            time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(MAX_PAUSE);
         }
     }
 }
@@ -70,14 +80,14 @@
     events: &mpsc::Sender<event::Event>,
     redirect: &mut Option<net::SocketAddr>,
 ) -> io::Result<()> {
-    let connecting = tokio::time::timeout(config.connect, connect(address, &config.secret));
+    let connecting = time::timeout(config.connect, connect(address, &config.secret));
     let mut frames = codec::Framed::new(connecting.await??, Codec::new());
     let (sender, mut queue) = mpsc::channel(QUEUE);
     let up = event::Event::SessionUp(sender);
     events.send(up).await.map_err(io::Error::other)?;
     loop {
         tokio::select! {
-            received = tokio::time::timeout(SILENCE, frames.next()) => {
+            received = time::timeout(SILENCE, frames.next()) => {
                 let Some(received) = received? else {
                     return Ok(());
                 };
