--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -5,6 +5,7 @@
 //! names the epoch of its present holder, and only to a present run of a node.
 
 mod apply;
+mod index;
 
 use std::collections;
 
@@ -99,6 +100,8 @@
 pub struct Machine {
     view: view::View,
     rest: Rest,
+    // Derived from the other two, so it is no part of a snapshot.
+    index: index::Index,
 }
 
 /// Everything but the view.
@@ -131,9 +134,11 @@
     pub fn with_snapshot(snapshot: Snapshot) -> Self {
         let mut view = view::View::new();
         view.apply(snapshot.version, snapshot.changes);
+        let index = index::Index::new(&view, &snapshot.rest.servers);
         Self {
             view,
             rest: snapshot.rest,
+            index,
         }
     }
 
@@ -180,7 +185,8 @@
 
     /// Finds a backend server by its name.
     pub fn server_named(&self, name: &str) -> Option<(id::Server, &member::Server)> {
-        self.servers().find(|(_, server)| server.name == name)
+        let id = self.index.server_named(name)?;
+        Some((id, self.rest.servers.get(&id)?))
     }
 
     /// Iterates over the services.
--- a/crates/state/src/machine/apply.rs
+++ b/crates/state/src/machine/apply.rs
@@ -30,13 +30,20 @@
             command::Command::Split { service, at } => self.apply_split(*service, *at)?,
             command::Command::Merge { service, at } => self.apply_merge(*service, *at)?,
         };
-        if !applied.changes.is_empty() {
-            self.view
-                .apply(id::Version(index), applied.changes.iter().cloned());
+        // `Assign` has applied its changes one by one.
+        if !applied.changes.is_empty() && applied.moved == 0 {
+            self.change(index, &applied.changes);
         }
         Ok(applied)
     }
 
+    fn change(&mut self, index: u64, changes: &[view::Change]) {
+        for change in changes {
+            self.index.note(change);
+        }
+        self.view.apply(id::Version(index), changes.iter().cloned());
+    }
+
     fn apply_ticket(&mut self, index: u64, ticket: &ticket::Ticket) -> Result<Applied, Refusal> {
         if ticket.number <= self.rest.last_ticket && ticket.number.0 > 0 {
             return self.repeat_ticket(ticket);
@@ -275,20 +282,16 @@
         changes: &mut Vec<view::Change>,
     ) {
         let mut events = Vec::new();
-        for (service, table) in self.view.tables() {
-            for (slice, range) in table.iter() {
-                let held = slice.holder.is_some_and(|holder| {
-                    holder.server == server && holder.incarnation == incarnation
-                });
-                if held {
-                    let vacant = table::Slice {
-                        holder: None,
-                        ..*slice
-                    };
-                    changes.push(view::Change::Slice(service, vacant));
-                    events.push((service, range));
-                }
-            }
+        for (service, start) in self.index.held(server, incarnation) {
+            let Some(table) = self.view.table(service) else {
+                continue;
+            };
+            let vacant = table::Slice {
+                start,
+                holder: None,
+            };
+            changes.push(view::Change::Slice(service, vacant));
+            events.push((service, table.find(start).1));
         }
         for (service, range) in events {
             let cause = format!("vacated: the lease of {name} {incarnation} ended");
@@ -318,7 +321,7 @@
             };
             let change = view::Change::Slice(one.service, slice);
             // Applied at once, so that a second move of the same slice in this command is refused.
-            self.view.apply(id::Version(index), [change.clone()]);
+            self.change(index, std::slice::from_ref(&change));
             applied.changes.push(change);
             applied.moved += 1;
         }
@@ -386,15 +389,14 @@
     }
 
     fn server_record(&mut self, id: id::Server, name: &str) -> &mut member::Server {
-        self.rest
-            .servers
-            .entry(id)
-            .or_insert_with(|| member::Server {
-                name: name.to_owned(),
-                intent: ticket::Intent::Serving,
-                run: None,
-                stale_runs: Vec::new(),
-            })
+        self.index.add_server(name, id);
+        let servers = &mut self.rest.servers;
+        servers.entry(id).or_insert_with(|| member::Server {
+            name: name.to_owned(),
+            intent: ticket::Intent::Serving,
+            run: None,
+            stale_runs: Vec::new(),
+        })
     }
 
     fn record(&mut self, index: u64, service: id::Service, range: range::Range, cause: String) {
