--- a/crates/emulator/src/standin/traffic/requests.rs
+++ b/crates/emulator/src/standin/traffic/requests.rs
@@ -101,6 +101,18 @@
         }
     }
 
+    /// Logs the start, so that tests see the executions of a process that was killed.
+    fn log_start(&self, now: clock::Instant) {
+        tracing::info!(
+            target: "sequoiayoke::execution",
+            at_us = now.as_micros(),
+            key = %self.name.key,
+            epoch = self.epoch.map_or(0, |epoch| epoch.0),
+            request = %self.request_id.as_deref().unwrap_or(""),
+            "execution starts"
+        );
+    }
+
     /// Tells whether the request may start now.
     fn is_admitted(&self, view: &board::View, now: clock::Instant) -> bool {
         let (Some(epoch), Some(until)) = (self.epoch, self.lease_until) else {
@@ -182,9 +194,11 @@
         self.board.thawed().await;
         let view = self.board.view();
         let fenced = self.settings.checks_fencing && !view.faults.ignore_fencing;
-        if fenced && !head.is_admitted(&view, clock::Instant::now()) {
+        let now = clock::Instant::now();
+        if fenced && !head.is_admitted(&view, now) {
             return refuse(fault::Refusal::Fencing, request).await;
         }
+        head.log_start(now);
         let execution = self.ledger.start(head.execution());
         let work = self.execute(&head, execution, request.into_body());
         match time::timeout_at(head.deadline, work).await {
--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -8,12 +8,16 @@
 
 use crate::process;
 use crate::settings;
-use crate::{Error, caller};
+use crate::{Error, caller, journal};
 
 /// Time that a deployment has to reach an expected state.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// Pause between two looks at a state.
 const LOOK: Duration = Duration::from_millis(10);
+/// Time that a replica has to decide about a ticket before the next one is asked.
+const TICKET_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a replica has to answer an operator; a paused one does not answer.
+const OPERATOR_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A backend server's VM: its node and its stand-in.
 #[derive(Debug)]
@@ -37,6 +41,23 @@
         self.standin.last_word()
     }
 
+    /// Pauses both processes, as a VM does that is not scheduled.
+    pub fn pause(&self) {
+        self.node.pause();
+        self.standin.pause();
+    }
+
+    /// Resumes both processes.
+    pub fn resume(&self) {
+        self.standin.resume();
+        self.node.resume();
+    }
+
+    /// Returns the executions that the stand-in of this name has logged, also in earlier runs.
+    pub fn executions(&self) -> Vec<journal::Execution> {
+        journal::parse(&self.server.name, &self.standin.log())
+    }
+
     /// Ends both processes at once, as a lost VM would.
     pub fn kill(&mut self) {
         self.node.kill();
@@ -181,7 +202,86 @@
         let name = format!("standin-{}", server.name);
         let log = self.directory.path().join(format!("{name}.log"));
         let program = self.bin.join("sequoiayoke-standin");
-        process::Process::start(&name, &program, &arguments, log)
+        let environment: &[_] = match self.spec.journal {
+            true => &journal::ENVIRONMENT,
+            false => &[],
+        };
+        process::Process::start_with(&name, &program, &arguments, environment, log)
+    }
+
+    /// Replaces the node of a VM by a new run on the same addresses; its stand-in goes on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node does not become ready.
+    pub fn restart_node(&mut self, index: usize) -> Result<(), Error> {
+        let pair = &mut self.pairs[index];
+        pair.node.kill();
+        let mut text = settings::node(&self.spec, &self.ip, &pair.server);
+        for name in ["caller", "backend"] {
+            text["listen"][name] = json!(pair.node.field(name));
+        }
+        let name = format!("node-{}", self.pairs[index].server.name);
+        let node = self.daemon(&name, "sequoiayoke-node", &text)?;
+        self.pairs[index].node = node;
+        Ok(())
+    }
+
+    /// Starts both processes of a VM again after they were killed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not become ready.
+    pub fn restart_pair(&mut self, index: usize) -> Result<(), Error> {
+        let server = self.pairs[index].server.clone();
+        self.pairs[index] = self.start_pair(&server)?;
+        Ok(())
+    }
+
+    /// Returns the executions that all stand-ins have logged, in the order of their starts.
+    pub fn executions(&self) -> Vec<journal::Execution> {
+        let mut all: Vec<_> = self.pairs.iter().flat_map(Pair::executions).collect();
+        all.sort_by_key(|one| one.at_us);
+        all
+    }
+
+    /// Returns the number of the VM whose backend server has this name.
+    pub fn index_of(&self, server: &str) -> Option<usize> {
+        let mut pairs = self.pairs.iter();
+        pairs.position(|pair| pair.server.name == server)
+    }
+
+    /// Waits until a key has an owner; returns the number of its VM and the epoch.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has none in time.
+    pub async fn owner(&self, service: &str, key: &str) -> Result<(usize, u64), Error> {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            for address in self.operators() {
+                let path = format!("/v1/explain/{service}/{key}");
+                let Some((200, body)) = self.ask_operator(&address, &path).await else {
+                    continue;
+                };
+                let name = body["holder"]["server"].as_str().unwrap_or("");
+                let epoch = body["holder"]["epoch"].as_u64();
+                if let (Some(index), Some(epoch)) = (self.index_of(name), epoch) {
+                    return Ok((index, epoch));
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(Error::Timeout(format!("an owner of {service}/{key}")))
+    }
+
+    /// Asks one replica; `None` if it does not answer soon, for example while it is paused.
+    pub async fn ask_operator(&self, address: &str, path: &str) -> Option<(u16, Value)> {
+        let url = format!("http://{address}{path}");
+        let sent = self.http.get(url).timeout(OPERATOR_TIMEOUT).send().await;
+        let answer = sent.ok()?;
+        let status = answer.status().as_u16();
+        Some((status, answer.json().await.ok()?))
     }
 
     fn daemon(&self, name: &str, program: &str, text: &Value) -> Result<process::Process, Error> {
@@ -203,12 +303,8 @@
     /// Asks the leader for its status.
     pub async fn status(&self) -> Option<Value> {
         for address in self.operators() {
-            let url = format!("http://{address}/v1/status");
-            let sent = self.http.get(url).send().await;
-            if let Ok(answer) = sent
-                && answer.status().is_success()
-            {
-                return answer.json().await.ok();
+            if let Some((200, status)) = self.ask_operator(&address, "/v1/status").await {
+                return Some(status);
             }
         }
         None
@@ -231,7 +327,8 @@
         while start.elapsed() < PATIENCE {
             for address in self.operators() {
                 let url = format!("http://{address}/v1/tickets");
-                let sent = self.http.post(url).json(ticket).send().await;
+                let sent = self.http.post(url).json(ticket).timeout(TICKET_TIMEOUT);
+                let sent = sent.send().await;
                 let Ok(answer) = sent else { continue };
                 let status = answer.status().as_u16();
                 if status == 421 || status == 504 {
--- /dev/null
+++ b/crates/harness/src/fault.rs
@@ -0,0 +1,71 @@
+//! Faults of stand-ins.
+
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use crate::deployment::{PATIENCE, Pair};
+use crate::{Error, settings};
+
+/// Pause between two looks at a load.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Gives a fault command to the stand-in of a VM.
+///
+/// # Errors
+///
+/// Fails if the stand-in does not take it.
+pub async fn set(
+    http: &reqwest::Client,
+    pair: &Pair,
+    name: &str,
+    fields: &Value,
+) -> Result<(), Error> {
+    let url = format!("http://{}/fault/v1/{name}", pair.standin_address());
+    let answer = http.post(url).json(fields).send().await?;
+    answer.error_for_status()?;
+    Ok(())
+}
+
+/// Returns what the present run of the stand-in has counted.
+///
+/// # Errors
+///
+/// Fails if the stand-in does not answer.
+pub async fn executions(http: &reqwest::Client, pair: &Pair) -> Result<Value, Error> {
+    let url = format!("http://{}/fault/v1/executions", pair.standin_address());
+    Ok(http.get(url).send().await?.json().await?)
+}
+
+/// Returns the numbers of requests that run and that wait at the stand-in.
+///
+/// # Errors
+///
+/// Fails if the stand-in does not answer.
+pub async fn load(http: &reqwest::Client, pair: &Pair) -> Result<(u64, u64), Error> {
+    let url = format!("http://{}/v1/load", pair.standin_address());
+    let sent = http.get(url).header("sequoiayoke-sender", settings::TOKEN);
+    let body: Value = sent.send().await?.json().await?;
+    let number = |name: &str| body[name].as_u64().unwrap_or(0);
+    Ok((number("running"), number("queued")))
+}
+
+/// Waits until `condition` holds for the running and waiting requests of the stand-in.
+///
+/// # Errors
+///
+/// Fails if it does not hold in time.
+pub async fn wait_load<F>(http: &reqwest::Client, pair: &Pair, condition: F) -> Result<(), Error>
+where
+    F: Fn(u64, u64) -> bool,
+{
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        let (running, queued) = load(http, pair).await?;
+        if condition(running, queued) {
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    Err(Error::Timeout("the load of a stand-in".to_owned()))
+}
--- /dev/null
+++ b/crates/harness/src/journal.rs
@@ -0,0 +1,54 @@
+//! Executions as the stand-ins log them.
+//!
+//! The counts of a stand-in end with its process. Its log does not, so checks
+//! that kill processes read the log.
+
+/// Environment that makes a stand-in log its executions as plain text.
+pub(crate) const ENVIRONMENT: [(&str, &str); 2] = [
+    ("RUST_LOG", "sequoiayoke::execution=info"),
+    ("NO_COLOR", "1"),
+];
+
+/// An execution that a stand-in has started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Execution {
+    /// Name of the backend server.
+    pub server: String,
+    /// When the stand-in admitted it, in µs of the boot-time clock.
+    pub at_us: u64,
+    /// Key.
+    pub key: String,
+    /// Epoch of the request.
+    pub epoch: u64,
+    /// Request id; empty if it had none.
+    pub request: String,
+}
+
+/// Reads the executions out of the log of a stand-in.
+///
+/// # Examples
+///
+/// ```
+/// use sequoiayoke_harness::journal;
+///
+/// let log = "INFO sequoiayoke::execution: execution starts at_us=5 key=a epoch=7 request=x";
+/// assert_eq!(journal::parse("s", log)[0].epoch, 7);
+/// ```
+pub fn parse(server: &str, log: &str) -> Vec<Execution> {
+    let lines = log.lines().filter(|line| line.contains("execution starts"));
+    lines
+        .map(|line| Execution {
+            server: server.to_owned(),
+            at_us: field(line, "at_us").parse().unwrap_or(0),
+            key: field(line, "key").to_owned(),
+            epoch: field(line, "epoch").parse().unwrap_or(0),
+            request: field(line, "request").to_owned(),
+        })
+        .collect()
+}
+
+fn field<'a>(line: &'a str, name: &str) -> &'a str {
+    let mut words = line.split_whitespace();
+    let found = words.find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    found.unwrap_or("")
+}
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod fault;
+pub mod journal;
 pub mod process;
 pub mod settings;
 
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -35,11 +35,27 @@
         program: &Path,
         arguments: &[String],
         log: PathBuf,
+    ) -> Result<Self, Error> {
+        Self::start_with(name, program, arguments, &[], log)
+    }
+
+    /// Starts `program` with these additional environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be started or does not become ready in time.
+    pub fn start_with(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        environment: &[(&str, &str)],
+        log: PathBuf,
     ) -> Result<Self, Error> {
         let failed = |error| Error::Io("start a process", error);
         let output = fs::OpenOptions::new().create(true).append(true).open(&log);
         let mut child = Command::new(program)
             .args(arguments)
+            .envs(environment.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(output.map_err(failed)?)
--- a/crates/harness/src/settings.rs
+++ b/crates/harness/src/settings.rs
@@ -35,6 +35,8 @@
     pub servers: Vec<Server>,
     /// Level of the log.
     pub level: String,
+    /// Whether the stand-ins log each execution.
+    pub journal: bool,
 }
 
 impl Spec {
@@ -44,9 +46,16 @@
             replicas,
             servers: Vec::new(),
             level: "info".to_owned(),
+            journal: false,
         }
     }
 
+    /// Lets the stand-ins log each execution; see [`crate::journal`].
+    pub fn with_journal(mut self) -> Self {
+        self.journal = true;
+        self
+    }
+
     /// Adds `count` backend servers of one service, spread over three failure domains.
     pub fn with_service(mut self, service: &str, count: usize, slots: u32, delay_ms: u64) -> Self {
         for number in 1..=count {
