node: end a session by what arrives, not by what leaves

Cause: the time without a frame from control was restarted by every renewal that was sent, every 150 ms, so it never passed. A node stayed connected to a paused leader for as long as the socket took its frames; all leases ended and nobody served until that leader was resumed. Change: only arriving frames put the end of the session off.

--- a/crates/node/src/coordinator/session.rs
+++ b/crates/node/src/coordinator/session.rs
@@ -75,10 +75,16 @@
     let (sender, mut queue) = mpsc::channel(QUEUE);
     let up = event::Event::SessionUp(sender);
     events.send(up).await.map_err(io::Error::other)?;
+    // Renewals leave all the time, so only what arrives may put the end off: the socket
+    // of a paused leader goes on taking them.
+    let silence = tokio::time::sleep(SILENCE);
+    tokio::pin!(silence);
     loop {
         tokio::select! {
-            received = tokio::time::timeout(SILENCE, frames.next()) => {
-                let Some(received) = received? else {
+            () = &mut silence => return Err(io::ErrorKind::TimedOut.into()),
+            received = frames.next() => {
+                silence.as_mut().reset(tokio::time::Instant::now() + SILENCE);
+                let Some(received) = received else {
                     return Ok(());
                 };
                 let received = received?;
