node: hand slices on only when the backend server starts none of their requests

Cause: a request whose caller has given up may still lie unread in a socket of a paused backend server. Its lease has not ended and the revocation was not waited for, so the server, once resumed, executed it under the old epoch after the next owner had served the key. The same happened when a node gave up its slices with Leaving because its backend server was silent. Change: Released is sent once the backend server has taken the revocation or the lease at the closing of the slice has ended; a node that gives up its slices lets its lease end; a node that stops says Leaving only when it holds nothing. Before (tests/ownership.rs, 3 of 3 and 1 of 1 runs): a_paused_backend_server_runs_nothing_of_a_released_slice: 'Execution { refunds-2, epoch: 37 } after Execution { refunds-1, epoch: 43 }'; a_silent_backend_server_runs_nothing_after_its_slices_moved: '{ refunds-3, epoch: 22 } after { refunds-2, epoch: 24 }'. After: both pass in 3 of 3 runs. Cost: after a restart of a backend server its keys wait for the end of the lease (735 ms), as after a loss of the VM.

--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -7,6 +7,7 @@
 
 pub mod event;
 pub mod exports;
+mod release;
 pub mod session;
 pub mod state;
 
@@ -211,18 +212,11 @@
                         let _ = events.send(event::Event::Granted(grant, taken)).await;
                     });
                 }
-                state::Effect::Revoke(grant, service, range) => {
-                    self.command(move |commander, _| async move {
-                        let revoked = commander.revoke(&service, range, grant.epoch).await;
-                        if let Err(error) = revoked {
-                            tracing::warn!(%error, "a slice was not revoked");
-                        }
-                    });
-                }
-                state::Effect::AwaitIdle(grant, slice) => {
-                    let events = self.events.clone();
+                state::Effect::Release(grant, service, slice) => {
+                    let until = self.state.lease_until();
+                    let (commander, events) = (self.commander.clone(), self.events.clone());
                     task::spawn_local(async move {
-                        slice.wait_idle().await;
+                        release::settled(&slice, &service, commander.as_deref(), until).await;
                         let export = slice.export();
                         let _ = events.send(event::Event::Idle(grant, export)).await;
                     });
--- a/crates/node/src/coordinator/state.rs
+++ b/crates/node/src/coordinator/state.rs
@@ -56,10 +56,8 @@
     Prepare(String, range::Range),
     /// Grant a slice to the backend server.
     Grant(event::Grant, String, range::Range),
-    /// Revoke a slice from the backend server.
-    Revoke(event::Grant, String, range::Range),
-    /// Wait until the closed slice is idle, then report it.
-    AwaitIdle(event::Grant, sync::Arc<owned::Slice>),
+    /// Wait until the closed slice is idle, revoke it from the backend server, then report it.
+    Release(event::Grant, String, sync::Arc<owned::Slice>),
 }
 
 /// State of the coordinator.
@@ -180,12 +178,12 @@
     }
 
     /// Gives everything up and joins as a new run later.
+    ///
+    /// Control is not told, so that the lease has to end before the slices move: a backend
+    /// server that is only silent, or replaced while it was paused, may still start a
+    /// request that carries this lease.
     fn leave(&mut self, cause: &'static str) {
         tracing::warn!(cause, "node gives up its slices");
-        if self.connected && self.me.is_some() {
-            let leaving = session::Leaving {};
-            self.effects.push(Effect::Send(leaving.into()));
-        }
         self.forget_run();
         self.effects.push(Effect::Disconnect);
     }
--- a/crates/node/src/coordinator/state/grants.rs
+++ b/crates/node/src/coordinator/state/grants.rs
@@ -209,7 +209,8 @@
     fn start_release(&mut self, grant: event::Grant, slice: sync::Arc<owned::Slice>) {
         slice.close();
         self.releasing.insert(grant, None);
-        self.effects.push(Effect::AwaitIdle(grant, slice));
+        let name = self.service_name(grant.service);
+        self.effects.push(Effect::Release(grant, name, slice));
     }
 
     /// A closed slice is idle.
@@ -218,12 +219,7 @@
             return;
         }
         let owned = sync::Arc::make_mut(&mut self.owned);
-        let slice = owned.remove(&(grant.service, grant.start));
-        if let Some(slice) = slice {
-            let name = self.service_name(grant.service);
-            self.effects
-                .push(Effect::Revoke(grant, name, slice.range()));
-        }
+        owned.remove(&(grant.service, grant.start));
         self.send_released(grant, export.as_ref());
         self.releasing.insert(grant, export);
     }
@@ -268,9 +264,11 @@
         }
     }
 
-    /// Tells control that this run holds nothing any more.
+    /// Tells control that this run holds nothing any more, if that is so.
+    ///
+    /// Otherwise requests are still in flight, and the lease has to end by itself.
     pub fn say_leaving(&mut self) {
-        if self.connected {
+        if self.connected && self.owned.is_empty() {
             let leaving = session::Leaving {};
             self.effects.push(Effect::Send(leaving.into()));
         }
