harness: a pause returns when the process has stopped

Cause: SIGSTOP takes effect after kill(2) returns; one of two runs of a_node_resumed_beside_a_live_backend_server_refuses saw an answer of before the pause. Change: wait for the stop with waitid.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -120,9 +120,15 @@
         }
     }
 
-    /// Pauses it.
+    /// Pauses it; returns when each of its threads has stopped.
     pub fn pause(&self) {
         self.signal(process::Signal::STOP);
+        let id = i32::try_from(self.child.id()).ok();
+        if let Some(id) = id.and_then(process::Pid::from_raw) {
+            // Only the stop is asked for, so that the end of the process stays for `Child`.
+            let stopped = process::WaitIdOptions::STOPPED;
+            let _ = process::waitid(process::WaitId::Pid(id), stopped);
+        }
     }
 
     /// Resumes it.
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -357,14 +357,12 @@
             .caller()
             .to_owned()
     };
-    let mut number = 2;
     let mut last = (first, epoch);
-    for round in 0..3 {
+    for (number, round) in (2..).zip(0..3) {
         // A planned move.
         let target = (last.0 + 1) % world.pairs.len();
         let name = world.pairs[target].server.name.clone();
         support::pin(&world, number, KEY, &name).await;
-        number += 1;
         let epoch = support::wait_owner(&world, KEY, target).await;
         support::served_after(&world, &entry(&world, target), KEY, epoch - 1).await;
         // A pause of the owner past its lease: of its VM or only of its node.
