node: keep the record of ids of the upper part of a split slice

Cause: the parts of a split were made one after the other, and the first one replaced the old slice. The second found no source, was granted anew and got an empty record under the same epoch, so ids that had run were run again, and requests in flight were not waited for at a move. A merge with a slice that the backend server had not taken yet lost the record in the same way, and the coverage was compared in floating point. Change: all parts are made out of the slices as they were before; coverage is counted in positions; a grant that overlaps owned slices keeps their records, and only uncovered positions get a new one.

--- a/crates/node/src/coordinator/state/grants.rs
+++ b/crates/node/src/coordinator/state/grants.rs
@@ -20,8 +20,10 @@
     pub(super) fn sync_owned(&mut self) {
         let held = self.held();
         self.drop_lost(&held);
+        // The parts of a split are all made out of the slices as they were before it.
+        let before = sync::Arc::clone(&self.owned);
         for (grant, range) in held {
-            self.take_held(grant, range);
+            self.take_held(&before, grant, range);
         }
     }
 
@@ -71,7 +73,7 @@
             .retain(|grant| held.iter().any(|(one, _)| one == grant));
     }
 
-    fn take_held(&mut self, grant: event::Grant, range: range::Range) {
+    fn take_held(&mut self, before: &published::Owned, grant: event::Grant, range: range::Range) {
         if self.releasing.contains_key(&grant) || self.granting.contains(&grant) {
             return;
         }
@@ -79,57 +81,44 @@
         if known.is_some_and(|slice| slice.epoch() == grant.epoch && slice.range() == range) {
             return;
         }
-        if self.reshape(grant, range) {
-            return;
+        let sources = overlapping(before, grant, range);
+        // The backend server has taken these grants already if they cover the whole slice.
+        let covered: u128 = sources
+            .iter()
+            .map(|slice| overlap(slice.range(), range))
+            .sum();
+        let latest = sources.iter().map(|slice| slice.epoch()).max();
+        if latest == Some(grant.epoch) && covered == overlap(range, range) {
+            return self.reshape(grant, range, &sources);
         }
         self.granting.insert(grant);
         let name = self.service_name(grant.service);
         self.effects.push(Effect::Grant(grant, name, range));
     }
 
-    /// Makes a slice out of owned ones, after a split or merge of the same grants.
-    fn reshape(&mut self, grant: event::Grant, range: range::Range) -> bool {
-        let sources: Vec<_> = self
-            .owned
-            .values()
-            .filter(|slice| {
-                let overlap =
-                    slice.range().first <= range.last && range.first <= slice.range().last;
-                slice.service() == grant.service && overlap
-            })
-            .cloned()
-            .collect();
-        let covered: f64 = sources
-            .iter()
-            .map(|slice| overlap(slice.range(), range))
-            .sum();
-        let same_run = sources.iter().all(|slice| slice.epoch() <= grant.epoch);
-        let latest = sources.iter().map(|slice| slice.epoch()).max();
-        // A later epoch than any source means a new grant, which the backend server must take.
-        if latest != Some(grant.epoch) || !same_run || covered < range.share() {
-            return false;
-        }
+    /// Makes a slice out of owned ones, which keeps their records and requests in flight.
+    fn reshape(
+        &mut self,
+        grant: event::Grant,
+        range: range::Range,
+        sources: &[sync::Arc<owned::Slice>],
+    ) {
         let borrowed = sources.iter().map(sync::Arc::as_ref);
-        let Some(made) = owned::Slice::with_parts_of(range, grant.epoch, borrowed) else {
-            return false;
+        let made = owned::Slice::with_parts_of(range, grant.epoch, borrowed, self.limits);
+        let Some(made) = made else {
+            return;
         };
         let owned = sync::Arc::make_mut(&mut self.owned);
-        for slice in &sources {
-            let first = slice.range().first;
-            let inside = range.contains(first) && first != grant.start;
-            if inside {
-                owned.remove(&(grant.service, first));
-            }
-        }
         // The old slices take no new requests, but those in flight still count.
-        for slice in &sources {
-            let replaced = !owned.values().any(|other| sync::Arc::ptr_eq(other, slice));
-            if replaced || slice.range().first == grant.start {
-                slice.close();
+        for slice in sources {
+            slice.close();
+            let place = (grant.service, slice.range().first);
+            let present = owned.get(&place);
+            if present.is_some_and(|present| sync::Arc::ptr_eq(present, slice)) {
+                owned.remove(&place);
             }
         }
         owned.insert((grant.service, grant.start), sync::Arc::new(made));
-        true
     }
 
     /// The backend server has taken a grant, or not.
@@ -148,8 +137,6 @@
             self.effects.push(Effect::Grant(grant, name, range));
             return;
         }
-        let window = self.window_of(grant);
-        let slice = owned::Slice::new(grant.service, range, grant.epoch, window);
         tracing::info!(
             target: "sequoiayoke::placement",
             service = self.service_name(grant.service),
@@ -158,6 +145,13 @@
             epoch = grant.epoch.0,
             "slice is owned"
         );
+        let sources = overlapping(&self.owned, grant, range);
+        if !sources.is_empty() {
+            // Merged with a slice that was owned before: its record must not be lost.
+            return self.reshape(grant, range, &sources);
+        }
+        let window = self.window_of(grant);
+        let slice = owned::Slice::new(grant.service, range, grant.epoch, window);
         let owned = sync::Arc::make_mut(&mut self.owned);
         owned.insert((grant.service, grant.start), sync::Arc::new(slice));
     }
@@ -280,11 +274,26 @@
     }
 }
 
-fn overlap(one: range::Range, other: range::Range) -> f64 {
+/// Lists the owned slices that lie in `range`, or partly.
+fn overlapping(
+    owned: &published::Owned,
+    grant: event::Grant,
+    range: range::Range,
+) -> Vec<sync::Arc<owned::Slice>> {
+    let slices = owned.values().filter(|slice| {
+        slice.service() == grant.service
+            && slice.epoch() <= grant.epoch
+            && overlap(slice.range(), range) > 0
+    });
+    slices.cloned().collect()
+}
+
+/// Counts the positions that lie in both ranges.
+fn overlap(one: range::Range, other: range::Range) -> u128 {
     let first = one.first.max(other.first);
     let last = one.last.min(other.last);
     match first <= last {
-        true => range::Range { first, last }.share(),
-        false => 0.0,
+        true => u128::from(last.0 - first.0) + 1,
+        false => 0,
     }
 }
--- a/crates/node/src/traffic/owned.rs
+++ b/crates/node/src/traffic/owned.rs
@@ -66,6 +66,16 @@
     window: sync::Arc<sync::Mutex<window::Window>>,
 }
 
+impl Part {
+    fn new(range: range::Range, epoch: id::Epoch, limits: window::Limits) -> Self {
+        let window = window::Window::new(epoch, limits);
+        Self {
+            range,
+            window: sync::Arc::new(sync::Mutex::new(window)),
+        }
+    }
+}
+
 /// A slice that this node owns under one epoch.
 #[derive(Debug)]
 pub struct Slice {
@@ -138,7 +148,14 @@
     }
 
     /// Makes the slice `range` out of slices of the same holder, after a split or merge.
-    pub fn with_parts_of<'a, I>(range: range::Range, epoch: id::Epoch, slices: I) -> Option<Self>
+    ///
+    /// What they do not cover was not served under `epoch` before, and gets a new record.
+    pub fn with_parts_of<'a, I>(
+        range: range::Range,
+        epoch: id::Epoch,
+        slices: I,
+        limits: window::Limits,
+    ) -> Option<Self>
     where
         I: IntoIterator<Item = &'a Self>,
     {
@@ -157,13 +174,33 @@
             let busy = slice.earlier.iter().filter(|gauge| gauge.count() > 0);
             made.earlier.extend(busy.cloned());
         }
-        let made = made?;
+        let mut made = made?;
         for part in &made.parts {
             lock(&part.window).advance(epoch);
         }
+        made.fill_gaps(limits);
         Some(made)
     }
 
+    fn fill_gaps(&mut self, limits: window::Limits) {
+        self.parts.sort_by_key(|part| part.range.first);
+        let mut parts = Vec::with_capacity(self.parts.len());
+        let mut next = Some(self.range.first);
+        for part in self.parts.drain(..) {
+            if let Some(first) = next.filter(|first| *first < part.range.first) {
+                let last = key::Hash(part.range.first.0 - 1);
+                parts.push(Part::new(range::Range { first, last }, self.epoch, limits));
+            }
+            next = part.range.last.0.checked_add(1).map(key::Hash);
+            parts.push(part);
+        }
+        if let Some(first) = next.filter(|first| *first <= self.range.last) {
+            let last = self.range.last;
+            parts.push(Part::new(range::Range { first, last }, self.epoch, limits));
+        }
+        self.parts = parts;
+    }
+
     fn parts_within(&self, range: range::Range) -> impl Iterator<Item = Part> {
         self.parts.iter().filter_map(move |part| {
             let first = part.range.first.max(range.first);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -84,10 +84,25 @@
 
 /// Sends writes until one is answered by a later epoch than `epoch`.
 pub(crate) async fn served_after(world: &World, entry: &str, key: &str, epoch: u64) -> Answer {
+    served_within(world, entry, key, epoch, SHORT).await
+}
+
+/// As [`served_after`], for backend servers that take longer than [`SHORT`].
+pub(crate) async fn served_slowly(world: &World, entry: &str, key: &str, epoch: u64) -> Answer {
+    served_within(world, entry, key, epoch, DEADLINE).await
+}
+
+async fn served_within(
+    world: &World,
+    entry: &str,
+    key: &str,
+    epoch: u64,
+    deadline: Duration,
+) -> Answer {
     let start = Instant::now();
     let mut last = None;
     while start.elapsed() < PATIENCE {
-        let sent = post(world.http(), entry, key, None, SHORT).await;
+        let sent = post(world.http(), entry, key, None, deadline).await;
         match sent {
             Ok(answer) if answer.outcome == "answered" && answer.epoch > epoch => return answer,
             other => last = Some(other),
