node: drop records of ids that another owner has followed

Cause: a record that came with a planned move was kept under the start of its slice until this node got that slice, however much later. After a move that failed and another owner, the node took the old record for complete and ran ids that had run under that owner. Before (crates/node/tests/records.rs): a_record_from_before_another_owner_is_not_used and a_record_from_before_a_snapshot_is_not_used: 'assertion failed: !node.runs(ran_there)'. After: 4 of 4 tests pass.

--- a/crates/node/src/coordinator/state.rs
+++ b/crates/node/src/coordinator/state.rs
@@ -318,6 +318,7 @@
                 return;
             }
         };
+        self.drop_outdated(from, &parts);
         view.apply(to, parts);
         self.view = sync::Arc::new(view);
         self.sync_owned();
--- a/crates/node/src/coordinator/state/grants.rs
+++ b/crates/node/src/coordinator/state/grants.rs
@@ -5,6 +5,8 @@
 use sequoiayoke_model::id;
 use sequoiayoke_model::key;
 use sequoiayoke_model::range;
+use sequoiayoke_model::table;
+use sequoiayoke_model::view;
 use sequoiayoke_traffic::window;
 use sequoiayoke_wire::session;
 
@@ -29,15 +31,10 @@
 
     /// Lists the slices that the view says this run holds.
     fn held(&self) -> Vec<(event::Grant, range::Range)> {
-        let Some(me) = self.me else {
-            return Vec::new();
-        };
         let mut held = Vec::new();
         for (service, table) in self.view.tables() {
             for (slice, range) in table.iter() {
-                let mine = slice.holder.filter(|holder| {
-                    holder.server == me.server && holder.incarnation == me.incarnation
-                });
+                let mine = slice.holder.filter(|holder| self.is_me(holder));
                 if let Some(holder) = mine {
                     let grant = event::Grant {
                         service,
@@ -182,6 +179,39 @@
         }
     }
 
+    /// Drops the records of earlier owners that another owner may have followed.
+    ///
+    /// Such a record misses the ids that ran under that owner, for example after a move
+    /// to this node that failed. A snapshot does not show who came in between.
+    pub(super) fn drop_outdated(&mut self, from: id::Version, changes: &[view::Change]) {
+        if from == id::Version(0) {
+            self.prepared.clear();
+        }
+        for change in changes {
+            match change {
+                view::Change::Slice(service, slice) => {
+                    let place = (*service, slice.start);
+                    let holder = slice.holder.filter(|one| !self.is_me(one));
+                    let export = self.prepared.get(&place);
+                    if let (Some(holder), Some(export)) = (holder, export)
+                        && holder.epoch != export.epoch
+                    {
+                        self.prepared.remove(&place);
+                    }
+                }
+                view::Change::SliceMerged(service, start) => {
+                    self.prepared.remove(&(*service, *start));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn is_me(&self, holder: &table::Holder) -> bool {
+        self.me
+            .is_some_and(|me| holder.server == me.server && holder.incarnation == me.incarnation)
+    }
+
     /// A slice is to be released to another owner.
     pub(super) fn release(&mut self, release: &session::Release) {
         let grant = event::Grant {
--- /dev/null
+++ b/crates/node/tests/records.rs
@@ -0,0 +1,193 @@
+//! Records of request ids over grants, splits and moves, as control's frames bring them.
+
+#![allow(clippy::unwrap_used)]
+
+use sequoiayoke_lease::holder;
+use sequoiayoke_model::{clock, id, key, range, request, table, view};
+use sequoiayoke_node::coordinator::state;
+use sequoiayoke_node::traffic::server;
+use sequoiayoke_traffic::window;
+use sequoiayoke_wire::{convert, session};
+
+const SERVICE: id::Service = id::Service(1);
+const NOW: clock::Instant = clock::Instant::from_micros(1_000_000);
+
+/// A node that has joined, with incarnation 4 of server 1.
+struct Node {
+    state: state::State,
+    version: u64,
+}
+
+impl Node {
+    fn new() -> Self {
+        let address = "127.0.0.1:1".parse().unwrap();
+        let place = state::Place {
+            region: "anatolia".to_owned(),
+            failure_domain: "domain-1".to_owned(),
+            peer_address: address,
+            caller_address: address,
+            max_slots: None,
+        };
+        let lease = holder::Config::default();
+        let mut state = state::State::new(place, lease, window::Limits::default());
+        state.session_up();
+        state.announced(
+            NOW,
+            server::Backend {
+                name: "refunds-1".to_owned(),
+                instance: "a".to_owned(),
+                services: vec!["refunds".to_owned()],
+                address,
+                slots: 4,
+                connections: 4,
+                checks_fencing: true,
+                checks_sender: false,
+            },
+        );
+        let (server, incarnation) = (1, 4);
+        let welcome = session::Welcome {
+            server,
+            incarnation,
+        };
+        state.received(NOW, welcome.into());
+        let mut node = Self { state, version: 0 };
+        let service = view::Service {
+            name: "refunds".to_owned(),
+            idempotent: vec!["GET".to_owned()],
+            scoped: false,
+        };
+        node.change(&[view::Change::Service(SERVICE, service)]);
+        node
+    }
+
+    /// Brings changes of the view, and lets the backend server take every grant.
+    fn change(&mut self, changes: &[view::Change]) {
+        let from = self.version;
+        self.version += 1;
+        let delta = session::Delta {
+            from,
+            to: self.version,
+            changes: changes.iter().map(convert::change).collect(),
+            more: false,
+        };
+        self.state.received(NOW, delta.into());
+        for effect in self.state.take_effects() {
+            if let state::Effect::Grant(grant, ..) = effect {
+                self.state.granted(grant, Ok(()));
+            }
+        }
+    }
+
+    /// Sends an id to the owned slice around `hash`; tells whether it may run.
+    fn runs(&self, id: request::Id, hash: key::Hash) -> bool {
+        let snapshot = self.state.snapshot();
+        let slice = snapshot.owned_slice(SERVICE, hash).unwrap();
+        match slice.begin(id, hash, |_| ()) {
+            Ok(run) => {
+                run.end(window::End::Answered(None));
+                true
+            }
+            Err(()) => false,
+        }
+    }
+}
+
+fn slice(start: u64, server: u32, incarnation: u64, epoch: u64) -> view::Change {
+    let holder = table::Holder {
+        server: id::Server(server),
+        incarnation: id::Incarnation(incarnation),
+        epoch: id::Epoch(epoch),
+    };
+    let slice = table::Slice {
+        start: key::Hash(start),
+        holder: Some(holder),
+    };
+    view::Change::Slice(SERVICE, slice)
+}
+
+fn prepare(epoch: u64) -> session::FromControl {
+    let window = session::Window {
+        since: 5,
+        floor: 0,
+        entries: Vec::new(),
+    };
+    let prepare = session::Prepare {
+        service: SERVICE.0,
+        start: 0,
+        window: Some(window),
+        epoch,
+    };
+    prepare.into()
+}
+
+/// Guards against the record of an earlier move that failed, which knows nothing of the
+/// owner that came in between.
+#[test]
+fn a_record_from_before_another_owner_is_not_used() {
+    let mut node = Node::new();
+    node.change(&[slice(0, 2, 3, 10)]);
+    node.state.received(NOW, prepare(10));
+    // The move to this node fails; server 3 gets the slice, runs ids, and is lost.
+    node.change(&[slice(0, 3, 6, 20)]);
+    node.change(&[slice(0, 1, 4, 30)]);
+    let ran_there = request::Id::new(id::Epoch(20), 1_000, 1);
+    assert!(!node.runs(ran_there, key::Hash(7)));
+    assert!(node.runs(request::Id::new(id::Epoch(30), 1_000, 2), key::Hash(7)));
+}
+
+/// Guards against a snapshot that hides the owner that came in between.
+#[test]
+fn a_record_from_before_a_snapshot_is_not_used() {
+    let mut node = Node::new();
+    node.change(&[slice(0, 2, 3, 10)]);
+    node.state.received(NOW, prepare(10));
+    node.version = 0;
+    let service = view::Service {
+        name: "refunds".to_owned(),
+        idempotent: Vec::new(),
+        scoped: false,
+    };
+    node.change(&[view::Change::Service(SERVICE, service), slice(0, 1, 4, 30)]);
+    let ran_there = request::Id::new(id::Epoch(20), 1_000, 1);
+    assert!(!node.runs(ran_there, key::Hash(7)));
+}
+
+/// Guards against a planned move that loses the record.
+#[test]
+fn the_record_of_the_owner_before_is_used() {
+    let mut node = Node::new();
+    node.change(&[slice(0, 2, 3, 10)]);
+    node.state.received(NOW, prepare(10));
+    node.change(&[slice(0, 1, 4, 30)]);
+    assert!(node.runs(request::Id::new(id::Epoch(10), 1_000, 1), key::Hash(7)));
+}
+
+/// Guards against splits and merges that lose the record of a part, in any order.
+#[test]
+fn splits_and_merges_keep_the_records() {
+    let mut node = Node::new();
+    node.change(&[slice(0, 1, 4, 10)]);
+    let hashes = [0, 50, 100, 150, u64::MAX].map(key::Hash);
+    let id = |hash: key::Hash| request::Id::new(id::Epoch(10), 1_000, hash.0);
+    for hash in hashes {
+        assert!(node.runs(id(hash), hash));
+    }
+    let steps: [&[view::Change]; 4] = [
+        &[slice(100, 1, 4, 10)],
+        &[slice(101, 1, 4, 10), slice(50, 1, 4, 10)],
+        &[view::Change::SliceMerged(SERVICE, key::Hash(101))],
+        &[
+            view::Change::SliceMerged(SERVICE, key::Hash(50)),
+            view::Change::SliceMerged(SERVICE, key::Hash(100)),
+        ],
+    ];
+    for (number, step) in steps.into_iter().enumerate() {
+        node.change(step);
+        for hash in hashes {
+            assert!(!node.runs(id(hash), hash), "{hash} after step {number}");
+        }
+    }
+    let snapshot = node.state.snapshot();
+    let whole = snapshot.owned_slice(SERVICE, key::Hash(0)).unwrap();
+    assert_eq!(whole.range(), range::Range::FULL);
+}
