--- a/crates/control/src/traffic/peers.rs
+++ b/crates/control/src/traffic/peers.rs
@@ -41,6 +41,10 @@
 }
 
 async fn one_dial(link: &mut Link, config: &Config) -> io::Result<()> {
+    let mut hello = config.hello.clone();
+    // An empty one is there until the coordinator has started; it would name another region.
+    let named = hello.wait_for(|hello| !hello.name.is_empty()).await;
+    drop(named.map_err(io::Error::other)?);
     let connecting = async {
         let io = TcpStream::connect(link.address).await?;
         io.set_nodelay(true)?;
@@ -48,7 +52,6 @@
     };
     let io = tokio::time::timeout(config.connect, connecting).await??;
     let mut frames = Framed::new(io, frame::Codec::new());
-    let mut hello = config.hello.clone();
     let mut due = true;
     loop {
         if due {
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod operator;
 pub mod process;
 pub mod settings;
 
