--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod fault;
 pub mod journal;
+pub mod operator;
 pub mod process;
 pub mod settings;
 pub mod usage;
