Add metrics of nodes and control replicas

Cause: operators had no figures of outcomes, load, leases or placement. Change: a node renders metrics on GET /metrics of the optional setting listen.metrics, run by the traffic supervisor; traffic threads count ended requests with labels made once for each service, and the rest is read when the metrics are rendered. A control replica renders its own on the operators' listener, as a leader and as a follower; the coordinator counts placements, assigned slices and tickets, and makes all other figures on request. docs/metrics.md lists every metric; tests compare it with what is rendered.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -21,6 +21,8 @@
     pub const CHECK: &str = "/v1/tickets/check";
     /// Shows the state of the control plane (`GET`).
     pub const STATUS: &str = "/v1/status";
+    /// Metrics as Prometheus text (`GET`), from every replica.
+    pub const METRICS: &str = "/metrics";
     /// Explains who owns a key (`GET`), followed by `/{service}/{key}`.
     pub const EXPLAIN: &str = "/v1/explain";
 }
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -8,6 +8,7 @@
 pub mod codec;
 pub mod documents;
 pub mod event;
+mod figures;
 pub mod formation;
 pub mod leader;
 pub mod publish;
@@ -180,6 +181,8 @@
                 }
             }
             event::Event::Operator(request) => self.operator(request),
+            // Whoever asked may have given up.
+            event::Event::Figures(reply) => drop(reply.send(self.figures())),
         }
         Ok(())
     }
--- a/crates/control/src/coordinator/event.rs
+++ b/crates/control/src/coordinator/event.rs
@@ -8,6 +8,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::measure;
+
 slotmap::new_key_type! {
     /// A session with a node.
     pub struct Session;
@@ -28,6 +30,8 @@
     NodeDown(Session),
     /// An operator asks.
     Operator(Request),
+    /// The metrics are to be rendered.
+    Figures(oneshot::Sender<measure::Figures>),
 }
 
 /// Where the answer to an operator goes.
--- a/crates/control/src/coordinator/leader.rs
+++ b/crates/control/src/coordinator/leader.rs
@@ -8,8 +8,10 @@
 mod operators;
 mod reports;
 mod sessions;
+mod vacancy;
 
 use std::collections;
+use std::sync;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +31,7 @@
 
 use super::event;
 use super::replica;
+use crate::measure;
 
 /// Time after an election in which nodes find the leader before slices are assigned.
 ///
@@ -44,6 +47,8 @@
     pub lease: registry::Config,
     /// Placement.
     pub placement: placement::Config,
+    /// Metrics of this replica.
+    pub measure: sync::Arc<measure::Measure>,
 }
 
 /// Who waits for a command to take effect.
@@ -101,6 +106,7 @@
     released: collections::BTreeMap<Place, moves::Released>,
     waiting: collections::BTreeMap<position::Index, (position::Term, Waiter)>,
     proposals: Vec<Proposal>,
+    vacancy: vacancy::Vacancy,
 }
 
 impl Leader {
@@ -125,6 +131,7 @@
             released: collections::BTreeMap::new(),
             waiting: collections::BTreeMap::new(),
             proposals: Vec::new(),
+            vacancy: vacancy::Vacancy::new(now, machine.view()),
         };
         leader.load_plan(machine, now);
         leader
@@ -172,6 +179,7 @@
             for change in &done.changes {
                 self.note_change(now, machine, change);
             }
+            self.count_assigned(machine, &done.changes);
             if let Some((server, incarnation)) = done.joined {
                 let member = registry::Member::new(server, incarnation);
                 self.note_join(now, member, done.repeated);
--- a/crates/control/src/coordinator/leader/moves.rs
+++ b/crates/control/src/coordinator/leader/moves.rs
@@ -100,9 +100,11 @@
                 self.transfers.remove(&place);
                 self.released.remove(&place);
                 self.planner.slice_changed(now, *service, slice);
+                self.vacancy.changed(now, *service, slice);
             }
             view::Change::SliceMerged(service, start) => {
                 self.planner.slice_merged(*service, *start);
+                self.vacancy.ended(now, (*service, *start));
             }
             view::Change::Caller(..) => {}
         }
@@ -184,6 +186,8 @@
         let mut moves = Vec::new();
         for action in self.planner.plan(now) {
             log(machine, &action);
+            let measure = &self.config.measure;
+            measure.placed(action.kind(), action.cause().word());
             match action {
                 action::Action::Assign {
                     service,
--- a/crates/control/src/coordinator/leader/operators.rs
+++ b/crates/control/src/coordinator/leader/operators.rs
@@ -15,6 +15,7 @@
 use crate::coordinator::documents;
 use crate::coordinator::event;
 use crate::coordinator::replica;
+use crate::measure;
 
 /// Events that an explanation shows at most.
 const MAX_HISTORY: usize = 20;
@@ -60,6 +61,48 @@
         }
     }
 
+    /// Fills in what only a leader knows.
+    pub fn figures(
+        &mut self,
+        now: clock::Instant,
+        machine: &machine::Machine,
+        base: status::Status,
+        figures: &mut measure::Figures,
+    ) {
+        let confirmation = self.leases.confirmed(machine.view().version());
+        figures.leads = true;
+        figures.live = confirmation.live;
+        figures.behind = confirmation.live.saturating_sub(confirmation.confirmed);
+        figures.sessions = self.sessions.len();
+        let services = self.status(now, machine, base).services;
+        let services = services.into_iter().zip(machine.services());
+        let services = services.map(|(service, (id, _))| measure::Service {
+            unavailable_ms: self.vacancy.take_ms(now, id),
+            name: service.name,
+            slices: service.slices,
+            vacant: service.vacant,
+            imbalance: service.imbalance,
+        });
+        figures.services = services.collect();
+    }
+
+    /// Counts the slices that got a holder.
+    pub(super) fn count_assigned(&self, machine: &machine::Machine, changes: &[view::Change]) {
+        let mut counts = collections::BTreeMap::<id::Service, u64>::new();
+        for change in changes {
+            if let view::Change::Slice(service, slice) = change
+                && slice.holder.is_some()
+            {
+                *counts.entry(*service).or_default() += 1;
+            }
+        }
+        for (id, count) in counts {
+            if let Some(service) = machine.service(id) {
+                self.config.measure.assigned(&service.name, count);
+            }
+        }
+    }
+
     fn submit(&mut self, document: &ticket::Ticket, reply: event::Reply<accepted::Accepted>) {
         match documents::to_ticket(document) {
             Ok(ticket) => {
@@ -79,8 +122,13 @@
         reply: event::Reply<accepted::Accepted>,
         applied: &replica::Applied,
     ) {
+        let measure = &self.config.measure;
         let answer = match &applied.result {
             Ok(done) => {
+                measure.ticket(match done.repeated {
+                    true => "repeated",
+                    false => "accepted",
+                });
                 let version = done.accepted.unwrap_or_default();
                 tracing::info!(
                     ticket = number.0,
@@ -97,6 +145,7 @@
                 })
             }
             Err(refusal) => {
+                measure.ticket("refused");
                 tracing::info!(ticket = number.0, %refusal, "ticket refused");
                 Err(documents::refusal(number, refusal.clone()))
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 //! threads, which only move bytes between sockets and the coordinator.
 
 pub mod coordinator;
+pub mod measure;
 pub mod root;
 pub mod traffic;
 
--- a/crates/control/src/root.rs
+++ b/crates/control/src/root.rs
@@ -24,6 +24,7 @@
 
 use crate::coordinator;
 use crate::coordinator::{event, formation, leader};
+use crate::measure;
 use crate::traffic;
 
 /// Frames that may wait for one replica.
@@ -96,6 +97,7 @@
         let (events, inbox) = mpsc::channel(coordinator::QUEUE);
         let (hello, heard) = watch::channel(replica::Hello::default());
         let (peers, links) = peers(settings);
+        let measure = sync::Arc::new(measure::Measure::new().change_context(Error::Start)?);
         let stop = Stop::new();
         let traffic_stop = Stop::new();
         let coordinator = start_coordinator(
@@ -103,6 +105,7 @@
             peers,
             hello,
             inbox,
+            sync::Arc::clone(&measure),
             stop.clone(),
             traffic_stop.clone(),
         )?;
@@ -111,6 +114,7 @@
             connect: CONNECT,
             events,
             hello: heard,
+            measure,
             stop: traffic_stop,
         };
         let traffic = start_traffic(settings, listeners, links, config, stop.clone())?;
@@ -197,7 +201,10 @@
     }
 }
 
-fn leader_config(settings: &control::Control) -> leader::Config {
+fn leader_config(
+    settings: &control::Control,
+    measure: sync::Arc<measure::Measure>,
+) -> leader::Config {
     let (timing, moves) = (&settings.timing, &settings.placement);
     leader::Config {
         region: settings.region.clone(),
@@ -224,6 +231,7 @@
             warm_up: Duration::from_millis(moves.warm_up_ms),
             ill_time: Duration::from_millis(moves.ill_ms),
         },
+        measure,
     }
 }
 
@@ -232,6 +240,7 @@
     peers: Vec<coordinator::Peer>,
     hello: watch::Sender<replica::Hello>,
     inbox: mpsc::Receiver<event::Event>,
+    measure: sync::Arc<measure::Measure>,
     stop: Stop,
     traffic_stop: Stop,
 ) -> Result<thread::JoinHandle<supervisor::Outcome>> {
@@ -249,7 +258,7 @@
     )
     .change_context_lazy(unusable)?;
     let config = coordinator::Config {
-        leader: leader_config(settings),
+        leader: leader_config(settings, measure),
         log: log_config(settings),
         peers,
     };
--- a/crates/control/src/traffic.rs
+++ b/crates/control/src/traffic.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 
 use crate::coordinator::event;
+use crate::measure;
 
 /// Restarts of listeners within [`WINDOW`].
 pub const RESTARTS: usize = 5;
@@ -58,6 +59,8 @@
     pub events: mpsc::Sender<event::Event>,
     /// What this replica says about itself.
     pub hello: watch::Receiver<replica::Hello>,
+    /// Metrics of this replica.
+    pub measure: sync::Arc<measure::Measure>,
     /// Asks all children to end.
     pub stop: Stop,
 }
@@ -119,7 +122,7 @@
 
 async fn serve_http(listener: TcpListener, config: sync::Arc<Config>) -> supervisor::Outcome {
     let acceptor = listener::TcpAcceptor::from_tokio(listener).map_err(failed)?;
-    let endpoint = operators::Operators::new(config.events.clone());
+    let endpoint = operators::Operators::new(config.events.clone(), config.measure.clone());
     let stopped = config.stop.clone().cancelled_owned();
     poem::Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(endpoint, stopped, Some(Duration::from_secs(1)))
--- a/crates/control/src/traffic/operators.rs
+++ b/crates/control/src/traffic/operators.rs
@@ -2,15 +2,18 @@
 //!
 //! This front end only translates between HTTP and the coordinator's requests.
 
+use std::sync;
 use std::time::Duration;
 
 use poem::http::{Method, StatusCode};
 use sequoiayoke_api::{error, path, ticket};
 use sequoiayoke_model::id;
+use sequoiayoke_telemetry::metrics;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::coordinator::event;
+use crate::measure;
 
 /// Time that an operator waits for an answer before the outcome counts as unknown.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -19,14 +22,18 @@
 #[derive(Clone, Debug)]
 pub struct Operators {
     events: mpsc::Sender<event::Event>,
+    measure: sync::Arc<measure::Measure>,
 }
 
 type Answer = Result<poem::Response, error::Error>;
 
 impl Operators {
     /// Makes the endpoint; requests go to the coordinator.
-    pub const fn new(events: mpsc::Sender<event::Event>) -> Self {
-        Self { events }
+    pub const fn new(
+        events: mpsc::Sender<event::Event>,
+        measure: sync::Arc<measure::Measure>,
+    ) -> Self {
+        Self { events, measure }
     }
 
     async fn answer(&self, mut http: poem::Request) -> Answer {
@@ -43,6 +50,7 @@
                 self.ask(|reply| event::Request::Check(ticket, reply)).await
             }
             (&Method::GET, path::TICKETS) => self.ask(event::Request::List).await,
+            (&Method::GET, path::METRICS) => self.metrics().await,
             (&Method::GET, path::STATUS) => self.ask(event::Request::Status).await,
             (&Method::GET, other) => self.get(other, uri.query().unwrap_or("")).await,
             _ => Err(not_found(uri.path())),
@@ -74,6 +82,25 @@
         self.ask(ask).await
     }
 
+    async fn metrics(&self) -> Answer {
+        let unknown = |detail: &str| error::Error::Unknown {
+            detail: detail.to_owned(),
+        };
+        let (reply, figures) = oneshot::channel();
+        let sent = self.events.send(event::Event::Figures(reply)).await;
+        sent.map_err(|_| unknown("the replica ends"))?;
+        let figures = tokio::time::timeout(TIMEOUT, figures).await;
+        let figures = figures.map_err(|_| unknown("no figures in time"))?;
+        let figures = figures.map_err(|_| unknown("the replica ends"))?;
+        let text = self.measure.render(&figures).map_err(|report| {
+            tracing::error!(?report, "the metrics could not be rendered");
+            unknown("the metrics could not be rendered")
+        })?;
+        Ok(poem::Response::builder()
+            .content_type(metrics::Metrics::CONTENT_TYPE)
+            .body(text))
+    }
+
     async fn ask<F, T>(&self, request: F) -> Answer
     where
         F: FnOnce(event::Reply<T>) -> event::Request,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! read what the coordinator publishes.
 
 pub mod coordinator;
+pub mod measure;
 pub mod published;
 pub mod root;
 pub mod traffic;
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::coordinator;
+use crate::measure;
 use crate::published;
 use crate::traffic;
 use crate::traffic::{callers, path, peers, server};
@@ -51,6 +52,8 @@
     pub peer: net::SocketAddr,
     /// For the backend server.
     pub backend: net::SocketAddr,
+    /// For the collector of metrics, if any.
+    pub metrics: Option<net::SocketAddr>,
 }
 
 /// A running node.
@@ -74,22 +77,32 @@
             caller: bind("caller", settings.listen.caller)?,
             peer: bind("peer", settings.listen.peer)?,
             backend: bind("backend", settings.listen.backend)?,
+            metrics: match settings.listen.metrics {
+                Some(address) => Some(bind("metrics", address)?),
+                None => None,
+            },
         };
         let addresses = Addresses {
             caller: local("caller", &listeners.caller)?,
             peer: local("peer", &listeners.peer)?,
             backend: local("backend", &listeners.backend)?,
+            metrics: match &listeners.metrics {
+                Some(listener) => Some(local("metrics", listener)?),
+                None => None,
+            },
+        };
+        let measure = match listeners.metrics {
+            Some(_) => Some(measure::Measure::new().change_context(Error::Start)?),
+            None => None,
         };
         let published = sync::Arc::new(published::Published::new());
-        let path = sync::Arc::new(path::Path::new(
-            clock::Boot,
-            sync::Arc::clone(&published),
-            peers::dial::Pool::new(dial_config(settings)),
-            path::Limits {
-                waiting: settings.limits.queue,
-                answer_bytes: settings.limits.answer_bytes,
-            },
-        ));
+        let limits = path::Limits {
+            waiting: settings.limits.queue,
+            answer_bytes: settings.limits.answer_bytes,
+        };
+        let pool = peers::dial::Pool::new(dial_config(settings));
+        let path = path::Path::new(clock::Boot, sync::Arc::clone(&published), pool, limits);
+        let path = sync::Arc::new(path.with_measure(measure.map(sync::Arc::new)));
         let (events, inbox) = mpsc::channel(coordinator::QUEUE);
         let stop = Stop::new();
         let traffic_stop = Stop::new();
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -1,7 +1,8 @@
 //! Traffic threads: sockets and requests.
 //!
 //! Children: [`callers`] (HTTP from callers), [`peers`] (frames from and to
-//! other nodes) and [`server`] (the backend server of this VM). A listener that
+//! other nodes), [`server`] (the backend server of this VM) and, if an address is
+//! set for it, [`scrape`] (the collector of metrics). A listener that
 //! fails is restarted at once, at most [`RESTARTS`] times in [`WINDOW`]; then the
 //! traffic ends, and with it the node, since a node that takes no requests is
 //! better replaced. Requests are tasks of their connections and end with them.
@@ -13,6 +14,7 @@
 pub mod path;
 pub mod peers;
 pub mod request;
+pub mod scrape;
 pub mod server;
 
 use std::net;
@@ -41,6 +43,8 @@
     pub peer: net::TcpListener,
     /// For the backend server.
     pub backend: net::TcpListener,
+    /// For the collector of metrics, if any.
+    pub metrics: Option<net::TcpListener>,
 }
 
 /// What the traffic needs.
@@ -88,7 +92,20 @@
         peers::serve::run(listener, config.serve.clone(), path.clone(), stop.clone()).await;
         Ok(())
     };
+    let metrics = async {
+        let Some(listener) = &listeners.metrics else {
+            return Ok(());
+        };
+        let serve = || {
+            let endpoint = scrape::Scrape::new(path.clone());
+            serve_http(listener, endpoint, Duration::ZERO, stop.clone())
+        };
+        supervisor
+            .run("metrics", policy::Policy::Permanent, serve)
+            .await
+    };
     tokio::try_join!(
+        metrics,
         supervisor.run("callers", policy::Policy::Permanent, caller),
         supervisor.run("backend", policy::Policy::Permanent, backend),
         supervisor.run("peers", policy::Policy::Permanent, peer),
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -202,9 +202,12 @@
             let text = refusal.map_or("ready", outcome::Reason::word);
             return Ok(poem::Response::builder().status(status).body(text));
         }
-        Ok(self
-            .answer(http)
-            .await
-            .unwrap_or_else(|problem| reply::problem(problem.reason, &problem.detail)))
+        let answer = self.answer(http).await;
+        Ok(answer.unwrap_or_else(|problem| {
+            if let Some(measure) = self.path.measure() {
+                measure.rejected(problem.reason);
+            }
+            reply::problem(problem.reason, &problem.detail)
+        }))
     }
 }
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -6,6 +6,7 @@
 //! dispatched, or was refused by the backend server under its protocol.
 
 mod local;
+mod record;
 
 use std::io;
 use std::sync;
@@ -18,7 +19,6 @@
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
-use sequoiayoke_telemetry::decision;
 use sequoiayoke_traffic::retry;
 use sequoiayoke_traffic::route;
 use sequoiayoke_wire::convert;
@@ -31,6 +31,7 @@
 use super::request;
 use super::server;
 use super::server::permit;
+use crate::measure;
 use crate::published;
 
 /// Largest body that is held whole, so that it can be sent again, in bytes.
@@ -70,6 +71,7 @@
     // Locked for one decision, never across an `await`.
     budget: sync::Mutex<retry::Budget>,
     evidence: sync::Arc<evidence::Evidence>,
+    measure: Option<sync::Arc<measure::Measure>>,
 }
 
 /// A body that can be sent more than once, or only once.
@@ -140,6 +142,7 @@
             waiting: atomic::AtomicUsize::new(0),
             budget,
             evidence,
+            measure: None,
         }
     }
 
@@ -182,25 +185,10 @@
         let start = self.clock.now();
         let answer = self.attempt_all(view, body).await;
         let elapsed = self.clock.now().saturating_since(start);
-        self.log(view, &answer, elapsed);
+        self.ended(view, &answer, elapsed);
         answer
     }
 
-    fn log(&self, view: &request::View<'_>, answer: &answer::Answer, elapsed: Duration) {
-        let snapshot = self.published.load();
-        let service = snapshot.view.service_by_id(view.service);
-        decision::Route {
-            service: service.map_or("", |service| service.name.as_str()),
-            hash: view.hash,
-            owner: Some(answer.server.as_str()).filter(|name| !name.is_empty()),
-            epoch: answer.epoch,
-            outcome: answer.outcome,
-            elapsed,
-            request: view.id,
-        }
-        .log();
-    }
-
     async fn attempt_all<B>(&self, view: &request::View<'_>, body: B) -> answer::Answer
     where
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
@@ -226,6 +214,7 @@
             }
             self.pause(view, number, &mut changed).await;
             number += 1;
+            self.note_retry(view);
         }
     }
 
@@ -386,6 +375,7 @@
             return answer::Answer::not_run(outcome::Reason::Deadline);
         };
         let open = self.open(view, hop, epoch);
+        self.note_forward(view);
         let reply = tokio::time::timeout(left, self.peers.forward(address, open, body)).await;
         match reply {
             Ok(Ok(reply)) => from_reply(reply),
--- a/crates/placement/src/action.rs
+++ b/crates/placement/src/action.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// Returns the word for metrics.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Assign { .. } => "assign",
+            Self::Move { .. } => "move",
+            Self::Split { .. } => "split",
+            Self::Merge { .. } => "merge",
+        }
+    }
+
     /// Returns the position at which the action changes the table.
     pub const fn position(&self) -> key::Hash {
         match self {
--- a/crates/placement/src/cause.rs
+++ b/crates/placement/src/cause.rs
@@ -71,6 +71,32 @@
     },
 }
 
+impl Cause {
+    /// Returns the word for metrics.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_placement::cause;
+    ///
+    /// assert_eq!(cause::Cause::Draining.word(), "draining");
+    /// ```
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Self::Vacant { .. } => "vacant",
+            Self::Pinned => "pinned",
+            Self::Draining => "draining",
+            Self::Stalled => "stalled",
+            Self::Unhealthy => "unhealthy",
+            Self::Imbalance { .. } => "imbalance",
+            Self::HotKey { .. } => "hot-key",
+            Self::Large { .. } => "large",
+            Self::Coarse { .. } => "coarse",
+            Self::Cold { .. } => "cold",
+        }
+    }
+}
+
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -119,7 +119,9 @@
     fn addresses(&self) -> String {
         let all = self.0.addresses();
         let (caller, peer, backend) = (all.caller, all.peer, all.backend);
-        format!("caller={caller} peer={peer} backend={backend}")
+        let metrics = all.metrics.map(|one| format!(" metrics={one}"));
+        let metrics = metrics.unwrap_or_default();
+        format!("caller={caller} peer={peer} backend={backend}{metrics}")
     }
 
     fn stop(&self) -> Stop {
