Open streams to other nodes in the order of their numbers

Cause: a forwarded request took its stream number and queued its head in two steps, so two traffic threads could queue them in the other order. The owner treats a number below an earlier one as a breach and ends the connection, and every request on it got an unknown outcome. Change: a place in the queue is reserved first; the number is taken and the head queued under the connection's lock.

--- a/crates/node/src/traffic/peers/dial.rs
+++ b/crates/node/src/traffic/peers/dial.rs
@@ -67,6 +67,14 @@
     credit: outgoing::Credit,
 }
 
+/// A stream that has just been opened.
+struct Opened {
+    number: u64,
+    incoming: incoming::Incoming,
+    head: oneshot::Receiver<Result<stream::Head, outcome::Outcome>>,
+    credit: outgoing::Credit,
+}
+
 /// Answer of the owner's node: its head, and a body on its way.
 #[derive(Debug)]
 pub struct Reply {
@@ -149,23 +157,20 @@
         B: Stream<Item = io::Result<Bytes>> + Send + 'static,
     {
         let connection = self.connection(address);
-        let number = connection.next.fetch_add(1, atomic::Ordering::Relaxed);
-        let (feed, incoming) = incoming::channel(number, connection.frames.clone());
-        let (sender, head) = oneshot::channel();
-        let credit = outgoing::Credit::new();
-        connection.register(number, sender, feed, credit.clone(), self.config.streams)?;
+        let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
+        let place = connection.frames.reserve().await;
+        let place = place.map_err(|_| unreachable)?;
+        let opened = connection.open(place, open, self.config.streams)?;
+        let (number, incoming, credit) = (opened.number, opened.incoming, opened.credit);
         let guard = Guard {
             connection: sync::Arc::clone(&connection),
             number,
         };
-        let frame = stream::Frame::new(number, stream::Body::Open(open));
         let frames = connection.frames.clone();
-        let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
-        frames.send(frame).await.map_err(|_| unreachable)?;
         let upload = async move { outgoing::send(number, body, &credit, &frames).await };
         let upload = Upload(tokio::spawn(upload));
         let lost = outcome::Outcome::Unknown(outcome::Reason::ConnectionLost);
-        let head = head.await.unwrap_or(Err(lost))?;
+        let head = opened.head.await.unwrap_or(Err(lost))?;
         Ok(Reply {
             head,
             body: Body {
@@ -208,14 +213,16 @@
             .expect("no code panics while it holds a connection's lock")
     }
 
-    fn register(
+    /// Registers a stream and queues its head.
+    ///
+    /// The number is taken and the head queued under one lock: the peer treats a
+    /// number below an earlier one as a breach and ends the connection.
+    fn open(
         &self,
-        number: u64,
-        head: oneshot::Sender<Result<stream::Head, outcome::Outcome>>,
-        feed: incoming::Feed,
-        credit: outgoing::Credit,
+        place: mpsc::Permit<'_, stream::Frame>,
+        open: stream::Open,
         limit: usize,
-    ) -> Result<(), outcome::Outcome> {
+    ) -> Result<Opened, outcome::Outcome> {
         let mut table = self.lock();
         if table.closed {
             let reason = outcome::Reason::Unreachable;
@@ -224,13 +231,23 @@
         if table.streams.len() >= limit {
             return Err(outcome::Outcome::NotRun(outcome::Reason::Overload));
         }
+        let number = self.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let (feed, incoming) = incoming::channel(number, self.frames.clone());
+        let (sender, head) = oneshot::channel();
+        let credit = outgoing::Credit::new();
         let entry = Entry {
-            head: Some(head),
+            head: Some(sender),
             feed,
-            credit,
+            credit: credit.clone(),
         };
         table.streams.insert(number, entry);
-        Ok(())
+        place.send(stream::Frame::new(number, stream::Body::Open(open)));
+        Ok(Opened {
+            number,
+            incoming,
+            head,
+            credit,
+        })
     }
 
     async fn run(
