Add an example that measures the request path under load

The load tool tries a further target without using up a resend when no connection could be made, since nothing was sent; at most as many as there are targets. Before, a request with an explicit outcome could end as lost because its last resend went to a dead node. What counts as lost, wrong or doubled is unchanged.

--- a/crates/emulator/src/load/client.rs
+++ b/crates/emulator/src/load/client.rs
@@ -57,6 +57,9 @@
     id: Option<String>,
 }
 
+/// How an answer is lost if no connection was made.
+const NOT_CONNECTED: &str = "connect";
+
 #[derive(Debug, Deserialize)]
 struct Issued {
     request_id: String,
@@ -121,9 +124,13 @@
     }
 
     /// Sends until the outcome is known or the resends are used up.
+    ///
+    /// Nothing was sent on a connection that could not be made, so such an attempt
+    /// costs no resend as long as there are targets that were not tried for it.
     async fn send(&self, call: &Call<'_>, sample: &mut tally::Sample) {
-        let mut before = None;
-        for attempt in 0..=self.plan.resends {
+        let (mut before, mut attempt, mut resends) = (None, 0, 0);
+        let mut untried = self.plan.targets.len();
+        loop {
             if attempt > 0 {
                 let jitter =
                     call.arrival.salt.rotate_left(attempt) % RESEND_PAUSE.as_millis() as u64;
@@ -135,12 +142,18 @@
             // An earlier attempt may still run; its answer can be fetched later.
             let runs = judgement.verdict == judge::Verdict::NotRun("duplicate-running".into());
             let again = judgement.verdict.is_open() || (attempt > 0 && runs);
+            if judgement.verdict == judge::Verdict::Lost(NOT_CONNECTED) && untried > 0 {
+                untried -= 1;
+            } else {
+                resends += 1;
+            }
             sample.replayed |= judgement.replayed;
             sample.wrong.extend(judgement.wrong);
             sample.record(judgement.verdict);
-            if !again {
+            if !again || resends > self.plan.resends {
                 return;
             }
+            attempt += 1;
         }
     }
 
@@ -352,7 +365,7 @@
     if error.is_timeout() {
         "timeout"
     } else if error.is_connect() {
-        "connect"
+        NOT_CONNECTED
     } else if error.is_body() || error.is_decode() {
         "body"
     } else {
--- /dev/null
+++ b/crates/harness/examples/load/faults.rs
@@ -0,0 +1,94 @@
+//! Freezes, kills and a drain in the midst of load.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sequoiayoke_emulator::load::{mix, plan};
+use serde_json::json;
+
+use crate::bench;
+
+/// Servers; two are lost and one is drained.
+pub(crate) const OWNERS: usize = 5;
+/// Requests a second.
+const RATE: f64 = 500.0;
+/// Length of the run.
+const DURATION: Duration = Duration::from_secs(14);
+/// Deadline of the callers.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+/// Runs load through all nodes while faults occur.
+pub(crate) fn run(mut bench: bench::Bench) -> Result<bool, bench::Error> {
+    let targets = [bench.owners(), bench.entry()].concat();
+    let mut plan = bench.plan(plan::Mode::Nodes, targets, RATE);
+    plan.duration = DURATION;
+    plan.deadline = DEADLINE;
+    plan.mix = mix::Mix {
+        shares: vec![mix::Share::new(bench::SERVICE, 1.0, 0.5, 0.45, 0.05)],
+    };
+    plan.upload_bytes = 64 * 1024;
+    plan.pids.clear();
+    let load = thread::spawn(move || bench::run("faults", plan));
+    let start = Instant::now();
+    let ended = inflict(&mut bench, start);
+    let report = load
+        .join()
+        .map_err(|_| bench::Error::Load("the load tool panicked".to_owned()))??;
+    ended?;
+    println!(
+        "=== faults: wrong {}, lost {}, {}",
+        report.wrong,
+        report.lost,
+        if report.is_clean() {
+            "clean"
+        } else {
+            "NOT CLEAN"
+        }
+    );
+    Ok(report.is_clean())
+}
+
+/// Sleeps until `ms` after the start; the load runs in real time.
+fn until(start: Instant, ms: u64) {
+    let at = start + Duration::from_millis(ms);
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+fn inflict(bench: &mut bench::Bench, start: Instant) -> Result<(), bench::Error> {
+    let note = |what: &str| println!("{:>6} ms: {what}", start.elapsed().as_millis());
+    until(start, 1_500);
+    note("freeze a backend server for 1.5 s");
+    bench.deployment.pairs[0].standin.pause();
+    until(start, 3_000);
+    bench.deployment.pairs[0].standin.resume();
+    until(start, 4_000);
+    note("freeze a node for 2 s");
+    bench.deployment.pairs[1].node.pause();
+    until(start, 6_000);
+    bench.deployment.pairs[1].node.resume();
+    until(start, 7_000);
+    note("kill a node, its backend server goes on");
+    bench.deployment.pairs[2].node.kill();
+    until(start, 8_500);
+    note("drain a server by ticket");
+    let ticket = json!({ "number": 2, "objects": [
+        { "server": { "name": bench.deployment.pairs[3].server.name, "state": "draining" } },
+    ] });
+    let submitted = bench.deployment.submit(&ticket);
+    let (status, answer) = bench.runtime.block_on(submitted)?;
+    note(&format!("ticket 2: {status} {}", answer["status"]));
+    until(start, 10_000);
+    note("kill the control leader");
+    let leader = bench.runtime.block_on(bench.deployment.leader());
+    if let Some(replica) = leader.and_then(|index| bench.deployment.control[index].as_mut()) {
+        replica.kill();
+    }
+    until(start, 11_500);
+    note("lose a VM for good: kill the node, freeze the backend server");
+    bench.deployment.pairs[0].node.kill();
+    bench.deployment.pairs[0].standin.pause();
+    until(start, 15_000);
+    // The audit reads what it has executed.
+    bench.deployment.pairs[0].standin.resume();
+    Ok(())
+}
--- a/crates/harness/src/settings.rs
+++ b/crates/harness/src/settings.rs
@@ -35,6 +35,8 @@
     pub servers: Vec<Server>,
     /// Level of the log.
     pub level: String,
+    /// Whether nodes render metrics.
+    pub metrics: bool,
 }
 
 impl Spec {
@@ -44,6 +46,7 @@
             replicas,
             servers: Vec::new(),
             level: "info".to_owned(),
+            metrics: false,
         }
     }
 
@@ -125,6 +128,7 @@
             "caller": format!("{ip}:0"),
             "peer": format!("{ip}:0"),
             "backend": format!("{ip}:0"),
+            "metrics": spec.metrics.then(|| format!("{ip}:0")),
         },
         "control": control.collect::<Vec<_>>(),
         "backend": { "token": TOKEN },
