--- a/crates/harness/src/settings.rs
+++ b/crates/harness/src/settings.rs
@@ -37,6 +37,8 @@
     pub level: String,
     /// Whether the stand-ins log each execution.
     pub journal: bool,
+    /// Whether nodes render metrics.
+    pub metrics: bool,
 }
 
 impl Spec {
@@ -47,6 +49,7 @@
             servers: Vec::new(),
             level: "info".to_owned(),
             journal: false,
+            metrics: false,
         }
     }
 
@@ -134,6 +137,7 @@
             "caller": format!("{ip}:0"),
             "peer": format!("{ip}:0"),
             "backend": format!("{ip}:0"),
+            "metrics": spec.metrics.then(|| format!("{ip}:0")),
         },
         "control": control.collect::<Vec<_>>(),
         "backend": { "token": TOKEN },
