--- /dev/null
+++ b/crates/lease/tests/scenarios.rs
@@ -0,0 +1,197 @@
+//! Scripted runs of both sides of a lease on two clocks.
+//!
+//! Each file below `tests/scenarios` names the failure that it guards against.
+//! Times are real milliseconds; each side sees them on its own clock.
+
+use std::collections;
+use std::time::Duration;
+
+use sequoiayoke_lease::holder;
+use sequoiayoke_lease::registry;
+use sequoiayoke_model::clock;
+use sequoiayoke_model::id;
+
+const SERVER: id::Server = id::Server(1);
+
+/// A clock that starts at `offset` and gains `drift` thousandths.
+struct Skewed {
+    offset: u64,
+    drift: u64,
+}
+
+impl Skewed {
+    fn at(&self, millis: u64) -> clock::Instant {
+        clock::Instant::from_micros(self.offset + millis * (1_000 + self.drift))
+    }
+}
+
+struct World {
+    node: Skewed,
+    control: Skewed,
+    holder: holder::Holder,
+    registry: registry::Registry,
+    /// Acknowledgements on their way, by sequence.
+    acks: collections::BTreeMap<u64, id::Version>,
+}
+
+impl World {
+    fn new(node_drift: u64, control_drift: u64) -> Self {
+        // The offsets differ so that a comparison of two clocks would show.
+        Self {
+            node: Skewed {
+                offset: 7_000_000,
+                drift: node_drift,
+            },
+            control: Skewed {
+                offset: 900_000_000,
+                drift: control_drift,
+            },
+            holder: holder::Holder::new(holder::Config::default()),
+            registry: registry::Registry::new(registry::Config::default()),
+            acks: collections::BTreeMap::new(),
+        }
+    }
+
+    fn renew(&mut self, call: &Call<'_>) -> String {
+        let now = self.control.at(call.at());
+        let applied = id::Version(call.or("applied", 0));
+        match self.registry.renewed(now, call.member(), applied) {
+            Ok(()) => {
+                let version = id::Version(call.or("version", 0));
+                self.acks.insert(call.number("seq"), version);
+                "accepted".into()
+            }
+            Err(refusal) => format!("refused: {refusal:?}"),
+        }
+    }
+
+    fn check(&mut self, call: &Call<'_>) -> String {
+        let (node, control) = (self.node.at(call.at()), self.control.at(call.at()));
+        let holds = self.holder.is_valid(node);
+        let live = self.registry.is_live(control, call.member());
+        assert!(!holds || live, "the node holds a lease that has lapsed");
+        let view = self
+            .holder
+            .view_confirmed(node, id::Version(call.or("applied", 0)));
+        format!("node holds={holds} view={view}, control live={live}")
+    }
+
+    fn run(&mut self, call: &Call<'_>) -> String {
+        let control = self.control.at(call.at());
+        let output = match call.case.directive.as_str() {
+            "send" => {
+                let recorded = self
+                    .holder
+                    .sent(self.node.at(call.at()), call.number("seq"));
+                format!("recorded={recorded}")
+            }
+            "renew" => self.renew(call),
+            "ack" => {
+                let sequence = call.number("seq");
+                let version = self.acks[&sequence];
+                format!("taken={}", self.holder.acknowledged(sequence, version))
+            }
+            "check" => self.check(call),
+            "join" => format!("{:?}", self.registry.joined(control, call.member())),
+            "lead" => {
+                self.registry.became_leader(control, [call.member()]);
+                "leads".into()
+            }
+            "expired" => format!("{:?}", self.registry.expired(control)),
+            "release" => format!("released={}", self.registry.released(call.member())),
+            "remove" => {
+                let until = self.registry.removed(call.member());
+                let early = until.map(|until| control.saturating_until(until));
+                format!("early={early:?}")
+            }
+            "left" => format!("{:?}", self.registry.left(control, SERVER)),
+            "confirmed" => {
+                let version = id::Version(call.number("version"));
+                format!("{:?}", self.registry.confirmed(version))
+            }
+            "drop" => {
+                self.holder.dropped();
+                format!("left={:?}", self.holder.left(self.node.at(call.at())))
+            }
+            other => panic!("unknown directive {other}"),
+        };
+        output + "\n"
+    }
+}
+
+/// One directive with its arguments.
+struct Call<'a> {
+    case: &'a datadriven::TestCase,
+}
+
+impl Call<'_> {
+    fn or(&self, name: &str, default: u64) -> u64 {
+        let values = self.case.args.get(name);
+        values.map_or(default, |values| values[0].parse().expect("a number"))
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        assert!(self.case.args.contains_key(name), "{name} is missing");
+        self.or(name, 0)
+    }
+
+    fn at(&self) -> u64 {
+        self.number("at")
+    }
+
+    fn member(&self) -> registry::Member {
+        registry::Member::new(SERVER, id::Incarnation(self.or("inc", 1)))
+    }
+}
+
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut world = World::new(0, 0);
+        file.run(|case| {
+            let call = Call { case };
+            if case.directive == "clocks" {
+                world = World::new(call.number("node"), call.number("control"));
+                return "set\n".into();
+            }
+            world.run(&call)
+        });
+    });
+}
+
+/// Guards against tables that grow with lost acknowledgements: what falls out
+/// is ignored, and the lease ends earlier, never later.
+#[test]
+fn forgotten_renewals_are_not_counted() {
+    let config = holder::Config {
+        capacity: 2,
+        ..holder::Config::default()
+    };
+    let mut lease = holder::Holder::new(config);
+    for sequence in 0..3 {
+        lease.sent(clock::Instant::from_micros(sequence), sequence);
+    }
+    assert!(!lease.acknowledged(0, id::Version(1)));
+    assert!(lease.acknowledged(1, id::Version(1)));
+    let until = clock::Instant::from_micros(1) + Duration::from_millis(700);
+    assert_eq!(lease.valid_until(), Some(until));
+}
+
+/// Guards against a registry that grows without bound, and against one that
+/// counts a full table as a reason to forget leases that are in force.
+#[test]
+fn a_full_registry_refuses_new_members_only() {
+    let config = registry::Config {
+        capacity: 1,
+        ..registry::Config::default()
+    };
+    let mut leases = registry::Registry::new(config);
+    let now = clock::Instant::from_micros(0);
+    let [first, second] =
+        [1, 2].map(|number| registry::Member::new(id::Server(number), id::Incarnation(1)));
+    assert_eq!(leases.joined(now, first), Ok(()));
+    assert_eq!(leases.joined(now, second), Err(registry::Refusal::Full));
+    assert_eq!(leases.renewed(now, first, id::Version(1)), Ok(()));
+    leases.became_leader(now, [first, second]);
+    assert!(leases.is_live(now, first) && leases.is_live(now, second));
+}
