placement: plan assignments, moves, splits and merges

Cause: the planner had its types only. Change: Planner::plan with incremental indexes: slices of a service (book), servers ordered by load in each failure domain (pool, fleet), actions in progress (ledger); steps assign, balance, shape.

--- a/crates/placement/src/cause.rs
+++ b/crates/placement/src/cause.rs
@@ -39,16 +39,16 @@
         holder: Relative,
         /// The target's load before the move.
         target: Relative,
-        /// Weighted gain, in thousandths.
+        /// Weighted gain: milliseconds for which all keys together would be overloaded.
         gain: u64,
-        /// Weighted cost, in thousandths.
+        /// Weighted cost, in the same unit.
         cost: u64,
     },
     /// One key causes much of the load of its slice.
     HotKey {
         /// The key's position.
         key: key::Hash,
-        /// The key's share of the load of its holder's server, in thousandths.
+        /// The key's rate over the mean load of a server, in thousandths.
         share: u64,
     },
     /// The slice is too large to move at a gain.
@@ -63,10 +63,11 @@
         /// Servers of the service.
         servers: usize,
     },
-    /// Both slices have little load and the same holder.
+    /// The slice and the one before it have little load and are merged, or
+    /// moved together first.
     Cold {
-        /// Holder of both, unless both are vacant.
-        server: Option<id::Server>,
+        /// Holder of the slice before it.
+        server: id::Server,
     },
 }
 
@@ -86,13 +87,11 @@
             } => write!(
                 f,
                 "imbalance, holder at {holder} and target at {target} of the mean load, \
-                 gain {} against cost {}",
-                Relative(*gain),
-                Relative(*cost)
+                 gain {gain} ms against cost {cost} ms"
             ),
             Self::HotKey { key, share } => write!(
                 f,
-                "key {key} causes {} of the load of its server",
+                "key {key} causes {} of the mean load of a server",
                 Relative(*share)
             ),
             Self::Large { share } => write!(
@@ -103,10 +102,7 @@
             Self::Coarse { slices, servers } => {
                 write!(f, "{slices} slices for {servers} servers")
             }
-            Self::Cold {
-                server: Some(server),
-            } => write!(f, "both slices are cold and held by {server}"),
-            Self::Cold { server: None } => write!(f, "both slices are cold and vacant"),
+            Self::Cold { server } => write!(f, "cold, like the slice before it on {server}"),
         }
     }
 }
--- a/crates/placement/src/config.rs
+++ b/crates/placement/src/config.rs
@@ -10,6 +10,9 @@
     pub min_slices_per_server: usize,
     /// Slices per server of a service, on average, that are never exceeded.
     pub max_slices_per_server: usize,
+    /// Vacant slices that one round assigns, so that the control thread is not
+    /// held up for as long as an election takes.
+    pub max_assignments: usize,
     /// Moves that may be in progress at the same time.
     pub max_moves: usize,
     /// Moves that may leave one server at the same time.
@@ -36,6 +39,11 @@
     pub horizon: Duration,
     /// Time for which a planned move makes a key unavailable.
     pub move_time: Duration,
+    /// Time until a server has the warm state of the keys that it received.
+    pub warm_up: Duration,
+    /// Time for which a server must report ill health until its slices are
+    /// moved away; it gets no new ones from the first report.
+    pub ill_time: Duration,
 }
 
 impl Default for Config {
@@ -43,6 +51,7 @@
         Self {
             min_slices_per_server: 8,
             max_slices_per_server: 64,
+            max_assignments: 4_096,
             max_moves: 16,
             max_moves_per_server: 4,
             budget: 16,
@@ -54,6 +63,8 @@
             hot_key: 100,
             horizon: Duration::from_secs(60),
             move_time: Duration::from_millis(20),
+            warm_up: Duration::from_secs(5),
+            ill_time: Duration::from_secs(3),
         }
     }
 }
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -17,7 +17,8 @@
 /// same servers, its rates are reported multiplied by that proportion.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load<'a> {
-    /// Decayed rate of all keys, in thousandths of a request per second.
+    /// Decayed rate of all keys, in thousandths of a request per second; the
+    /// planner counts at most [`MAX_RATE`].
     pub rate: u64,
     /// Hottest keys, the hottest first.
     ///
@@ -30,3 +31,7 @@
 /// Each split takes one of them out of the slice, so further ones come up in
 /// the next report.
 pub const MAX_KEYS: usize = 4;
+
+/// Highest rate of a slice that is told apart, in thousandths of a request per
+/// second. A wrong report cannot make sums overflow.
+pub const MAX_RATE: u64 = 1_000_000_000;
