--- /dev/null
+++ b/crates/placement/examples/compare/sequence.rs
@@ -0,0 +1,129 @@
+//! Deployments and the sequences that they go through.
+
+use sequoiayoke_placement::service;
+
+/// One of the users' deployments.
+pub(crate) struct Deployment {
+    pub(crate) name: &'static str,
+    /// Servers of each service.
+    pub(crate) servers: [usize; 3],
+    pub(crate) slots: u32,
+    pub(crate) weights: service::Weights,
+}
+
+pub(crate) const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        name: "Ankesör",
+        servers: [5, 4, 3],
+        slots: 12,
+        weights: service::Weights {
+            imbalance: 1,
+            churn: 2,
+            unavailable: 5,
+        },
+    },
+    Deployment {
+        name: "Chao Phraya",
+        servers: [5, 3, 3],
+        slots: 9,
+        weights: service::Weights {
+            imbalance: 5,
+            churn: 2,
+            unavailable: 1,
+        },
+    },
+];
+
+/// What happens in a sequence.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// Many keys of one district become hot together.
+    Storm,
+    /// Few keys of one mill become very hot.
+    Harvest,
+    /// Each server drains, stops and comes back in turn.
+    Rolling,
+    /// A failure domain is lost and comes back.
+    Domain,
+}
+
+pub(crate) const KINDS: [Kind; 4] = [Kind::Storm, Kind::Harvest, Kind::Rolling, Kind::Domain];
+
+impl Kind {
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Storm => "district storm",
+            Self::Harvest => "harvest morning",
+            Self::Rolling => "rolling restart",
+            Self::Domain => "lost domain",
+        }
+    }
+
+    /// Returns the share of keys that become hot, in thousandths, and how
+    /// many times their rate they get.
+    pub(crate) const fn surge(self) -> (u32, f64) {
+        match self {
+            Self::Storm => (50, 20.0),
+            Self::Harvest => (2, 200.0),
+            Self::Rolling | Self::Domain => (0, 1.0),
+        }
+    }
+}
+
+/// What happens to a server.
+#[derive(Clone, Copy)]
+pub(crate) enum Event {
+    Lost(usize),
+    Drain(usize),
+    Stop(usize),
+    Back(usize),
+}
+
+/// Events by time in milliseconds.
+pub(crate) struct Sequence {
+    pub(crate) events: Vec<(u64, Event)>,
+    pub(crate) end: u64,
+}
+
+/// Time for which a placement settles before it is measured.
+pub(crate) const SETTLED: u64 = 120_000;
+const SURGE_START: u64 = SETTLED + 30_000;
+const SURGE_END: u64 = SETTLED + 330_000;
+/// Time over which a surge rises and falls.
+const SLOPE: u64 = 30_000;
+
+impl Sequence {
+    pub(crate) fn new(kind: Kind, servers: usize) -> Self {
+        let mut events = Vec::new();
+        match kind {
+            Kind::Storm | Kind::Harvest => {}
+            Kind::Rolling => {
+                for server in 0..servers {
+                    let start = SETTLED + 10_000 + server as u64 * 70_000;
+                    events.push((start, Event::Drain(server)));
+                    events.push((start + 10_000, Event::Stop(server)));
+                    events.push((start + 30_000, Event::Back(server)));
+                }
+            }
+            Kind::Domain => {
+                let lost = (0..servers).filter(|server| server % 3 == 0);
+                for server in lost {
+                    events.push((SETTLED + 30_000, Event::Lost(server)));
+                    events.push((SETTLED + 210_000, Event::Back(server)));
+                }
+                events.sort_by_key(|(at, _)| *at);
+            }
+        }
+        Self {
+            events,
+            end: SETTLED + 420_000,
+        }
+    }
+
+    /// Returns how far the surge has risen, from 0 to 1.
+    pub(crate) fn surge(&self, now: u64) -> f64 {
+        let up = now.saturating_sub(SURGE_START).min(SLOPE) as f64 / SLOPE as f64;
+        let down = now.saturating_sub(SURGE_END).min(SLOPE) as f64 / SLOPE as f64;
+        up - down
+    }
+}
