Let a new leader wait 400 ms longer for nodes to find it

Change: a new leader lets the leases that it found end takeover_ms (400) later. Later is always safe.

--- a/crates/control/src/root.rs
+++ b/crates/control/src/root.rs
@@ -211,6 +211,7 @@
         lease: registry::Config {
             lease: Duration::from_millis(timing.lease_ms),
             drift_permille: u32::try_from(timing.drift_percent * 10).unwrap_or(u32::MAX),
+            takeover: Duration::from_millis(timing.takeover_ms),
             ..registry::Config::default()
         },
         placement: placement::Config {
--- a/crates/lease/src/registry.rs
+++ b/crates/lease/src/registry.rs
@@ -20,6 +20,8 @@
     pub lease: Duration,
     /// Largest difference between the rates of two clocks, in thousandths.
     pub drift_permille: u32,
+    /// Time beyond a whole lease for which a new leader waits for nodes to find it.
+    pub takeover: Duration,
     /// Most incarnations that are tracked at the same time.
     pub capacity: usize,
 }
@@ -31,6 +33,7 @@
         Self {
             lease: Duration::from_millis(700),
             drift_permille: 50,
+            takeover: Duration::ZERO,
             capacity: 16_384,
         }
     }
@@ -155,8 +158,17 @@
         M: IntoIterator<Item = Member>,
     {
         *self = Self::new(self.config);
+        // A later expiry is always safe. Thousands of nodes that connect at once
+        // would otherwise lapse and join again, one by one.
+        let expiry = now + self.config.term() + self.config.takeover;
         for member in members {
-            self.insert(now, member);
+            self.insert_live(
+                member,
+                Lease {
+                    expiry,
+                    applied: None,
+                },
+            );
         }
     }
 
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -84,6 +84,8 @@
         lease_ms: u64 = 700, "ms", 100..=1500;
         /// Largest difference between the rates of two clocks that leases allow for.
         drift_percent: u64 = 5, "%", 1..=20;
+        /// Time beyond a lease for which a new leader waits for nodes to find it.
+        takeover_ms: u64 = 400, "ms", 0..=1000;
         /// Shortest time without a leader before a replica stands for election.
         election_min_ms: u64 = 250, "ms", 50..=1000;
         /// Longest time without a leader before a replica stands for election.
@@ -392,12 +394,13 @@
         );
         let served = self
             .lease_with_drift_ms()
+            .saturating_add(self.takeover_ms)
             .saturating_add(self.election_max_ms)
             .saturating_add(RECONNECT_MS);
         problems.require(
             served < SERVED_AGAIN_MS,
             "lease_ms",
-            format!("lease with drift, `election_max_ms` and {RECONNECT_MS} ms to reconnect add up to {served} ms, which must be less than {SERVED_AGAIN_MS} ms"),
+            format!("lease with drift, `takeover_ms`, `election_max_ms` and {RECONNECT_MS} ms to reconnect add up to {served} ms, which must be less than {SERVED_AGAIN_MS} ms"),
         );
         problems.require(
             self.view_bound_ms > self.lease_with_drift_ms(),
