Reset a caller's connection when its answer is cut, and cancel its request when it is gone

Cause: poem polls a connection again after an error. hyper then ended a cut chunked answer with a valid last chunk, so the caller took it for a whole one, and the handler of a caller that was gone ran on to its deadline. Connections of callers were not bounded in number, nor in the time for a head or for an answer that nobody reads. A short body that never arrived was waited for without a deadline. Two tasks could queue the frames of two new streams in the other order of their numbers, which the peer takes for a breach and ends the whole connection for.

Change: callers come in through an acceptor of our own. Its stream shares a `Line` with the requests on it: the end of the caller drops the future of the request, and a body that breaks off resets the connection. Connections beyond `limits.callers` are answered 429 `not-run: overload` without being read. Head, idle and stall times are named constants. Stream numbers are taken and queued under one lock. The deadline covers the body that is held whole.

--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -201,6 +201,12 @@
             default_deadline: Duration::from_millis(limits.default_deadline_ms),
             max_deadline: Duration::from_millis(limits.max_deadline_ms),
         },
+        connections: callers::connection::Limits {
+            connections: limits.callers,
+            head: callers::HEAD_TIMEOUT,
+            idle: callers::IDLE_TIMEOUT,
+            stall: callers::STALL_TIMEOUT,
+        },
         serve: peers::serve::Config {
             secret: secret(settings),
             streams: limits.streams,
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -14,6 +14,7 @@
 pub mod request;
 pub mod server;
 
+use std::io;
 use std::net;
 use std::sync;
 use std::time::Duration;
@@ -47,6 +48,8 @@
 pub struct Config {
     /// Bounds of what callers may send.
     pub callers: callers::Limits,
+    /// Bounds of the connections of callers.
+    pub connections: callers::connection::Limits,
     /// Connections from other nodes.
     pub serve: peers::serve::Config,
     /// Time for connections to end at a shutdown.
@@ -70,17 +73,19 @@
         budget::Budget::new(RESTARTS, WINDOW),
         stop.clone(),
     );
-    let caller = || {
-        let endpoint = callers::Callers::new(path.clone(), config.callers);
-        serve_http(&listeners.caller, endpoint, config.drain, stop.clone())
+    // Kept over restarts of the listener, so that its connections stay counted.
+    let connections = callers::connection::Connections::new(config.connections);
+    let connections = sync::Arc::new(connections);
+    let caller = || async {
+        let listener = clone(&listeners.caller)?;
+        let acceptor = callers::connection::Acceptor::new(listener, connections.clone());
+        let endpoint = callers::Callers::new(path.clone(), config.callers, connections.clone());
+        serve_http(acceptor, endpoint, config.drain, stop.clone()).await
     };
-    let backend = || {
-        serve_http(
-            &listeners.backend,
-            announce.clone(),
-            Duration::ZERO,
-            stop.clone(),
-        )
+    let backend = || async {
+        let acceptor = listener::TcpAcceptor::from_tokio(clone(&listeners.backend)?);
+        let acceptor = acceptor.map_err(failed)?;
+        serve_http(acceptor, announce.clone(), Duration::ZERO, stop.clone()).await
     };
     let peer = || async {
         let listener = clone(&listeners.peer)?;
@@ -102,28 +107,25 @@
         listener.set_nonblocking(true)?;
         TcpListener::from_std(listener)
     });
-    cloned.map_err(|error| {
-        error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
-    })
+    cloned.map_err(failed)
 }
 
-async fn serve_http<E>(
-    listener: &net::TcpListener,
+fn failed(error: io::Error) -> error_stack::Report<supervisor::Error> {
+    error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
+}
+
+async fn serve_http<A, E>(
+    acceptor: A,
     endpoint: E,
     drain: Duration,
     stop: Stop,
 ) -> supervisor::Outcome
 where
+    A: listener::Acceptor + 'static,
     E: poem::Endpoint<Output = poem::Response> + 'static,
 {
-    let acceptor = listener::TcpAcceptor::from_tokio(clone(listener)?);
-    let acceptor = acceptor.map_err(|error| {
-        error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
-    })?;
     poem::Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), Some(drain))
         .await
-        .map_err(|error| {
-            error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
-        })
+        .map_err(failed)
 }
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -3,8 +3,12 @@
 //! This front end only translates: it turns an HTTP request into a
 //! [`request::View`] and an answer back into HTTP. The path decides.
 
+pub mod connection;
+
 mod caller;
+mod outgoing;
 mod parse;
+mod refusal;
 mod reply;
 
 use std::sync;
@@ -23,6 +27,13 @@
 use super::server;
 use crate::published;
 
+/// Time for the head of a request to arrive.
+pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a request after which a caller's connection is closed.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time without progress of an answer, after which its caller counts as gone.
+pub const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Bounds of what callers may send.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -39,6 +50,7 @@
 pub struct Callers<C, S> {
     path: sync::Arc<path::Path<C, S>>,
     limits: Limits,
+    connections: sync::Arc<connection::Connections>,
 }
 
 /// What is wrong with a request: the reason and a text for the caller.
@@ -75,12 +87,41 @@
     C: clock::Clock + Send + Sync + 'static,
     S: server::Dispatch,
 {
-    /// Makes the endpoint.
-    pub const fn new(path: sync::Arc<path::Path<C, S>>, limits: Limits) -> Self {
-        Self { path, limits }
+    /// Makes the endpoint of the listener whose connections are listed in `connections`.
+    pub const fn new(
+        path: sync::Arc<path::Path<C, S>>,
+        limits: Limits,
+        connections: sync::Arc<connection::Connections>,
+    ) -> Self {
+        Self {
+            path,
+            limits,
+            connections,
+        }
+    }
+
+    /// Answers a request, unless its caller is gone before; then the request is cancelled.
+    async fn exchange(&self, http: poem::Request) -> poem::Response {
+        let Some(line) = self.connections.line(http.remote_addr()) else {
+            return reply::cancelled();
+        };
+        let exchange = outgoing::Exchange::new(sync::Arc::clone(&line), http.version());
+        tokio::select! {
+            answer = self.answer(http, exchange) => {
+                answer.unwrap_or_else(|problem| reply::problem(problem.reason, &problem.detail))
+            }
+            () = line.gone().cancelled() => {
+                line.cut();
+                reply::cancelled()
+            }
+        }
     }
 
-    async fn answer(&self, mut http: poem::Request) -> Result<poem::Response, Problem> {
+    async fn answer(
+        &self,
+        mut http: poem::Request,
+        exchange: outgoing::Exchange,
+    ) -> Result<poem::Response, Problem> {
         parse::check_head(&http, self.limits.max_header_bytes)?;
         let target = parse::target(http.uri().path())?;
         let subject = self.subject(&http, &target)?;
@@ -113,7 +154,7 @@
         // Boxed by the HTTP library; the path itself stays generic over the body.
         let body = Box::pin(body.into_bytes_stream());
         let answer = self.path.serve(&view, body).await;
-        Ok(self.reply(&view, answer))
+        Ok(self.reply(&view, answer, exchange))
     }
 
     fn subject(
@@ -163,12 +204,18 @@
         Some(model_request::Id::new(epoch, issued_ms, rand::random()))
     }
 
-    fn reply(&self, view: &request::View<'_>, answer: answer::Answer) -> poem::Response {
+    fn reply(
+        &self,
+        view: &request::View<'_>,
+        answer: answer::Answer,
+        exchange: outgoing::Exchange,
+    ) -> poem::Response {
         let snapshot = self.path.published().load();
         let table = snapshot.view.table(view.service);
         let holder = table.and_then(|table| table.find(view.hash).0.holder);
         let owner = holder.and_then(|holder| snapshot.view.server(holder.server));
-        reply::response(view, answer, owner.map(|owner| owner.caller_address))
+        let owner = owner.map(|owner| owner.caller_address);
+        reply::response(view, answer, owner, exchange)
     }
 }
 
@@ -202,9 +249,6 @@
             let text = refusal.map_or("ready", outcome::Reason::word);
             return Ok(poem::Response::builder().status(status).body(text));
         }
-        Ok(self
-            .answer(http)
-            .await
-            .unwrap_or_else(|problem| reply::problem(problem.reason, &problem.detail)))
+        Ok(self.exchange(http).await)
     }
 }
--- a/crates/node/src/traffic/callers/reply.rs
+++ b/crates/node/src/traffic/callers/reply.rs
@@ -6,6 +6,7 @@
 use poem::http::StatusCode;
 use sequoiayoke_model::outcome;
 
+use super::outgoing;
 use crate::traffic::answer;
 use crate::traffic::request;
 
@@ -46,6 +47,7 @@
     view: &request::View<'_>,
     answer: answer::Answer,
     owner: Option<net::SocketAddr>,
+    exchange: outgoing::Exchange,
 ) -> poem::Response {
     let mut builder = poem::Response::builder()
         .status(status(answer.outcome))
@@ -77,10 +79,13 @@
     if answer.replayed {
         builder = builder.header("sequoiayoke-replayed", "true");
     }
-    match answer.body {
-        answer::Body::Whole(bytes) => builder.body(bytes),
-        body => builder.body(poem::Body::from_bytes_stream(body)),
-    }
+    builder.body(exchange.body(answer.body))
+}
+
+/// Makes the answer to a caller that is gone; nobody reads it.
+pub(super) fn cancelled() -> poem::Response {
+    let outcome = outcome::Outcome::Unknown(outcome::Reason::Cancelled);
+    poem::Response::builder().status(status(outcome)).finish()
 }
 
 /// Turns a problem of the request itself into HTTP.
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -198,8 +198,11 @@
     where
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
     {
-        let Ok(mut source) = hold(view, body).await else {
-            return answer::Answer::not_run(outcome::Reason::Cancelled);
+        let left = view.left(self.clock.now());
+        let mut source = match tokio::time::timeout(left, hold(view, body)).await {
+            Ok(Ok(source)) => source,
+            Ok(Err(_)) => return answer::Answer::not_run(outcome::Reason::Cancelled),
+            Err(_) => return answer::Answer::not_run(outcome::Reason::Deadline),
         };
         self.lock_budget()
             .deposit(self.clock.now(), view.caller, view.service);
--- a/crates/node/src/traffic/peers/dial.rs
+++ b/crates/node/src/traffic/peers/dial.rs
@@ -149,19 +149,11 @@
         B: Stream<Item = io::Result<Bytes>> + Send + 'static,
     {
         let connection = self.connection(address);
-        let number = connection.next.fetch_add(1, atomic::Ordering::Relaxed);
-        let (feed, incoming) = incoming::channel(number, connection.frames.clone());
         let (sender, head) = oneshot::channel();
         let credit = outgoing::Credit::new();
-        connection.register(number, sender, feed, credit.clone(), self.config.streams)?;
-        let guard = Guard {
-            connection: sync::Arc::clone(&connection),
-            number,
-        };
-        let frame = stream::Frame::new(number, stream::Body::Open(open));
-        let frames = connection.frames.clone();
-        let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
-        frames.send(frame).await.map_err(|_| unreachable)?;
+        let opened = connection.open(open, sender, &credit, self.config.streams);
+        let (guard, incoming) = opened.await?;
+        let (number, frames) = (guard.number, connection.frames.clone());
         let upload = async move { outgoing::send(number, body, &credit, &frames).await };
         let upload = Upload(tokio::spawn(upload));
         let lost = outcome::Outcome::Unknown(outcome::Reason::ConnectionLost);
@@ -208,14 +200,20 @@
             .expect("no code panics while it holds a connection's lock")
     }
 
-    fn register(
-        &self,
-        number: u64,
+    /// Starts a stream.
+    ///
+    /// The number is taken and the frame queued under one lock, since the peer
+    /// ends a connection whose stream numbers do not grow.
+    async fn open(
+        self: &sync::Arc<Self>,
+        open: stream::Open,
         head: oneshot::Sender<Result<stream::Head, outcome::Outcome>>,
-        feed: incoming::Feed,
-        credit: outgoing::Credit,
+        credit: &outgoing::Credit,
         limit: usize,
-    ) -> Result<(), outcome::Outcome> {
+    ) -> Result<(Guard, incoming::Incoming), outcome::Outcome> {
+        let place = self.frames.reserve().await;
+        let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
+        let place = place.map_err(|_| unreachable)?;
         let mut table = self.lock();
         if table.closed {
             let reason = outcome::Reason::Unreachable;
@@ -224,13 +222,17 @@
         if table.streams.len() >= limit {
             return Err(outcome::Outcome::NotRun(outcome::Reason::Overload));
         }
+        let number = self.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let (feed, incoming) = incoming::channel(number, self.frames.clone());
         let entry = Entry {
             head: Some(head),
             feed,
-            credit,
+            credit: credit.clone(),
         };
         table.streams.insert(number, entry);
-        Ok(())
+        place.send(stream::Frame::new(number, stream::Body::Open(open)));
+        let connection = sync::Arc::clone(self);
+        Ok((Guard { connection, number }, incoming))
     }
 
     async fn run(
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,306 @@
+//! Invariant I3: a caller gets the complete answer to its own request and nobody else's.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod backend;
+
+use std::path::Path;
+use std::time::Duration;
+
+use sequoiayoke_harness::{Deployment, caller, settings};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task;
+use xxhash_rust::xxh3;
+
+/// Directory of the programs.
+fn bin() -> &'static Path {
+    let node = Path::new(env!("CARGO_BIN_EXE_sequoiayoke-node"));
+    node.parent().unwrap()
+}
+
+/// What a caller has seen of an answer.
+#[derive(Debug)]
+struct Seen {
+    outcome: String,
+    // `None` if the answer broke off.
+    body: Option<Vec<u8>>,
+}
+
+async fn send(http: &reqwest::Client, method: reqwest::Method, url: &str, ms: u64) -> Seen {
+    let request = http.request(method, url);
+    let sent = request.header("sequoiayoke-deadline-ms", ms).send().await;
+    let Ok(answer) = sent else {
+        return Seen {
+            outcome: "broken".to_owned(),
+            body: None,
+        };
+    };
+    let outcome = answer.headers().get("sequoiayoke-outcome").unwrap();
+    let outcome = outcome.to_str().unwrap().to_owned();
+    let body = answer.bytes().await.ok().map(Vec::from);
+    Seen { outcome, body }
+}
+
+async fn fault(deployment: &Deployment, name: &str, fields: &Value) {
+    for pair in &deployment.pairs {
+        let url = format!("http://{}/fault/v1/{name}", pair.standin_address());
+        let sent = deployment.http().post(url).json(fields).send().await;
+        assert!(sent.unwrap().status().is_success(), "{name}");
+    }
+}
+
+async fn start(count: usize, slots: u32) -> Deployment {
+    let spec = settings::Spec::new(1).with_service("desk", count, slots, 0);
+    let deployment = Deployment::start(bin(), spec).unwrap();
+    deployment.wait_joined().await.unwrap();
+    deployment.create_services(8).await.unwrap();
+    deployment
+}
+
+/// Guards against an answer that broke off half way and looks complete to the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_never_looks_complete() {
+    let (deployment, pairs) = backend::start(bin(), 2).await;
+    for number in 0..8 {
+        for kind in ["chunked", "length"] {
+            // One of the nodes is the owner's, the other one forwards.
+            for pair in &pairs {
+                for method in [reqwest::Method::GET, reqwest::Method::POST] {
+                    let url = format!("http://{}/s/desk/{kind}-{number}", pair.caller());
+                    let seen = send(deployment.http(), method, &url, 5_000).await;
+                    let complete = seen.outcome == "answered" && seen.body.is_some();
+                    assert!(!complete, "{kind}-{number} through {}: {seen:?}", pair.name);
+                    assert_ne!(seen.outcome, "not-run", "{kind}-{number}: it has run");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a cut or reset of a stand-in's answer that is passed on as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_and_reset_answers_are_errors() {
+    let deployment = start(2, 12).await;
+    for (name, fields) in [
+        ("truncate", json!({ "count": 1000 })),
+        ("reset", json!({ "count": 1000, "at": "answer" })),
+    ] {
+        fault(&deployment, name, &fields).await;
+        for number in 0..8 {
+            for pair in &deployment.pairs {
+                let url = format!("http://{}/s/desk/{name}-{number}", pair.caller());
+                let seen = send(deployment.http(), reqwest::Method::POST, &url, 5_000).await;
+                let complete = seen.outcome == "answered" && seen.body.is_some();
+                assert!(!complete, "{name} {number}: {seen:?}");
+                assert_ne!(seen.outcome, "not-run", "{name} {number}: it has run");
+            }
+        }
+        fault(&deployment, "clear", &json!({})).await;
+    }
+}
+
+/// Sends a request with a body of its own and checks that the answer is its answer.
+async fn exchange(http: reqwest::Client, address: String, key: String, size: usize) {
+    let id = caller::request_id(&http, &address, "desk", &key).await;
+    let id = id.unwrap();
+    let body: Vec<u8> = key.bytes().cycle().take(size).collect();
+    let digest = format!("{:016x}", xxh3::xxh3_64(&body));
+    let request = http.post(format!("http://{address}/s/desk/{key}"));
+    let request = request.header("sequoiayoke-request-id", &id).body(body);
+    let answer = request.send().await.unwrap();
+    let outcome = answer.headers()["sequoiayoke-outcome"].clone();
+    assert_eq!(outcome, "answered", "{key}: {:?}", answer.headers());
+    assert_eq!(answer.headers()["sequoiayoke-request-id"], id.as_str());
+    let answer: Value = answer.json().await.unwrap();
+    assert_eq!(answer["key"], json!(key));
+    assert_eq!(answer["request_id"], json!(id), "{key}");
+    assert_eq!(answer["body_bytes"], json!(size), "{key}");
+    assert_eq!(answer["digest"], json!(digest), "{key}");
+}
+
+async fn exchange_all(deployment: &Deployment, prefix: &str, count: usize, size: usize) {
+    let mut exchanges = task::JoinSet::new();
+    for number in 0..count {
+        let address = deployment.pairs[number % deployment.pairs.len()].caller();
+        let key = format!("{prefix}-{number}");
+        let http = deployment.http().clone();
+        exchanges.spawn(exchange(http, address.to_owned(), key, size + number));
+    }
+    while let Some(ended) = exchanges.join_next().await {
+        ended.unwrap();
+    }
+}
+
+/// Guards against answers that are crossed under load, and against streams that disturb each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_answer_belongs_to_its_request() {
+    let deployment = start(3, 32).await;
+    for round in 0..3 {
+        exchange_all(&deployment, &format!("small-{round}"), 120, 10).await;
+        exchange_all(&deployment, &format!("large-{round}"), 60, 300_000).await;
+    }
+    // A stream that breaks a rule would have ended its connection.
+    let warnings = deployment.warnings();
+    let broken = warnings.iter().any(|line| line.contains("connection"));
+    assert!(!broken, "{warnings:#?}");
+}
+
+/// Guards against large answers that are mixed on their way through another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answers_are_not_mixed() {
+    let (deployment, pairs) = backend::start(bin(), 2).await;
+    let mut requests = task::JoinSet::new();
+    for number in 0..64 {
+        let address = pairs[number % 2].caller().to_owned();
+        let http = deployment.http().clone();
+        requests.spawn(async move {
+            let key = format!("big-{number}");
+            let url = format!("http://{address}/s/desk/{key}");
+            let seen = send(&http, reqwest::Method::GET, &url, 10_000).await;
+            assert_eq!(seen.outcome, "answered", "{key}");
+            assert!(seen.body == Some(backend::big(&key)), "{key}: mixed");
+        });
+    }
+    while let Some(ended) = requests.join_next().await {
+        ended.unwrap();
+    }
+}
+
+/// Checks what is said of a request whose answer may have come too late.
+async fn check_late(deployment: &Deployment, (seen, key): (Seen, String)) {
+    match seen.outcome.as_str() {
+        "answered" => {
+            let body: Value = serde_json::from_slice(&seen.body.unwrap()).unwrap();
+            assert_eq!(body["key"], json!(key));
+        }
+        // A node that has seen late answers sheds some requests early.
+        "not-run" => {
+            let runs = executions(deployment, &key).await;
+            assert_eq!(runs, 0, "{key} has run");
+        }
+        outcome => assert_eq!(outcome, "unknown", "{key}"),
+    }
+}
+
+/// Returns how often a key was used by any server.
+async fn executions(deployment: &Deployment, key: &str) -> u64 {
+    let mut count = 0;
+    for pair in &deployment.pairs {
+        let url = format!("http://{}/fault/v1/executions", pair.standin_address());
+        let answer = deployment.http().get(url).send().await.unwrap();
+        let answer: Value = answer.json().await.unwrap();
+        let keys = answer["keys"].as_object().unwrap();
+        let name = format!("desk/{key}");
+        count += keys.get(&name).and_then(Value::as_u64).unwrap_or(0);
+    }
+    count
+}
+
+/// Guards against a late answer that reaches the next request on its connection or stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_reaches_nobody_else() {
+    let deployment = start(2, 32).await;
+    for round in 0..3 {
+        exchange_all(&deployment, &format!("warm-{round}"), 20, 10).await;
+        fault(&deployment, "late", &json!({ "count": 20 })).await;
+        let mut late = task::JoinSet::new();
+        for number in 0..40 {
+            let http = deployment.http().clone();
+            let address = deployment.pairs[number % 2].caller();
+            let url = format!("http://{address}/s/desk/late-{round}-{number}");
+            let key = format!("late-{round}-{number}");
+            late.spawn(async move { (send(&http, reqwest::Method::POST, &url, 150).await, key) });
+        }
+        while let Some(ended) = late.join_next().await {
+            check_late(&deployment, ended.unwrap()).await;
+        }
+        fault(&deployment, "clear", &json!({})).await;
+        exchange_all(&deployment, &format!("next-{round}"), 60, 10).await;
+    }
+}
+
+/// Guards against the second copy of an answer that reaches the next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_doubled_answer_reaches_nobody_else() {
+    let deployment = start(2, 32).await;
+    fault(&deployment, "twice", &json!({ "count": 1_000_000 })).await;
+    for round in 0..5 {
+        exchange_all(&deployment, &format!("twice-{round}"), 60, 10).await;
+    }
+}
+
+/// Guards against a malformed frame that harms more than its own connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_malformed_frame_ends_only_its_connection() {
+    let (deployment, pairs) = backend::start(bin(), 2).await;
+    let running: Vec<_> = pairs
+        .iter()
+        .map(|pair| {
+            let url = format!("http://{}/s/desk/hang-{}", pair.caller(), pair.name);
+            let http = deployment.http().clone();
+            tokio::spawn(async move { send(&http, reqwest::Method::GET, &url, 3_000).await })
+        })
+        .collect();
+    wait_any(&pairs, &format!("started hang-{}", pairs[0].name)).await;
+    wait_any(&pairs, &format!("started hang-{}", pairs[1].name)).await;
+    for pair in &pairs {
+        let peer = pair.node.field("peer").unwrap();
+        for garbage in [
+            vec![0xff; 64],
+            vec![0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff],
+            vec![0; 64],
+        ] {
+            let mut socket = TcpStream::connect(peer).await.unwrap();
+            socket.write_all(&garbage).await.unwrap();
+            let mut rest = Vec::new();
+            let ended = socket.read_to_end(&mut rest);
+            let ended = tokio::time::timeout(Duration::from_secs(5), ended).await;
+            assert!(ended.is_ok(), "{}: the connection stays open", pair.name);
+        }
+    }
+    for request in running {
+        // They end at their own deadline, not with the malformed connections.
+        assert_eq!(request.await.unwrap().outcome, "unknown");
+    }
+    for number in 0..8 {
+        for pair in &pairs {
+            let url = format!("http://{}/s/desk/after-{number}", pair.caller());
+            let seen = send(deployment.http(), reqwest::Method::GET, &url, 5_000).await;
+            assert_eq!(seen.outcome, "answered");
+        }
+    }
+}
+
+/// Waits until one of the servers has noted `text`.
+async fn wait_any(pairs: &[backend::Pair], text: &str) {
+    tokio::select! {
+        () = pairs[0].wait(text) => {}
+        () = pairs[1].wait(text) => {}
+    }
+}
+
+/// Guards against a request that runs on, and holds its slot, after its caller is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_cancelled_with_its_caller() {
+    let (_deployment, pairs) = backend::start(bin(), 2).await;
+    for kind in ["hang", "endless"] {
+        for number in 0..4 {
+            for pair in &pairs {
+                let key = format!("{kind}-{number}-{}", pair.name);
+                let mut socket = TcpStream::connect(pair.caller()).await.unwrap();
+                // The deadline is later than the end of the test's patience.
+                let deadline = "sequoiayoke-deadline-ms: 60000";
+                let head =
+                    format!("GET /s/desk/{key} HTTP/1.1\r\nhost: desk\r\n{deadline}\r\n\r\n");
+                socket.write_all(head.as_bytes()).await.unwrap();
+                wait_any(&pairs, &format!("started {key}")).await;
+                drop(socket);
+                wait_any(&pairs, &format!("cancelled {key}")).await;
+                let answered = format!("answered {key}");
+                assert!(!pairs.iter().any(|pair| pair.notes().contains(&answered)));
+            }
+        }
+    }
+}
