--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -106,6 +106,9 @@
             return reply::cancelled();
         };
         let exchange = outgoing::Exchange::new(sync::Arc::clone(&line), http.version());
+        if http.uri().path() == "/v1/ready" {
+            return self.ready();
+        }
         tokio::select! {
             answer = self.answer(http, exchange) => {
                 answer.unwrap_or_else(|problem| reply::problem(problem.reason, &problem.detail))
@@ -117,6 +120,17 @@
         }
     }
 
+    fn ready(&self) -> poem::Response {
+        let snapshot = self.path.published().load();
+        let refusal = snapshot.refusal(self.path.clock().now());
+        let status = match refusal {
+            None => StatusCode::OK,
+            Some(_) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let text = refusal.map_or("ready", outcome::Reason::word);
+        poem::Response::builder().status(status).body(text)
+    }
+
     async fn answer(
         &self,
         mut http: poem::Request,
@@ -236,19 +250,6 @@
     type Output = poem::Response;
 
     async fn call(&self, http: poem::Request) -> poem::Result<poem::Response> {
-        if http.uri().path() == "/v1/ready" {
-            let refusal = self
-                .path
-                .published()
-                .load()
-                .refusal(self.path.clock().now());
-            let status = match refusal {
-                None => StatusCode::OK,
-                Some(_) => StatusCode::SERVICE_UNAVAILABLE,
-            };
-            let text = refusal.map_or("ready", outcome::Reason::word);
-            return Ok(poem::Response::builder().status(status).body(text));
-        }
         Ok(self.exchange(http).await)
     }
 }
--- a/crates/node/src/traffic/callers/connection.rs
+++ b/crates/node/src/traffic/callers/connection.rs
@@ -384,10 +384,16 @@
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        match self.live() {
-            Some(socket) => Pin::new(socket).poll_flush(context),
-            None => task::Poll::Ready(Ok(())),
+        let Some(socket) = self.live() else {
+            return task::Poll::Ready(Ok(()));
+        };
+        let flushed = Pin::new(socket).poll_flush(context);
+        // hyper flushes after each answer, but does not poll a read that is still pending.
+        if flushed.is_ready() && self.check_wait(context) {
+            self.reset();
+            context.waker().wake_by_ref();
         }
+        flushed
     }
 
     fn poll_shutdown(
--- /dev/null
+++ b/crates/node/tests/connections.rs
@@ -0,0 +1,174 @@
+//! Bounds of the connections of callers.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::sync;
+use std::time::Duration;
+
+use poem::endpoint;
+use sequoiayoke_model::clock;
+use sequoiayoke_node::published;
+use sequoiayoke_node::traffic;
+use sequoiayoke_node::traffic::callers;
+use sequoiayoke_node::traffic::callers::connection;
+use sequoiayoke_node::traffic::path;
+use sequoiayoke_node::traffic::peers::dial;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: desk\r\n\r\n";
+/// Time after which something that was to happen counts as missing.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// A limit that no test reaches.
+const NEVER: Duration = Duration::from_secs(600);
+
+const fn limits() -> connection::Limits {
+    connection::Limits {
+        connections: 2,
+        head: NEVER,
+        idle: NEVER,
+        stall: NEVER,
+    }
+}
+
+const HEADS: callers::Limits = callers::Limits {
+    max_header_bytes: 16384,
+    default_deadline: NEVER,
+    max_deadline: NEVER,
+};
+
+/// Makes the path of a node that has not joined.
+fn path() -> sync::Arc<traffic::Path> {
+    let pool = dial::Pool::new(dial::Config {
+        secret: sync::Arc::from(b"secret".as_slice()),
+        connect: NEVER,
+        streams: 1,
+    });
+    let published = sync::Arc::new(published::Published::new());
+    let limits = path::Limits {
+        waiting: 1,
+        answer_bytes: 0,
+    };
+    sync::Arc::new(path::Path::new(clock::Boot, published, pool, limits))
+}
+
+async fn serve<E>(limits: connection::Limits, endpoint: E) -> std::net::SocketAddr
+where
+    E: poem::Endpoint<Output = poem::Response> + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = sync::Arc::new(connection::Connections::new(limits));
+    let acceptor = connection::Acceptor::new(listener, connections);
+    tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(endpoint));
+    address
+}
+
+async fn hello(_: poem::Request) -> poem::Result<poem::Response> {
+    Ok(poem::Response::builder().body("hello"))
+}
+
+async fn answer(socket: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(b"hello") && !text.ends_with(b"\r\n\r\n") {
+        let read = socket.read_buf(&mut text);
+        let read = tokio::time::timeout(PATIENCE, read).await;
+        assert_ne!(read.unwrap().unwrap(), 0, "closed after {text:?}");
+        if text.ends_with(b"\r\n\r\n") && text.windows(17).any(|part| part == b"content-length: 5")
+        {
+            text.reserve(5);
+            socket.read_buf(&mut text).await.unwrap();
+        }
+    }
+    String::from_utf8(text).unwrap()
+}
+
+async fn wait_closed(socket: &mut TcpStream) {
+    let mut rest = Vec::new();
+    let ended = tokio::time::timeout(PATIENCE, socket.read_to_end(&mut rest)).await;
+    // A reset is an end, too.
+    assert!(ended.is_ok(), "the connection is still open");
+}
+
+/// Guards against callers that use up the node's sockets.
+#[tokio::test]
+async fn a_connection_beyond_the_limit_is_refused() {
+    let address = serve(limits(), endpoint::make(hello)).await;
+    let mut served = Vec::new();
+    for _ in 0..2 {
+        let mut socket = TcpStream::connect(address).await.unwrap();
+        socket.write_all(REQUEST).await.unwrap();
+        assert!(answer(&mut socket).await.ends_with("hello"));
+        served.push(socket);
+    }
+    let mut refused = TcpStream::connect(address).await.unwrap();
+    refused.write_all(REQUEST).await.unwrap();
+    let text = answer(&mut refused).await;
+    assert!(text.starts_with("HTTP/1.1 429 "), "{text}");
+    assert!(text.contains("sequoiayoke-outcome: not-run\r\n"), "{text}");
+    assert!(text.contains("sequoiayoke-reason: overload\r\n"), "{text}");
+    // The others go on, and a place that becomes free is used again.
+    let mut kept = served.pop().unwrap();
+    kept.write_all(REQUEST).await.unwrap();
+    assert!(answer(&mut kept).await.ends_with("hello"));
+    drop(served);
+    let freed = async {
+        loop {
+            let mut socket = TcpStream::connect(address).await.unwrap();
+            socket.write_all(REQUEST).await.unwrap();
+            if answer(&mut socket).await.ends_with("hello") {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, freed).await.unwrap();
+}
+
+/// Guards against connections that are held by an incomplete head, however slowly it arrives.
+#[tokio::test]
+async fn a_head_must_arrive_in_time() {
+    let head = Duration::from_millis(200);
+    let limits = connection::Limits { head, ..limits() };
+    let address = serve(limits, endpoint::make(hello)).await;
+    let mut silent = TcpStream::connect(address).await.unwrap();
+    wait_closed(&mut silent).await;
+    let (mut reader, mut writer) = TcpStream::connect(address).await.unwrap().into_split();
+    let dripping = async {
+        let mut tick = tokio::time::interval(head / 10);
+        while writer.write_all(b"G").await.is_ok() {
+            tick.tick().await;
+        }
+    };
+    let closed = async {
+        let mut rest = Vec::new();
+        let _ = reader.read_to_end(&mut rest).await;
+    };
+    let ended = async {
+        tokio::select! {
+            () = dripping => {}
+            () = closed => {}
+        }
+    };
+    let ended = tokio::time::timeout(PATIENCE, ended).await;
+    assert!(ended.is_ok(), "a dripping head keeps its connection");
+}
+
+/// Guards against connections that are held without requests.
+#[tokio::test]
+async fn an_idle_connection_is_closed() {
+    let idle = Duration::from_millis(200);
+    let limits = connection::Limits { idle, ..limits() };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = sync::Arc::new(connection::Connections::new(limits));
+    let acceptor = connection::Acceptor::new(listener, connections.clone());
+    let callers = callers::Callers::new(path(), HEADS, connections);
+    tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(callers));
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let ready = b"GET /v1/ready HTTP/1.1\r\nhost: desk\r\n\r\n";
+    socket.write_all(ready).await.unwrap();
+    let mut byte = [0];
+    let read = tokio::time::timeout(PATIENCE, socket.read_exact(&mut byte));
+    read.await.unwrap().unwrap();
+    wait_closed(&mut socket).await;
+}
