Keep listeners open until answers in flight have ended, and hand slices over first

Cause: at a shutdown the coordinator ended as soon as its slices were idle. The listener for nodes then cut every connection, requests that were waiting got no views any more, and the drain time could pass twice. A stopping node refused all requests, also those of keys that other servers own. A grant that came in during the shutdown was taken, and held the node up to the drain time. Nobody learned which requests were interrupted.

Change: SIGTERM releases the slices; the node goes on forwarding. When it holds nothing any more (or after 1 s without a next owner), the listeners close and the answers in flight end, while the coordinator still renews and takes views. Then it says that it leaves and the process ends. One drain time bounds all of it. Requests in flight are listed from arrival to the end of their answer; those that remain at the end of the drain time are logged with their ids. A connection from a node ends after its last answer was written, and is then read to its end.

--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -84,9 +84,10 @@
     published: sync::Arc<published::Published>,
     path: sync::Arc<traffic::Path>,
     channel: (mpsc::Sender<event::Event>, mpsc::Receiver<event::Event>),
-    stop: Stop,
+    signals: (Stop, traffic::Shutdown),
 ) -> supervisor::Outcome {
     let (events, inbox) = channel;
+    let (stop, shutdown) = signals;
     let supervisor = Supervisor::new(
         "coordinator",
         budget::Budget::new(RESTARTS, WINDOW),
@@ -114,12 +115,17 @@
     };
     tokio::select! {
         ended = session => ended,
-        () = coordinator.run(inbox, stop.clone()) => Ok(()),
+        () = coordinator.run(inbox, stop.clone(), shutdown) => Ok(()),
     }
 }
 
 impl Coordinator {
-    async fn run(mut self, mut inbox: mpsc::Receiver<event::Event>, stop: Stop) {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<event::Event>,
+        stop: Stop,
+        shutdown: traffic::Shutdown,
+    ) {
         let mut renewal = time::interval(self.config.renew);
         renewal.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut drain_ends = None;
@@ -138,6 +144,7 @@
                     drain_ends = Some(time::Instant::now() + self.config.drain);
                     self.state.stop();
                 }
+                () = shutdown.ended.cancelled(), if drain_ends.is_some() => break,
                 () = time::sleep_until(drained), if drain_ends.is_some() => {
                     self.report_busy();
                     break;
@@ -145,8 +152,10 @@
             }
             self.carry_out();
             self.published.store(self.state.snapshot());
-            if self.state.is_released() {
-                break;
+            if self.state.is_released(clock::Instant::now()) {
+                // Only now, so that forwarded requests in flight end here and callers'
+                // requests can still go to other owners. Views go on arriving meanwhile.
+                shutdown.close.cancel();
             }
         }
         self.say_leaving().await;
--- a/crates/node/src/coordinator/state.rs
+++ b/crates/node/src/coordinator/state.rs
@@ -28,6 +28,9 @@
 /// Time without an announcement after which the backend server counts as gone.
 pub const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time that a shutdown gives idle slices to reach their next owners.
+pub const HANDOVER: Duration = Duration::from_secs(1);
+
 /// What the node says about itself, besides its backend server's announcement.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -81,6 +84,8 @@
     releasing: collections::BTreeMap<event::Grant, Option<window::Export>>,
     prepared: collections::BTreeMap<(id::Service, sequoiayoke_model::key::Hash), window::Export>,
     stopping: bool,
+    // Since when a shutdown has only waited for the next owners.
+    idle_since: Option<clock::Instant>,
     effects: Vec<Effect>,
 }
 
@@ -103,6 +108,7 @@
             releasing: collections::BTreeMap::new(),
             prepared: collections::BTreeMap::new(),
             stopping: false,
+            idle_since: None,
             effects: Vec::new(),
         }
     }
@@ -130,9 +136,17 @@
         self.lease.valid_until().unwrap_or_default()
     }
 
-    /// Tells whether a shutdown has nothing left to wait for.
-    pub fn is_released(&self) -> bool {
-        self.stopping && self.owned.is_empty() && self.releasing.values().all(Option::is_some)
+    /// Tells whether a shutdown need not wait for slices any more.
+    ///
+    /// Idle slices get some time to reach their next owners: leaving at once would
+    /// make them vacant, and their records of request ids would be lost.
+    pub fn is_released(&mut self, now: clock::Instant) -> bool {
+        let idle = self.owned.is_empty() && self.releasing.values().all(Option::is_some);
+        if !self.stopping || !idle {
+            return false;
+        }
+        let since = *self.idle_since.get_or_insert(now);
+        self.held().is_empty() || now.saturating_since(since) >= HANDOVER
     }
 
     /// Lists the slices that still have requests in flight.
--- a/crates/node/src/coordinator/state/grants.rs
+++ b/crates/node/src/coordinator/state/grants.rs
@@ -23,10 +23,14 @@
         for (grant, range) in held {
             self.take_held(grant, range);
         }
+        if self.stopping {
+            // Also slices that were made by a split or merge meanwhile.
+            self.release_owned();
+        }
     }
 
     /// Lists the slices that the view says this run holds.
-    fn held(&self) -> Vec<(event::Grant, range::Range)> {
+    pub(super) fn held(&self) -> Vec<(event::Grant, range::Range)> {
         let Some(me) = self.me else {
             return Vec::new();
         };
@@ -82,11 +86,21 @@
         if self.reshape(grant, range) {
             return;
         }
+        if self.stopping {
+            return self.pass_on(grant);
+        }
         self.granting.insert(grant);
         let name = self.service_name(grant.service);
         self.effects.push(Effect::Grant(grant, name, range));
     }
 
+    /// Releases a grant under which nothing has run.
+    fn pass_on(&mut self, grant: event::Grant) {
+        let export = self.window_of(grant).export();
+        self.send_released(grant, Some(&export));
+        self.releasing.insert(grant, Some(export));
+    }
+
     /// Makes a slice out of owned ones, after a split or merge of the same grants.
     fn reshape(&mut self, grant: event::Grant, range: range::Range) -> bool {
         let sources: Vec<_> = self
@@ -141,6 +155,11 @@
         let Some((_, range)) = held.into_iter().find(|(one, _)| *one == grant) else {
             return;
         };
+        if self.stopping {
+            let name = self.service_name(grant.service);
+            self.effects.push(Effect::Revoke(grant, name, range));
+            return self.pass_on(grant);
+        }
         if let Err(error) = taken {
             tracing::warn!(%error, service = %grant.service, first = %grant.start, "grant failed");
             self.granting.insert(grant);
@@ -255,6 +274,10 @@
     /// Releases every slice and takes no new work; ends when all are idle.
     pub fn stop(&mut self) {
         self.stopping = true;
+        self.release_owned();
+    }
+
+    fn release_owned(&mut self) {
         let owned: published::Owned = published::Owned::clone(&self.owned);
         for ((service, start), slice) in owned {
             let grant = event::Grant {
--- a/crates/node/src/published.rs
+++ b/crates/node/src/published.rs
@@ -47,12 +47,18 @@
     }
 
     /// Tells why the node may take no new work at `now`, if so.
+    ///
+    /// A node that shuts down still forwards to other owners, since callers that
+    /// are connected to it have a right to an answer until its listener closes.
     pub fn refusal(&self, now: clock::Instant) -> Option<outcome::Reason> {
-        if self.stopping {
-            return Some(outcome::Reason::Draining);
-        }
         (now >= self.view_until).then_some(outcome::Reason::StaleView)
     }
+
+    /// Tells why callers had better go to another node at `now`, if so.
+    pub fn unready(&self, now: clock::Instant) -> Option<outcome::Reason> {
+        let draining = self.stopping.then_some(outcome::Reason::Draining);
+        draining.or_else(|| self.refusal(now))
+    }
 }
 
 /// The present snapshot and a signal for each new one.
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -92,13 +92,13 @@
         ));
         let (events, inbox) = mpsc::channel(coordinator::QUEUE);
         let stop = Stop::new();
-        let traffic_stop = Stop::new();
+        let shutdown = traffic::Shutdown::default();
         let traffic = start_traffic(
             settings,
             listeners,
             sync::Arc::clone(&path),
             server::announce::Announce::new(events.clone()),
-            traffic_stop.clone(),
+            shutdown.clone(),
             stop.clone(),
         )?;
         let coordinator = start_coordinator(
@@ -108,7 +108,7 @@
             path,
             (events, inbox),
             stop.clone(),
-            traffic_stop,
+            shutdown,
         )?;
         Ok(Self {
             addresses,
@@ -191,8 +191,8 @@
     listeners: traffic::Listeners,
     path: sync::Arc<traffic::Path>,
     announce: server::announce::Announce,
+    shutdown: traffic::Shutdown,
     stop: Stop,
-    node_stop: Stop,
 ) -> Result<thread::JoinHandle<supervisor::Outcome>, error_stack::Report<Error>> {
     let limits = &settings.limits;
     let config = traffic::Config {
@@ -211,8 +211,8 @@
             secret: secret(settings),
             streams: limits.streams,
         },
-        drain: Duration::from_millis(settings.timing.drain_ms),
     };
+    let drain = Duration::from_millis(settings.timing.drain_ms);
     let runtime = runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .thread_name("traffic")
@@ -220,9 +220,17 @@
         .build()
         .change_context(Error::Start)?;
     let run = move || {
-        let ended = runtime.block_on(traffic::run(listeners, config, path, announce, stop));
+        let (over, stopped) = (shutdown.over.clone(), stop.clone());
+        runtime.spawn(async move {
+            stopped.cancelled().await;
+            tokio::time::sleep(drain).await;
+            over.cancel();
+        });
+        let running = traffic::run(listeners, config, path, announce, &shutdown);
+        let ended = runtime.block_on(running);
+        shutdown.ended.cancel();
         // The coordinator cannot go on without traffic.
-        node_stop.cancel();
+        stop.cancel();
         ended
     };
     let thread = thread::Builder::new().name("traffic-main".to_owned());
@@ -239,7 +247,7 @@
         mpsc::Receiver<coordinator::event::Event>,
     ),
     stop: Stop,
-    traffic_stop: Stop,
+    shutdown: traffic::Shutdown,
 ) -> Result<thread::JoinHandle<supervisor::Outcome>, error_stack::Report<Error>> {
     let timing = &settings.timing;
     let config = coordinator::Config {
@@ -278,10 +286,11 @@
         .change_context(Error::Start)?;
     let run = move || {
         let tasks = tokio::task::LocalSet::new();
-        let running = coordinator::run(config, state, published, path, channel, stop);
+        let signals = (stop, shutdown.clone());
+        let running = coordinator::run(config, state, published, path, channel, signals);
         let ended = tasks.block_on(&runtime, running);
-        // Listeners stay open during the drain, so that answers in flight end.
-        traffic_stop.cancel();
+        // A coordinator that has failed leaves nothing to wait for.
+        shutdown.close.cancel();
         ended
     };
     let thread = thread::Builder::new().name("coordinator".to_owned());
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod callers;
+pub mod flights;
 pub mod owned;
 pub mod path;
 pub mod peers;
@@ -52,11 +53,20 @@
     pub connections: callers::connection::Limits,
     /// Connections from other nodes.
     pub serve: peers::serve::Config,
-    /// Time for connections to end at a shutdown.
-    pub drain: Duration,
 }
 
-/// Runs the listeners until `stop`.
+/// Signals of a shutdown.
+#[derive(Clone, Debug, Default)]
+pub struct Shutdown {
+    /// Nothing is owned any more: the listeners close, and answers in flight end.
+    pub close: Stop,
+    /// The time for answers in flight is over.
+    pub over: Stop,
+    /// The traffic has ended.
+    pub ended: Stop,
+}
+
+/// Runs the listeners until the shutdown; requests that are then still in flight are logged.
 ///
 /// # Errors
 ///
@@ -66,8 +76,9 @@
     config: Config,
     path: sync::Arc<Path>,
     announce: server::announce::Announce,
-    stop: Stop,
+    shutdown: &Shutdown,
 ) -> supervisor::Outcome {
+    let stop = shutdown.close.clone();
     let supervisor = Supervisor::new(
         "traffic",
         budget::Budget::new(RESTARTS, WINDOW),
@@ -80,24 +91,49 @@
         let listener = clone(&listeners.caller)?;
         let acceptor = callers::connection::Acceptor::new(listener, connections.clone());
         let endpoint = callers::Callers::new(path.clone(), config.callers, connections.clone());
-        serve_http(acceptor, endpoint, config.drain, stop.clone()).await
+        serve_http(acceptor, endpoint, stop.clone()).await
     };
     let backend = || async {
         let acceptor = listener::TcpAcceptor::from_tokio(clone(&listeners.backend)?);
         let acceptor = acceptor.map_err(failed)?;
-        serve_http(acceptor, announce.clone(), Duration::ZERO, stop.clone()).await
+        serve_http(acceptor, announce.clone(), stop.clone()).await
     };
     let peer = || async {
         let listener = clone(&listeners.peer)?;
         peers::serve::run(listener, config.serve.clone(), path.clone(), stop.clone()).await;
         Ok(())
     };
-    tokio::try_join!(
-        supervisor.run("callers", policy::Policy::Permanent, caller),
-        supervisor.run("backend", policy::Policy::Permanent, backend),
-        supervisor.run("peers", policy::Policy::Permanent, peer),
-    )?;
-    Ok(())
+    let running = async {
+        tokio::try_join!(
+            supervisor.run("callers", policy::Policy::Permanent, caller),
+            supervisor.run("backend", policy::Policy::Permanent, backend),
+            supervisor.run("peers", policy::Policy::Permanent, peer),
+        )
+    };
+    let over = async {
+        shutdown.over.cancelled().await;
+        // Before the other branch is dropped, which ends the requests.
+        report(&path);
+    };
+    tokio::select! {
+        ended = running => ended.map(|_| ()),
+        () = over => Ok(()),
+    }
+}
+
+/// Logs the requests that a shutdown interrupts.
+fn report(path: &Path) {
+    let snapshot = path.published().load();
+    for record in path.flights().list() {
+        let service = snapshot.view.service_by_id(record.service);
+        tracing::error!(
+            service = service.map_or("", |service| service.name.as_str()),
+            hash = %record.hash,
+            request = record.id.map(tracing::field::display),
+            forwarded = record.forwarded,
+            "request did not end within the drain time"
+        );
+    }
 }
 
 fn clone(
@@ -114,18 +150,13 @@
     error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
 }
 
-async fn serve_http<A, E>(
-    acceptor: A,
-    endpoint: E,
-    drain: Duration,
-    stop: Stop,
-) -> supervisor::Outcome
+async fn serve_http<A, E>(acceptor: A, endpoint: E, stop: Stop) -> supervisor::Outcome
 where
     A: listener::Acceptor + 'static,
     E: poem::Endpoint<Output = poem::Response> + 'static,
 {
     poem::Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), Some(drain))
+        .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), None)
         .await
         .map_err(failed)
 }
--- a/crates/node/src/traffic/answer.rs
+++ b/crates/node/src/traffic/answer.rs
@@ -10,6 +10,7 @@
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
 
+use super::flights;
 use super::owned;
 use super::peers::dial;
 use super::server::permit;
@@ -32,6 +33,8 @@
     pub replayed: bool,
     /// The body.
     pub body: Body,
+    /// Its request, which is in flight until the body has ended.
+    pub flight: Option<flights::Flight>,
 }
 
 impl Answer {
@@ -44,6 +47,7 @@
             server: String::new(),
             replayed: false,
             body: Body::Whole(Bytes::new()),
+            flight: None,
         }
     }
 
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -122,7 +122,7 @@
 
     fn ready(&self) -> poem::Response {
         let snapshot = self.path.published().load();
-        let refusal = snapshot.refusal(self.path.clock().now());
+        let refusal = snapshot.unready(self.path.clock().now());
         let status = match refusal {
             None => StatusCode::OK,
             Some(_) => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/node/src/traffic/callers/outgoing.rs
+++ b/crates/node/src/traffic/callers/outgoing.rs
@@ -12,6 +12,7 @@
 
 use super::connection;
 use crate::traffic::answer;
+use crate::traffic::flights;
 
 /// One request on a caller's connection.
 #[derive(Debug)]
@@ -34,13 +35,14 @@
     }
 
     /// Turns the body of the answer into one that is never ended short.
-    pub(super) fn body(self, body: answer::Body) -> poem::Body {
+    pub(super) fn body(self, body: answer::Body, flight: Option<flights::Flight>) -> poem::Body {
         match body {
             answer::Body::Whole(bytes) => bytes.into(),
             body => poem::Body::from_bytes_stream(Outgoing {
                 body: Some(body),
                 gone: Box::pin(self.line.gone().clone().cancelled_owned()),
                 exchange: self,
+                _flight: flight,
             }),
         }
     }
@@ -52,6 +54,7 @@
     body: Option<answer::Body>,
     gone: Pin<Box<WaitForCancellationFutureOwned>>,
     exchange: Exchange,
+    _flight: Option<flights::Flight>,
 }
 
 impl Outgoing {
--- a/crates/node/src/traffic/callers/reply.rs
+++ b/crates/node/src/traffic/callers/reply.rs
@@ -79,7 +79,7 @@
     if answer.replayed {
         builder = builder.header("sequoiayoke-replayed", "true");
     }
-    builder.body(exchange.body(answer.body))
+    builder.body(exchange.body(answer.body, answer.flight))
 }
 
 /// Makes the answer to a caller that is gone; nobody reads it.
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 
 use super::answer;
+use super::flights;
 use super::peers::dial;
 use super::request;
 use super::server;
@@ -65,6 +66,7 @@
     peers: dial::Pool,
     limits: Limits,
     waiting: atomic::AtomicUsize,
+    flights: sync::Arc<flights::Flights>,
     // Locked for one decision, never across an `await`.
     budget: sync::Mutex<retry::Budget>,
 }
@@ -134,6 +136,7 @@
             peers,
             limits,
             waiting: atomic::AtomicUsize::new(0),
+            flights: sync::Arc::default(),
             budget,
         }
     }
@@ -148,6 +151,11 @@
         &self.published
     }
 
+    /// Returns the requests in flight.
+    pub fn flights(&self) -> &flights::Flights {
+        &self.flights
+    }
+
     /// Sets the backend server.
     pub fn set_target(&self, target: Option<sync::Arc<Target<S>>>) {
         self.target.store(target);
@@ -170,7 +178,9 @@
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
     {
         let start = self.clock.now();
-        let answer = self.attempt_all(view, body).await;
+        let flight = self.flights.enter(view);
+        let mut answer = self.attempt_all(view, body).await;
+        answer.flight = Some(flight);
         let elapsed = self.clock.now().saturating_since(start);
         self.log(view, &answer, elapsed);
         answer
@@ -457,5 +467,6 @@
         server: reply.head.server,
         replayed: reply.head.replayed,
         body: answer::Body::Peer(reply.body),
+        flight: None,
     }
 }
--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -78,6 +78,7 @@
             server: target.name.clone(),
             replayed: false,
             body,
+            flight: None,
         }
     }
 
--- a/crates/node/src/traffic/peers/serve.rs
+++ b/crates/node/src/traffic/peers/serve.rs
@@ -33,6 +33,8 @@
 const AUTH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which nodes that have not seen yet that this one holds nothing get refusals.
+const LINGER: Duration = Duration::from_millis(200);
 /// Longest deadline that a peer may name.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -64,7 +66,7 @@
     }
 }
 
-/// Accepts connections until the node stops.
+/// Accepts connections until the node stops; then lets their requests end.
 pub async fn run<C, S>(
     listener: TcpListener,
     config: Config,
@@ -74,22 +76,21 @@
     C: clock::Clock + Send + Sync + 'static,
     S: server::Dispatch,
 {
+    let mut connections = task::JoinSet::new();
+    let closing = Stop::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
+            Some(_) = connections.join_next() => continue,
+            () = stop.cancelled() => break,
         };
         match accepted {
             Ok((io, address)) => {
-                let (config, path, stop) = (config.clone(), path.clone(), stop.clone());
-                tokio::spawn(async move {
-                    tokio::select! {
-                        ended = connection(io, &config, path) => {
-                            if let Err(error) = ended {
-                                tracing::warn!(%address, %error, "connection from a node failed");
-                            }
-                        }
-                        () = stop.cancelled() => {}
+                let (config, path, closing) = (config.clone(), path.clone(), closing.clone());
+                connections.spawn(async move {
+                    let ended = connection(io, &config, path, &closing).await;
+                    if let Err(error) = ended {
+                        tracing::warn!(%address, %error, "connection from a node failed");
                     }
                 });
             }
@@ -99,12 +100,17 @@
             }
         }
     }
+    drop(listener);
+    tokio::time::sleep(LINGER).await;
+    closing.cancel();
+    while connections.join_next().await.is_some() {}
 }
 
 async fn connection<C, S>(
     io: TcpStream,
     config: &Config,
     path: sync::Arc<path::Path<C, S>>,
+    closing: &Stop,
 ) -> io::Result<()>
 where
     C: clock::Clock + Send + Sync + 'static,
@@ -123,6 +129,10 @@
     let mut writing = task::JoinSet::new();
     writing.spawn(dial::write(sink, queue));
     loop {
+        // All frames of an answer are queued when its entry leaves the table.
+        if closing.is_cancelled() && table.0.is_empty() {
+            break;
+        }
         let frame = tokio::select! {
             frame = frames.next() => match frame {
                 Some(frame) => frame?,
@@ -133,6 +143,7 @@
                 continue;
             }
             _ = writing.join_next() => return Ok(()),
+            () = closing.cancelled(), if !closing.is_cancelled() => continue,
         };
         match frame.body {
             Some(stream::Body::Open(open)) => {
@@ -172,6 +183,12 @@
             Some(stream::Body::Head(_)) | None => return Err(breach("unexpected frame")),
         }
     }
+    // The writer ends when the queue does, and ends the sending half of the connection.
+    drop(sender);
+    let _ = writing.join_next().await;
+    // Closing with unread frames would reset the connection and could destroy answers.
+    while frames.next().await.is_some_and(|frame| frame.is_ok()) {}
+    Ok(())
 }
 
 fn start<C, S>(
@@ -256,6 +273,7 @@
     let frame = stream::Frame::new(number, stream::Body::Head(head));
     if frames.send(frame).await.is_ok() {
         outgoing::send(number, answer.body, credit, frames).await;
+        drop(answer.flight);
     }
 }
 
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -75,7 +75,7 @@
 /// Guards against an answer that broke off half way and looks complete to the caller.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_is_cut_never_looks_complete() {
-    let (deployment, pairs) = backend::start(bin(), 2).await;
+    let (deployment, pairs) = backend::start(bin(), 2, &json!({})).await;
     for number in 0..8 {
         for kind in ["chunked", "length"] {
             // One of the nodes is the owner's, the other one forwards.
@@ -163,7 +163,7 @@
 /// Guards against large answers that are mixed on their way through another node.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_answers_are_not_mixed() {
-    let (deployment, pairs) = backend::start(bin(), 2).await;
+    let (deployment, pairs) = backend::start(bin(), 2, &json!({})).await;
     let mut requests = task::JoinSet::new();
     for number in 0..64 {
         let address = pairs[number % 2].caller().to_owned();
@@ -264,7 +264,7 @@
 /// Guards against a malformed frame that harms more than its own connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_malformed_frame_ends_only_its_connection() {
-    let (deployment, pairs) = backend::start(bin(), 2).await;
+    let (deployment, pairs) = backend::start(bin(), 2, &json!({})).await;
     let running: Vec<_> = pairs
         .iter()
         .map(|pair| {
@@ -327,7 +327,7 @@
 /// Guards against a request that runs on, and holds its slot, after its caller is gone.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_cancelled_with_its_caller() {
-    let (_deployment, pairs) = backend::start(bin(), 2).await;
+    let (_deployment, pairs) = backend::start(bin(), 2, &json!({})).await;
     for kind in ["hang", "endless"] {
         for number in 0..4 {
             for pair in &pairs {
@@ -346,7 +346,7 @@
 /// Guards against an answer that holds its slot because its caller does not read it.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_is_not_read_is_cancelled() {
-    let (_deployment, pairs) = backend::start(bin(), 2).await;
+    let (_deployment, pairs) = backend::start(bin(), 2, &json!({})).await;
     let mut sockets = Vec::new();
     for pair in &pairs {
         let key = format!("endless-{}", pair.name);
--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -4,10 +4,11 @@
 //! breaks off. Each step of a request is noted, so that tests can wait for it.
 
 use std::io;
+use std::path::Path;
 use std::time::Duration;
 
 use sequoiayoke_harness::{Deployment, deployment, process, settings};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -30,15 +31,25 @@
 }
 
 /// Starts a deployment of one control replica and `count` pairs that serve `desk`.
-pub(crate) async fn start(bin: &std::path::Path, count: usize) -> (Deployment, Vec<Pair>) {
+///
+/// `timing` is that section of the nodes' settings.
+pub(crate) async fn start(bin: &Path, count: usize, timing: &Value) -> (Deployment, Vec<Pair>) {
     let mut deployment = Deployment::start(bin, settings::Spec::new(1)).unwrap();
     deployment.spec = deployment.spec.with_service("desk", count, 32, 0);
     let mut pairs = Vec::new();
     for server in deployment.spec.servers.clone() {
-        let node = deployment.start_node(&server).unwrap();
+        let mut text = settings::node(&deployment.spec, &deployment.ip, &server);
+        text["timing"] = timing.clone();
+        let data = deployment.data(0);
+        let file = data.with_file_name(format!("{}.jsonc", server.name));
+        std::fs::write(&file, text.to_string()).unwrap();
+        let arguments = ["--settings".to_owned(), file.display().to_string()];
+        let program = bin.join("sequoiayoke-node");
+        let log = file.with_extension("log");
+        let node = process::Process::start(&server.name, &program, &arguments, log).unwrap();
         pairs.push(Pair::start(&deployment.ip, &server.name, node).await);
     }
-    let joined = |status: &serde_json::Value| {
+    let joined = |status: &Value| {
         let servers = status["servers"].as_array();
         servers.is_some_and(|servers| servers.len() == count)
     };
@@ -91,8 +102,14 @@
 
     /// Waits until the server has noted `text`.
     pub(crate) async fn wait(&self, text: &str) {
+        self.wait_times(text, 1).await;
+    }
+
+    /// Waits until the server has noted `text` so many times.
+    pub(crate) async fn wait_times(&self, text: &str, times: usize) {
         let mut notes = self.notes.subscribe();
-        let seen = notes.wait_for(|notes| notes.iter().any(|note| note == text));
+        let seen =
+            notes.wait_for(|notes| notes.iter().filter(|note| *note == text).count() >= times);
         let seen = tokio::time::timeout(deployment::PATIENCE, seen).await;
         assert!(seen.is_ok(), "{} has not noted `{text}`", self.name);
     }
