--- a/crates/node/src/coordinator/state/grants.rs
+++ b/crates/node/src/coordinator/state/grants.rs
@@ -27,10 +27,14 @@
         for (grant, range) in held {
             self.take_held(&before, grant, range);
         }
+        if self.stopping {
+            // Also slices that were made by a split or merge meanwhile.
+            self.release_owned();
+        }
     }
 
     /// Lists the slices that the view says this run holds.
-    fn held(&self) -> Vec<(event::Grant, range::Range)> {
+    pub(super) fn held(&self) -> Vec<(event::Grant, range::Range)> {
         let mut held = Vec::new();
         for (service, table) in self.view.tables() {
             for (slice, range) in table.iter() {
@@ -88,11 +92,21 @@
         if latest == Some(grant.epoch) && covered == overlap(range, range) {
             return self.reshape(grant, range, &sources);
         }
+        if self.stopping {
+            return self.pass_on(grant);
+        }
         self.granting.insert(grant);
         let name = self.service_name(grant.service);
         self.effects.push(Effect::Grant(grant, name, range));
     }
 
+    /// Releases a grant under which nothing has run.
+    fn pass_on(&mut self, grant: event::Grant) {
+        let export = self.window_of(grant).export();
+        self.send_released(grant, Some(&export));
+        self.releasing.insert(grant, Some(export));
+    }
+
     /// Makes a slice out of owned ones, which keeps their records and requests in flight.
     fn reshape(
         &mut self,
@@ -128,6 +142,9 @@
             return;
         };
         if let Err(error) = taken {
+            if self.stopping {
+                return self.pass_on(grant);
+            }
             tracing::warn!(%error, service = %grant.service, first = %grant.start, "grant failed");
             self.granting.insert(grant);
             let name = self.service_name(grant.service);
@@ -151,6 +168,9 @@
         let slice = owned::Slice::new(grant.service, range, grant.epoch, window);
         let owned = sync::Arc::make_mut(&mut self.owned);
         owned.insert((grant.service, grant.start), sync::Arc::new(slice));
+        if self.stopping {
+            self.release_owned();
+        }
     }
 
     fn window_of(&mut self, grant: event::Grant) -> window::Window {
@@ -275,6 +295,10 @@
     /// Releases every slice and takes no new work; ends when all are idle.
     pub fn stop(&mut self) {
         self.stopping = true;
+        self.release_owned();
+    }
+
+    fn release_owned(&mut self) {
         let owned: published::Owned = published::Owned::clone(&self.owned);
         for ((service, start), slice) in owned {
             let grant = event::Grant {
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod callers;
 pub mod evidence;
+pub mod flights;
 pub mod owned;
 pub mod path;
 pub mod peers;
@@ -17,6 +18,7 @@
 pub mod scrape;
 pub mod server;
 
+use std::io;
 use std::net;
 use std::sync;
 use std::time::Duration;
@@ -54,13 +56,24 @@
     pub callers: callers::Limits,
     /// Signs request ids.
     pub signer: callers::ids::Signer,
+    /// Bounds of the connections of callers.
+    pub connections: callers::connection::Limits,
     /// Connections from other nodes.
     pub serve: peers::serve::Config,
-    /// Time for connections to end at a shutdown.
-    pub drain: Duration,
 }
 
-/// Runs the listeners until `stop`.
+/// Signals of a shutdown.
+#[derive(Clone, Debug, Default)]
+pub struct Shutdown {
+    /// Nothing is owned any more: the listeners close, and answers in flight end.
+    pub close: Stop,
+    /// The time for answers in flight is over.
+    pub over: Stop,
+    /// The traffic has ended.
+    pub ended: Stop,
+}
+
+/// Runs the listeners until the shutdown; requests that are then still in flight are logged.
 ///
 /// # Errors
 ///
@@ -70,24 +83,32 @@
     config: Config,
     path: sync::Arc<Path>,
     announce: server::announce::Announce,
-    stop: Stop,
+    shutdown: &Shutdown,
 ) -> supervisor::Outcome {
+    let stop = shutdown.close.clone();
     let supervisor = Supervisor::new(
         "traffic",
         budget::Budget::new(RESTARTS, WINDOW),
         stop.clone(),
     );
-    let caller = || {
-        let endpoint = callers::Callers::new(path.clone(), config.callers, config.signer.clone());
-        serve_http(&listeners.caller, endpoint, config.drain, stop.clone())
+    // Kept over restarts of the listener, so that its connections stay counted.
+    let connections = callers::connection::Connections::new(config.connections);
+    let connections = sync::Arc::new(connections);
+    let caller = || async {
+        let listener = clone(&listeners.caller)?;
+        let acceptor = callers::connection::Acceptor::new(listener, connections.clone());
+        let endpoint = callers::Callers::new(
+            path.clone(),
+            config.callers,
+            config.signer.clone(),
+            connections.clone(),
+        );
+        serve_http(acceptor, endpoint, stop.clone()).await
     };
-    let backend = || {
-        serve_http(
-            &listeners.backend,
-            announce.clone(),
-            Duration::ZERO,
-            stop.clone(),
-        )
+    let backend = || async {
+        let acceptor = listener::TcpAcceptor::from_tokio(clone(&listeners.backend)?);
+        let acceptor = acceptor.map_err(failed)?;
+        serve_http(acceptor, announce.clone(), stop.clone()).await
     };
     let peer = || async {
         let listener = clone(&listeners.peer)?;
@@ -98,21 +119,47 @@
         let Some(listener) = &listeners.metrics else {
             return Ok(());
         };
-        let serve = || {
+        let serve = || async {
+            let acceptor = listener::TcpAcceptor::from_tokio(clone(listener)?);
             let endpoint = scrape::Scrape::new(path.clone());
-            serve_http(listener, endpoint, Duration::ZERO, stop.clone())
+            serve_http(acceptor.map_err(failed)?, endpoint, stop.clone()).await
         };
         supervisor
             .run("metrics", policy::Policy::Permanent, serve)
             .await
     };
-    tokio::try_join!(
-        metrics,
-        supervisor.run("callers", policy::Policy::Permanent, caller),
-        supervisor.run("backend", policy::Policy::Permanent, backend),
-        supervisor.run("peers", policy::Policy::Permanent, peer),
-    )?;
-    Ok(())
+    let running = async {
+        tokio::try_join!(
+            metrics,
+            supervisor.run("callers", policy::Policy::Permanent, caller),
+            supervisor.run("backend", policy::Policy::Permanent, backend),
+            supervisor.run("peers", policy::Policy::Permanent, peer),
+        )
+    };
+    let over = async {
+        shutdown.over.cancelled().await;
+        // Before the other branch is dropped, which ends the requests.
+        report(&path);
+    };
+    tokio::select! {
+        ended = running => ended.map(|_| ()),
+        () = over => Ok(()),
+    }
+}
+
+/// Logs the requests that a shutdown interrupts.
+fn report(path: &Path) {
+    let snapshot = path.published().load();
+    for record in path.flights().list() {
+        let service = snapshot.view.service_by_id(record.service);
+        tracing::error!(
+            service = service.map_or("", |service| service.name.as_str()),
+            hash = %record.hash,
+            request = record.id.map(tracing::field::display),
+            forwarded = record.forwarded,
+            "request did not end within the drain time"
+        );
+    }
 }
 
 fn clone(
@@ -122,28 +169,20 @@
         listener.set_nonblocking(true)?;
         TcpListener::from_std(listener)
     });
-    cloned.map_err(|error| {
-        error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
-    })
+    cloned.map_err(failed)
 }
 
-async fn serve_http<E>(
-    listener: &net::TcpListener,
-    endpoint: E,
-    drain: Duration,
-    stop: Stop,
-) -> supervisor::Outcome
+fn failed(error: io::Error) -> error_stack::Report<supervisor::Error> {
+    error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
+}
+
+async fn serve_http<A, E>(acceptor: A, endpoint: E, stop: Stop) -> supervisor::Outcome
 where
+    A: listener::Acceptor + 'static,
     E: poem::Endpoint<Output = poem::Response> + 'static,
 {
-    let acceptor = listener::TcpAcceptor::from_tokio(clone(listener)?);
-    let acceptor = acceptor.map_err(|error| {
-        error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
-    })?;
     poem::Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), Some(drain))
+        .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), None)
         .await
-        .map_err(|error| {
-            error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
-        })
+        .map_err(failed)
 }
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -3,10 +3,13 @@
 //! This front end only translates: it turns an HTTP request into a
 //! [`request::View`] and an answer back into HTTP. The path decides.
 
+pub mod connection;
 pub mod ids;
 
 mod caller;
+mod outgoing;
 mod parse;
+mod refusal;
 mod reply;
 
 use std::sync;
@@ -25,6 +28,13 @@
 use super::server;
 use crate::published;
 
+/// Time for the head of a request to arrive.
+pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a request after which a caller's connection is closed.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time without progress of an answer, after which its caller counts as gone.
+pub const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Bounds of what callers may send.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -42,6 +52,7 @@
     path: sync::Arc<path::Path<C, S>>,
     limits: Limits,
     signer: ids::Signer,
+    connections: sync::Arc<connection::Connections>,
 }
 
 /// What is wrong with a request: the reason and a text for the caller.
@@ -78,20 +89,64 @@
     C: clock::Clock + Send + Sync + 'static,
     S: server::Dispatch,
 {
-    /// Makes the endpoint.
+    /// Makes the endpoint of the listener whose connections are listed in `connections`.
     pub const fn new(
         path: sync::Arc<path::Path<C, S>>,
         limits: Limits,
         signer: ids::Signer,
+        connections: sync::Arc<connection::Connections>,
     ) -> Self {
         Self {
             path,
             limits,
             signer,
+            connections,
         }
     }
 
-    async fn answer(&self, mut http: poem::Request) -> Result<poem::Response, Problem> {
+    /// Answers a request, unless its caller is gone before; then the request is cancelled.
+    async fn exchange(&self, http: poem::Request) -> poem::Response {
+        let Some(line) = self.connections.line(http.remote_addr()) else {
+            return reply::cancelled();
+        };
+        let exchange = outgoing::Exchange::new(sync::Arc::clone(&line), http.version());
+        if http.uri().path() == "/v1/ready" {
+            return self.ready();
+        }
+        tokio::select! {
+            answer = self.answer(http, exchange) => {
+                answer.unwrap_or_else(|problem| self.reject(&problem))
+            }
+            () = line.gone().cancelled() => {
+                line.cut();
+                reply::cancelled()
+            }
+        }
+    }
+
+    fn reject(&self, problem: &Problem) -> poem::Response {
+        if let Some(measure) = self.path.measure() {
+            measure.rejected(problem.reason);
+        }
+        reply::problem(problem.reason, &problem.detail)
+    }
+
+    fn ready(&self) -> poem::Response {
+        let snapshot = self.path.published().load();
+        let refusal = snapshot.unready(self.path.clock().now());
+        let status = match refusal {
+            None => StatusCode::OK,
+            Some(_) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let text = refusal.map_or("ready", outcome::Reason::word);
+        poem::Response::builder().status(status).body(text)
+    }
+
+    async fn answer(
+        &self,
+        mut http: poem::Request,
+        exchange: outgoing::Exchange,
+    ) -> Result<poem::Response, Problem> {
         parse::check_head(&http, self.limits.max_header_bytes)?;
         let target = parse::target(http.uri().path())?;
         let subject = self.subject(&http, &target)?;
@@ -124,7 +179,7 @@
         // Boxed by the HTTP library; the path itself stays generic over the body.
         let body = Box::pin(body.into_bytes_stream());
         let answer = self.path.serve(&view, body).await;
-        Ok(self.reply(&view, answer))
+        Ok(self.reply(&view, answer, exchange))
     }
 
     fn subject(
@@ -174,13 +229,19 @@
         Some(model_request::Id::new(epoch, issued_ms, rand::random()))
     }
 
-    fn reply(&self, view: &request::View<'_>, answer: answer::Answer) -> poem::Response {
+    fn reply(
+        &self,
+        view: &request::View<'_>,
+        answer: answer::Answer,
+        exchange: outgoing::Exchange,
+    ) -> poem::Response {
         let snapshot = self.path.published().load();
         let table = snapshot.view.table(view.service);
         let holder = table.and_then(|table| table.find(view.hash).0.holder);
         let owner = holder.and_then(|holder| snapshot.view.server(holder.server));
         let id = view.id.map(|id| self.signer.sign(id));
-        reply::response(answer, id, owner.map(|owner| owner.caller_address))
+        let owner = owner.map(|owner| owner.caller_address);
+        reply::response(answer, id, owner, exchange)
     }
 }
 
@@ -201,25 +262,6 @@
     type Output = poem::Response;
 
     async fn call(&self, http: poem::Request) -> poem::Result<poem::Response> {
-        if http.uri().path() == "/v1/ready" {
-            let refusal = self
-                .path
-                .published()
-                .load()
-                .refusal(self.path.clock().now());
-            let status = match refusal {
-                None => StatusCode::OK,
-                Some(_) => StatusCode::SERVICE_UNAVAILABLE,
-            };
-            let text = refusal.map_or("ready", outcome::Reason::word);
-            return Ok(poem::Response::builder().status(status).body(text));
-        }
-        let answer = self.answer(http).await;
-        Ok(answer.unwrap_or_else(|problem| {
-            if let Some(measure) = self.path.measure() {
-                measure.rejected(problem.reason);
-            }
-            reply::problem(problem.reason, &problem.detail)
-        }))
+        Ok(self.exchange(http).await)
     }
 }
--- a/crates/node/src/traffic/callers/reply.rs
+++ b/crates/node/src/traffic/callers/reply.rs
@@ -6,6 +6,7 @@
 use poem::http::StatusCode;
 use sequoiayoke_model::outcome;
 
+use super::outgoing;
 use crate::traffic::answer;
 
 /// Seconds after which a request that was not run may be sent again.
@@ -45,6 +46,7 @@
     answer: answer::Answer,
     id: Option<String>,
     owner: Option<net::SocketAddr>,
+    exchange: outgoing::Exchange,
 ) -> poem::Response {
     let mut builder = poem::Response::builder()
         .status(status(answer.outcome))
@@ -76,10 +78,13 @@
     if answer.replayed {
         builder = builder.header("sequoiayoke-replayed", "true");
     }
-    match answer.body {
-        answer::Body::Whole(bytes) => builder.body(bytes),
-        body => builder.body(poem::Body::from_bytes_stream(body)),
-    }
+    builder.body(exchange.body(answer.body, answer.flight))
+}
+
+/// Makes the answer to a caller that is gone; nobody reads it.
+pub(super) fn cancelled() -> poem::Response {
+    let outcome = outcome::Outcome::Unknown(outcome::Reason::Cancelled);
+    poem::Response::builder().status(status(outcome)).finish()
 }
 
 /// Turns a problem of the request itself into HTTP.
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -28,6 +28,7 @@
 
 use super::answer;
 use super::evidence;
+use super::flights;
 use super::peers::dial;
 use super::request;
 use super::server;
@@ -69,6 +70,7 @@
     peers: dial::Pool,
     limits: Limits,
     waiting: atomic::AtomicUsize,
+    flights: sync::Arc<flights::Flights>,
     // Locked for one decision, never across an `await`.
     budget: sync::Mutex<retry::Budget>,
     evidence: sync::Arc<evidence::Evidence>,
@@ -141,6 +143,7 @@
             peers,
             limits,
             waiting: atomic::AtomicUsize::new(0),
+            flights: sync::Arc::default(),
             budget,
             evidence,
             measure: None,
@@ -174,6 +177,11 @@
         }
     }
 
+    /// Returns the requests in flight.
+    pub fn flights(&self) -> &flights::Flights {
+        &self.flights
+    }
+
     /// Sets the backend server.
     pub fn set_target(&self, target: Option<sync::Arc<Target<S>>>) {
         self.target.store(target);
@@ -196,7 +204,9 @@
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
     {
         let start = self.clock.now();
-        let answer = self.attempt_all(view, body).await;
+        let flight = self.flights.enter(view);
+        let mut answer = self.attempt_all(view, body).await;
+        answer.flight = Some(flight);
         let elapsed = self.clock.now().saturating_since(start);
         self.ended(view, &answer, elapsed);
         answer
@@ -206,8 +216,11 @@
     where
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
     {
-        let Ok(mut source) = hold(view, body).await else {
-            return answer::Answer::not_run(outcome::Reason::Cancelled);
+        let left = view.left(self.clock.now());
+        let mut source = match tokio::time::timeout(left, hold(view, body)).await {
+            Ok(Ok(source)) => source,
+            Ok(Err(_)) => return answer::Answer::not_run(outcome::Reason::Cancelled),
+            Err(_) => return answer::Answer::not_run(outcome::Reason::Deadline),
         };
         self.lock_budget()
             .deposit(self.clock.now(), view.caller, view.service);
@@ -464,5 +477,6 @@
         server: reply.head.server,
         replayed: reply.head.replayed,
         body: answer::Body::Peer(reply.body),
+        flight: None,
     }
 }
--- a/crates/node/tests/owned.rs
+++ b/crates/node/tests/owned.rs
@@ -50,7 +50,9 @@
 async fn requests_from_before_a_split_still_count() {
     let whole = slice(0, 99, EPOCH);
     let entry = whole.enter().expect("the slice is open");
-    let half = owned::Slice::with_parts_of(range(50, 99), EPOCH, [&whole]).expect("a part");
+    let half =
+        owned::Slice::with_parts_of(range(50, 99), EPOCH, [&whole], window::Limits::default())
+            .expect("a part");
     whole.close();
     half.close();
     assert_eq!(half.in_flight(), 1);
@@ -65,13 +67,17 @@
     let whole = slice(0, 99, EPOCH);
     let first = run(&whole, request(1), 10).expect("it runs");
     let second = run(&whole, request(2), 60).expect("it runs");
-    let parts = [range(0, 49), range(50, 99)]
-        .map(|range| owned::Slice::with_parts_of(range, EPOCH, [&whole]).expect("a part"));
+    let parts = [range(0, 49), range(50, 99)].map(|range| {
+        owned::Slice::with_parts_of(range, EPOCH, [&whole], window::Limits::default())
+            .expect("a part")
+    });
     assert!(run(&parts[0], request(1), 10).is_err(), "still running");
     first.end(window::End::Answered(None));
     second.end(window::End::Answered(None));
     assert!(run(&parts[1], request(2), 60).is_err(), "it has run");
-    let joined = owned::Slice::with_parts_of(range(0, 99), EPOCH, &parts).expect("a whole");
+    let joined =
+        owned::Slice::with_parts_of(range(0, 99), EPOCH, &parts, window::Limits::default())
+            .expect("a whole");
     assert!(run(&joined, request(1), 10).is_err());
     assert!(run(&joined, request(2), 60).is_err());
 }
@@ -81,7 +87,12 @@
 #[test]
 fn a_merge_of_two_epochs_takes_ids_of_the_later_one() {
     let (early, late) = (slice(0, 49, EPOCH), slice(50, 99, id::Epoch(8)));
-    let joined = owned::Slice::with_parts_of(range(0, 99), id::Epoch(8), [&early, &late]);
+    let joined = owned::Slice::with_parts_of(
+        range(0, 99),
+        id::Epoch(8),
+        [&early, &late],
+        window::Limits::default(),
+    );
     let joined = joined.expect("a whole");
     let id = request::Id::new(id::Epoch(8), 1_000, 3);
     run(&joined, id, 10).expect("an id of the present epoch runs");
@@ -96,7 +107,9 @@
         let run = run(&whole, request(id), hash).expect("it runs");
         run.end(window::End::Answered(None));
     }
-    let half = owned::Slice::with_parts_of(range(50, 99), EPOCH, [&whole]).expect("a part");
+    let half =
+        owned::Slice::with_parts_of(range(50, 99), EPOCH, [&whole], window::Limits::default())
+            .expect("a part");
     let export = half.export().expect("a record");
     let ids: Vec<_> = export.records.iter().map(|record| record.id).collect();
     assert_eq!(ids, [request(2)]);
