node: a request without a body is no bulk load

Cause: a write that named no size and sent no chunks counted as an upload of unknown size. A server that ramps up, or has one slot, keeps its only place free of bulk load, so such writes were shed instead of queued. Change: only a size above the bound, or chunks, make a request bulk load.

--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -427,12 +427,8 @@
 where
     B: Stream<Item = io::Result<Bytes>> + Unpin,
 {
-    let chunked = view
-        .headers
-        .iter()
-        .any(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"));
     match view.body_bytes() {
-        None if !chunked => Ok(Source::Held(Bytes::new())),
+        None if !view.is_chunked() => Ok(Source::Held(Bytes::new())),
         Some(size) if size <= HELD_BODY => {
             let mut held = bytes::BytesMut::with_capacity(size as usize);
             while let Some(part) = body.next().await {
--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -137,7 +137,11 @@
 }
 
 fn ticket(view: &request::View<'_>) -> gate::Ticket {
-    let bulk = view.body_bytes().is_none_or(|bytes| bytes > BULK_BYTES) && view.method != "GET";
+    // A request that names no size and sends no chunks has no body.
+    let bulk = match view.body_bytes() {
+        Some(bytes) => bytes > BULK_BYTES,
+        None => view.is_chunked(),
+    };
     gate::Ticket {
         caller: view.caller,
         service: view.service,
--- a/crates/node/src/traffic/request.rs
+++ b/crates/node/src/traffic/request.rs
@@ -41,6 +41,12 @@
         now.saturating_until(self.deadline)
     }
 
+    /// Tells whether the body comes in chunks, so that its size is not known ahead.
+    pub fn is_chunked(&self) -> bool {
+        let mut headers = self.headers.iter();
+        headers.any(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"))
+    }
+
     /// Returns the size of the body, if the caller said it.
     pub fn body_bytes(&self) -> Option<u64> {
         let mut headers = self.headers.iter();
--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -169,11 +169,7 @@
 }
 
 fn has_body(view: &request::View<'_>) -> bool {
-    let chunked = view
-        .headers
-        .iter()
-        .any(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"));
-    chunked || view.body_bytes().is_some_and(|bytes| bytes > 0)
+    view.is_chunked() || view.body_bytes().is_some_and(|bytes| bytes > 0)
 }
 
 impl Dispatch for Http {
