node: a request that may have run is not reported as not run

Cause: an idempotent request whose first sending ended as unknown was sent again; if that sending was refused, or the key had no owner by the deadline, the caller was told 'not run' although the first sending may have run. Change: once a sending ended as unknown, a later 'not run' is reported as unknown with the reason of that sending.

--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -204,18 +204,23 @@
         self.lock_budget()
             .deposit(self.clock.now(), view.caller, view.service);
         let mut number = 0;
+        // Why it is not known whether an earlier sending ran.
+        let mut uncertain = None;
         loop {
             let mut changed = self.published.subscribe();
             let answer = match self.decide(view).await {
                 Ok(decision) => match source.sending() {
                     Some(sending) => self.carry_out(view, decision, sending).await,
-                    None => return answer::Answer::not_run(outcome::Reason::Unreachable),
+                    None => answer::Answer::not_run(outcome::Reason::Unreachable),
                 },
-                Err(reason) => return answer::Answer::not_run(reason),
+                Err(reason) => return after(uncertain, answer::Answer::not_run(reason)),
             };
             let now = self.clock.now();
             if view.forwarded.is_some() || !self.may_retry(view, &answer, &source, number, now) {
-                return answer;
+                return after(uncertain, answer);
+            }
+            if let outcome::Outcome::Unknown(reason) = answer.outcome {
+                uncertain = Some(reason);
             }
             self.pause(view, number, &mut changed).await;
             number += 1;
@@ -422,6 +427,15 @@
     }
 }
 
+/// Returns the answer to the last sending, as it holds for all of them.
+fn after(uncertain: Option<outcome::Reason>, answer: answer::Answer) -> answer::Answer {
+    match (uncertain, answer.outcome) {
+        // Only this sending did not run; an earlier one may have.
+        (Some(reason), outcome::Outcome::NotRun(_)) => answer::Answer::unknown(reason),
+        _ => answer,
+    }
+}
+
 /// Holds a short body whole, so that it can be sent again.
 async fn hold<B>(view: &request::View<'_>, mut body: B) -> io::Result<Source<B>>
 where
