--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -225,18 +225,23 @@
         self.lock_budget()
             .deposit(self.clock.now(), view.caller, view.service);
         let mut number = 0;
+        // Why it is not known whether an earlier sending ran.
+        let mut uncertain = None;
         loop {
             let mut changed = self.published.subscribe();
             let answer = match self.decide(view).await {
                 Ok(decision) => match source.sending() {
                     Some(sending) => self.carry_out(view, decision, sending).await,
-                    None => return answer::Answer::not_run(outcome::Reason::Unreachable),
+                    None => answer::Answer::not_run(outcome::Reason::Unreachable),
                 },
-                Err(reason) => return answer::Answer::not_run(reason),
+                Err(reason) => return after(uncertain, answer::Answer::not_run(reason)),
             };
             let now = self.clock.now();
             if view.forwarded.is_some() || !self.may_retry(view, &answer, &source, number, now) {
-                return answer;
+                return after(uncertain, answer);
+            }
+            if let outcome::Outcome::Unknown(reason) = answer.outcome {
+                uncertain = Some(reason);
             }
             self.pause(view, number, &mut changed).await;
             number += 1;
@@ -445,17 +450,22 @@
     }
 }
 
+/// Returns the answer to the last sending, as it holds for all of them.
+fn after(uncertain: Option<outcome::Reason>, answer: answer::Answer) -> answer::Answer {
+    match (uncertain, answer.outcome) {
+        // Only this sending did not run; an earlier one may have.
+        (Some(reason), outcome::Outcome::NotRun(_)) => answer::Answer::unknown(reason),
+        _ => answer,
+    }
+}
+
 /// Holds a short body whole, so that it can be sent again.
 async fn hold<B>(view: &request::View<'_>, mut body: B) -> io::Result<Source<B>>
 where
     B: Stream<Item = io::Result<Bytes>> + Unpin,
 {
-    let chunked = view
-        .headers
-        .iter()
-        .any(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"));
     match view.body_bytes() {
-        None if !chunked => Ok(Source::Held(Bytes::new())),
+        None if !view.is_chunked() => Ok(Source::Held(Bytes::new())),
         Some(size) if size <= HELD_BODY => {
             let mut held = bytes::BytesMut::with_capacity(size as usize);
             while let Some(part) = body.next().await {
