Count a node until it no longer serves on its view, and test tickets with real processes

Cause: a ticket counted as in force as soon as the lease (735 ms) of a node that lacks it had ended, but such a node takes requests on its old view until view_bound (2 s) after its last acknowledged renewal. Found by force::a_paused_node_ends_its_lease_and_does_not_serve_without_ the_ticket: complete after 648 ms, and the resumed node answered a request without the token that the ticket requires. Change: the leader keeps the last renewal of each run, gone ones included, and reports 'complete' only once no run may serve below the ticket's version. A new leader does not know the runs that its predecessor removed, so it waits for one view bound. Also: a harness pause returns once every thread has stopped, since a follower acknowledged an entry after the signal was sent.

--- a/crates/control/src/coordinator/documents.rs
+++ b/crates/control/src/coordinator/documents.rs
@@ -132,12 +132,12 @@
 }
 
 /// Turns an accepted ticket into an entry of the list.
-pub fn entry(one: &pure::Accepted, confirmation: registry::Confirmation) -> list::Entry {
+pub fn entry(one: &pure::Accepted, in_force: accepted::Force) -> list::Entry {
     list::Entry {
         number: one.ticket.number,
         version: one.version,
         objects: one.ticket.objects.iter().map(from_object).collect(),
-        in_force: force(confirmation),
+        in_force,
     }
 }
 
--- a/crates/control/src/coordinator/leader.rs
+++ b/crates/control/src/coordinator/leader.rs
@@ -3,6 +3,7 @@
 //! Nothing here is durable. A new leader starts with every lease treated as
 //! full and learns the rest from the nodes that connect to it.
 
+mod force;
 mod members;
 mod moves;
 mod operators;
@@ -42,6 +43,8 @@
     pub region: String,
     /// Leases.
     pub lease: registry::Config,
+    /// Time after its last renewal for which a node may serve on its view, drift included.
+    pub view_bound: Duration,
     /// Placement.
     pub placement: placement::Config,
 }
@@ -88,6 +91,7 @@
 pub struct Leader {
     config: Config,
     leases: registry::Registry,
+    renewals: force::Renewals,
     planner: planner::Planner,
     plan_from: clock::Instant,
     plan_due: bool,
@@ -108,10 +112,13 @@
     pub fn new(config: Config, machine: &machine::Machine, now: clock::Instant) -> Self {
         let mut leases = registry::Registry::new(config.lease);
         leases.became_leader(now, members::all(machine));
+        let had_nodes = machine.servers().next().is_some();
+        let renewals = force::Renewals::new(config.view_bound, now, had_nodes);
         let planner = planner::Planner::new(config.placement);
         let mut leader = Self {
             config,
             leases,
+            renewals,
             planner,
             plan_from: now + SETTLE,
             plan_due: true,
--- a/crates/control/src/coordinator/leader/members.rs
+++ b/crates/control/src/coordinator/leader/members.rs
@@ -45,6 +45,7 @@
             if !self.ending.insert(member) {
                 continue;
             }
+            self.renewals.prune(now);
             let name = machine.server(member.server).map(|one| one.name.as_str());
             tracing::warn!(
                 server = name.unwrap_or(""),
--- a/crates/control/src/coordinator/leader/operators.rs
+++ b/crates/control/src/coordinator/leader/operators.rs
@@ -34,12 +34,12 @@
                 let _ = reply.send(self.check(machine, &document));
             }
             event::Request::List(reply) => {
-                let _ = reply.send(Ok(self.list(machine)));
+                let _ = reply.send(Ok(self.list(now, machine)));
             }
             event::Request::Show(number, reply) => {
                 let found = machine.ticket(number).map(|one| {
-                    let confirmation = self.leases.confirmed(one.version);
-                    documents::entry(one, confirmation)
+                    let floor = self.renewals.floor(now);
+                    documents::entry(one, self.force(floor, one.version))
                 });
                 let missing = || error::Error::NotFound {
                     detail: format!("no ticket with number {}", number.0),
@@ -74,7 +74,7 @@
 
     pub(super) fn answer_ticket(
         &mut self,
-        _now: clock::Instant,
+        now: clock::Instant,
         number: id::Ticket,
         reply: event::Reply<accepted::Accepted>,
         applied: &replica::Applied,
@@ -93,7 +93,7 @@
                     status: accepted::Status::Accepted,
                     version,
                     repeated: done.repeated,
-                    in_force: documents::force(self.leases.confirmed(version)),
+                    in_force: self.force(self.renewals.floor(now), version),
                 })
             }
             Err(refusal) => {
@@ -104,6 +104,15 @@
         let _ = reply.send(answer);
     }
 
+    /// Tells how far `version` is in force if no node serves below `floor`.
+    fn force(&self, floor: id::Version, version: id::Version) -> accepted::Force {
+        let confirmation = self.leases.confirmed(version);
+        accepted::Force {
+            complete: confirmation.is_complete() && version <= floor,
+            ..documents::force(confirmation)
+        }
+    }
+
     fn check(
         &self,
         machine: &machine::Machine,
@@ -133,12 +142,13 @@
         })
     }
 
-    fn list(&self, machine: &machine::Machine) -> list::List {
+    fn list(&self, now: clock::Instant, machine: &machine::Machine) -> list::List {
+        let floor = self.renewals.floor(now);
         let tickets = machine.tickets();
         list::List {
             next: machine.next_ticket(),
             tickets: tickets
-                .map(|one| documents::entry(one, self.leases.confirmed(one.version)))
+                .map(|one| documents::entry(one, self.force(floor, one.version)))
                 .collect(),
         }
     }
--- a/crates/control/src/coordinator/leader/sessions.rs
+++ b/crates/control/src/coordinator/leader/sessions.rs
@@ -155,6 +155,7 @@
         let version = id::Version(renew.version);
         match self.leases.renewed(now, member, version) {
             Ok(()) => {
+                self.renewals.renewed(now, member, version);
                 self.note_report(machine, member, renew);
                 let version = machine.view().version().0;
                 let sequence = renew.sequence;
@@ -170,6 +171,7 @@
     fn leave(&mut self, key: event::Session) {
         if let Some(member) = self.member_of(key) {
             self.leases.released(member);
+            self.renewals.left(member);
             self.close(key);
         }
     }
--- a/crates/control/src/root.rs
+++ b/crates/control/src/root.rs
@@ -199,8 +199,11 @@
 
 fn leader_config(settings: &control::Control) -> leader::Config {
     let (timing, moves) = (&settings.timing, &settings.placement);
+    let view_bound = Duration::from_millis(timing.view_bound_ms);
+    let drift = u32::try_from(timing.drift_percent).unwrap_or(u32::MAX);
     leader::Config {
         region: settings.region.clone(),
+        view_bound: view_bound + view_bound.saturating_mul(drift) / 100,
         lease: registry::Config {
             lease: Duration::from_millis(timing.lease_ms),
             drift_permille: u32::try_from(timing.drift_percent * 10).unwrap_or(u32::MAX),
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -104,9 +104,25 @@
         }
     }
 
-    /// Pauses it.
+    /// Pauses it, and returns once every thread has stopped.
     pub fn pause(&self) {
         self.signal(process::Signal::STOP);
+        let start = Instant::now();
+        // The signal returns earlier than threads on other cores stop.
+        while !self.is_stopped() && start.elapsed() < READY {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let mut tasks = tasks.into_iter().flatten().flatten();
+        tasks.all(|task| {
+            let status = fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            // The state is the first word behind the name, which is in parentheses.
+            let state = status.rsplit(')').next().unwrap_or("").trim_start();
+            state.starts_with('T')
+        })
     }
 
     /// Resumes it.
--- a/tests/durability/kills.rs
+++ b/tests/durability/kills.rs
@@ -29,6 +29,33 @@
     }
 }
 
+/// Guards against an acceptance that no follower had a chance to see.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_followers_are_killed_before_an_acceptance() {
+    let mut deployment = start().await;
+    for _ in 0..3 {
+        caught_up(&deployment, &ALL).await;
+        let list = deployment.ask(&ALL, "/v1/tickets").await.unwrap();
+        let number = list["next"].as_u64().unwrap();
+        let leader = deployment.wait_leader(&ALL).await.unwrap();
+        let rest: Vec<_> = ALL.into_iter().filter(|one| *one != leader).collect();
+        for &follower in &rest {
+            deployment.kill_control(follower);
+        }
+        let limit = Duration::from_secs(8);
+        let answer = deployment.post_ticket(leader, &ticket(number), limit).await;
+        deployment.kill_control(leader);
+        for &follower in &rest {
+            deployment.start_control(follower).unwrap();
+        }
+        let after = Record::read(&deployment, &rest).await;
+        let kept = after.tickets.len() as u64 == number;
+        let accepted = answer.as_ref().is_some_and(|answer| answer.0 == 200);
+        assert!(kept || !accepted, "ticket {number} was lost: {answer:?}");
+        deployment.start_control(leader).unwrap();
+    }
+}
+
 /// Guards against tickets and assignments that are acknowledged before they are on disk.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_replicas_are_killed() {
