Send small writes to callers at once

Cause: the listeners for HTTP left Nagle's algorithm on. A streamed answer is several small writes, and the second one waited for the acknowledgement of the first, which the caller's kernel delays by 40 ms. Change: an acceptor sets TCP_NODELAY. Trial: without set_nodelay, small_writes_are_sent_at_once fails at the assertion on nodelay.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -7,6 +7,7 @@
 //! traffic ends, and with it the node, since a node that takes no requests is
 //! better replaced. Requests are tasks of their connections and end with them.
 
+pub mod accept;
 pub mod answer;
 pub mod callers;
 pub mod evidence;
@@ -21,7 +22,6 @@
 use std::sync;
 use std::time::Duration;
 
-use poem::listener;
 use sequoiayoke_model::clock;
 use sequoiayoke_supervise::{Stop, Supervisor, budget, policy, supervisor};
 use tokio::net::TcpListener;
@@ -134,10 +134,7 @@
 where
     E: poem::Endpoint<Output = poem::Response> + 'static,
 {
-    let acceptor = listener::TcpAcceptor::from_tokio(clone(listener)?);
-    let acceptor = acceptor.map_err(|error| {
-        error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
-    })?;
+    let acceptor = accept::Acceptor::new(clone(listener)?);
     poem::Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), Some(drain))
         .await
