Let the keys of a flow take turns in the queue

Cause: the waiting requests of all keys of a caller shared one queue by deadline. A hot key that brings more than its server can take filled it, so every other key of that server waited as long, and was shed as often. Change: a flow's queue has a lane for each key with waiting requests. Lanes take turns, and equal ones go by deadline. A key may take no more places than are left to the others of its flow. The scenarios' order is unchanged. The gate's tests give each request a key of its own, since equal keys would now share a lane; their checks are unchanged. Trial: with one hash for all tickets, other_keys_do_not_wait_for_a_hot_key fails at step 28 with a shed request of another key.

--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -144,6 +144,7 @@
     gate::Ticket {
         caller: view.caller,
         service: view.service,
+        hash: view.hash,
         class: match bulk {
             true => gate::Class::Bulk,
             false => gate::Class::Interactive,
--- a/crates/traffic/examples/cost.rs
+++ b/crates/traffic/examples/cost.rs
@@ -103,6 +103,7 @@
         let ticket = gate::Ticket {
             caller: id::Caller((number % 20) as u32),
             service: SERVICE,
+            hash: key::Hash(number),
             class: gate::Class::Interactive,
             deadline: now + Duration::from_secs(1),
             request: None,
--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -7,4 +7,5 @@
 pub mod gate;
 
 mod flow;
+mod lane;
 mod limit;
--- a/crates/traffic/src/admission/flow.rs
+++ b/crates/traffic/src/admission/flow.rs
@@ -3,14 +3,15 @@
 //! A flow is the requests of one caller for one service in one class. Each flow
 //! has a tag that advances by the slot time that it uses; the waiting flow with
 //! the smallest tag is next. A flow that was idle starts at the tag served
-//! last, so it gets ahead of busy flows but saves up no credit.
+//! last, so it gets ahead of busy flows but saves up no credit. Within a flow,
+//! keys take turns (see [`super::lane`]).
 
 use std::collections;
 use std::time::Duration;
 
-use sequoiayoke_model::{clock, id};
+use sequoiayoke_model::{clock, id, key};
 
-use super::gate;
+use super::{gate, lane};
 
 slotmap::new_key_type! {
     pub(super) struct Key;
@@ -84,8 +85,7 @@
     tag: u64,
     used: clock::Instant,
     in_flight: u32,
-    // By deadline.
-    queue: collections::BTreeSet<(clock::Instant, gate::Key)>,
+    queue: lane::Lanes,
     latency: Latency,
     sampled: bool,
 }
@@ -142,7 +142,7 @@
             tag: self.served,
             used: now,
             in_flight: 0,
-            queue: collections::BTreeSet::new(),
+            queue: lane::Lanes::default(),
             latency: Latency {
                 short: mean,
                 long: mean,
@@ -165,9 +165,12 @@
     }
 
     /// Places of the queue that one flow may still take: no more than are left
-    /// for all others, so that no flow can fill the queue alone.
-    pub(super) fn has_room(&self, key: Key, places: usize) -> bool {
-        self.flows[key].queue.len() < places.saturating_sub(self.waiting)
+    /// for all others, so that no flow can fill the queue alone; and likewise for
+    /// one key among the places of its flow.
+    pub(super) fn has_room(&self, key: Key, hash: key::Hash, places: usize) -> bool {
+        let queue = &self.flows[key].queue;
+        let places = places.saturating_sub(self.waiting);
+        queue.len_of(hash) < places.saturating_sub(queue.len())
     }
 
     /// Shortest latency seen lately; zero before the first response.
@@ -177,13 +180,16 @@
 
     /// Expected time until a request with this deadline has been answered, if
     /// it is queued now and `limit` requests run at once.
-    pub(super) fn expected(&self, key: Key, deadline: clock::Instant, limit: u32) -> Duration {
+    pub(super) fn expected(
+        &self,
+        key: Key,
+        hash: key::Hash,
+        deadline: clock::Instant,
+        limit: u32,
+    ) -> Duration {
         let flow = &self.flows[key];
-        let ahead = flow
-            .queue
-            .iter()
-            .take_while(|(other, _)| *other <= deadline);
-        let own = (ahead.count() as u64).saturating_mul(flow.cost());
+        let ahead = flow.queue.ahead(hash, deadline) as u64;
+        let own = ahead.saturating_mul(flow.cost());
         let tag = self.start(flow).saturating_add(own);
         let others = self.ready.iter().filter(|(_, other)| *other != key);
         let before: u64 = others
@@ -198,21 +204,33 @@
     }
 
     /// Adds a waiting request.
-    pub(super) fn push(&mut self, key: Key, deadline: clock::Instant, request: gate::Key) {
+    pub(super) fn push(
+        &mut self,
+        key: Key,
+        hash: key::Hash,
+        deadline: clock::Instant,
+        request: gate::Key,
+    ) {
         let start = self.start(&self.flows[key]);
         let flow = &mut self.flows[key];
         if flow.queue.is_empty() {
             flow.tag = start;
             self.ready.insert((start, key));
         }
-        flow.queue.insert((deadline, request));
+        flow.queue.push(hash, deadline, request);
         self.waiting += 1;
     }
 
     /// Removes a waiting request.
-    pub(super) fn remove(&mut self, key: Key, deadline: clock::Instant, request: gate::Key) {
+    pub(super) fn remove(
+        &mut self,
+        key: Key,
+        hash: key::Hash,
+        deadline: clock::Instant,
+        request: gate::Key,
+    ) {
         let flow = &mut self.flows[key];
-        if flow.queue.remove(&(deadline, request)) {
+        if flow.queue.remove(hash, deadline, request) {
             self.waiting -= 1;
             if flow.queue.is_empty() {
                 self.ready.remove(&(flow.tag, key));
@@ -224,15 +242,15 @@
     pub(super) fn next(&self, bulk: bool) -> Option<gate::Key> {
         let allowed = |key: &Key| bulk || self.flows[*key].name.class != gate::Class::Bulk;
         let (_, key) = self.ready.iter().find(|(_, key)| allowed(key))?;
-        let (_, request) = self.flows[*key].queue.first()?;
-        Some(*request)
+        self.flows[*key].queue.first()
     }
 
     /// Charges a request that starts now and returns the charge.
-    pub(super) fn start_one(&mut self, key: Key) -> u64 {
+    pub(super) fn start_one(&mut self, key: Key, hash: key::Hash) -> u64 {
         let start = self.start(&self.flows[key]);
         self.served = self.served.max(start);
         let cost = self.flows[key].cost();
+        self.flows[key].queue.started(hash);
         self.flows[key].in_flight += 1;
         self.set_tag(key, start.saturating_add(cost));
         cost
--- a/crates/traffic/src/admission/gate.rs
+++ b/crates/traffic/src/admission/gate.rs
@@ -7,7 +7,7 @@
 use std::collections;
 use std::time::Duration;
 
-use sequoiayoke_model::{clock, id, outcome, request};
+use sequoiayoke_model::{clock, id, key, outcome, request};
 
 use super::{flow, limit};
 
@@ -45,6 +45,8 @@
     pub caller: id::Caller,
     /// Service that the request names.
     pub service: id::Service,
+    /// Hash of the key; the waiting requests of one key do not delay the others.
+    pub hash: key::Hash,
     /// Kind of load.
     pub class: Class,
     /// Time after which nobody waits for the response.
@@ -120,7 +122,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use sequoiayoke_model::{clock, id};
+/// use sequoiayoke_model::{clock, id, key};
 /// use sequoiayoke_traffic::admission::gate;
 ///
 /// let now = clock::Instant::from_micros(0);
@@ -128,6 +130,7 @@
 /// let ticket = gate::Ticket {
 ///     caller: id::Caller(1),
 ///     service: id::Service(1),
+///     hash: key::Hash::new("", "kiosk-17"),
 ///     class: gate::Class::Interactive,
 ///     deadline: now + Duration::from_secs(1),
 ///     request: None,
@@ -207,8 +210,10 @@
             Class::Interactive => self.limit.current(now),
             Class::Bulk => self.bulk_limit(now),
         };
-        let expected = self.fair.expected(flow, ticket.deadline, limit);
-        self.fair.has_room(flow, self.queue) && now + expected <= ticket.deadline
+        let expected = self
+            .fair
+            .expected(flow, ticket.hash, ticket.deadline, limit);
+        self.fair.has_room(flow, ticket.hash, self.queue) && now + expected <= ticket.deadline
     }
 
     fn insert_running(&mut self, now: clock::Instant, ticket: &Ticket, flow: flow::Key) -> Key {
@@ -230,7 +235,7 @@
             flow,
             phase: Phase::Waiting { start_by },
         });
-        self.fair.push(flow, ticket.deadline, key);
+        self.fair.push(flow, ticket.hash, ticket.deadline, key);
         self.expiry.insert((start_by, key));
         key
     }
@@ -460,7 +465,7 @@
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        let charged = self.fair.start_one(entry.flow);
+        let charged = self.fair.start_one(entry.flow, entry.ticket.hash);
         let admitted = now;
         entry.phase = Phase::Running { admitted, charged };
         self.in_flight += 1;
@@ -472,7 +477,9 @@
         if let Some(entry) = self.entries.get(key)
             && let Phase::Waiting { start_by } = entry.phase
         {
-            self.fair.remove(entry.flow, entry.ticket.deadline, key);
+            let ticket = &entry.ticket;
+            self.fair
+                .remove(entry.flow, ticket.hash, ticket.deadline, key);
             self.expiry.remove(&(start_by, key));
         }
     }
--- a/crates/traffic/tests/gate.rs
+++ b/crates/traffic/tests/gate.rs
@@ -5,7 +5,7 @@
 
 use rand::{RngExt, SeedableRng, rngs};
 use sequoiayoke_model::clock::Instant;
-use sequoiayoke_model::{id, outcome::Reason};
+use sequoiayoke_model::{id, key, outcome::Reason};
 use sequoiayoke_traffic::admission::gate::{Arrival, Class, Finish, Gate, Key};
 use sequoiayoke_traffic::admission::gate::{Limits, Ticket, Turn};
 
@@ -27,6 +27,8 @@
     // Per caller.
     admitted: BTreeMap<u32, u64>,
     shed: BTreeMap<u32, u64>,
+    // Each request has a key of its own, unless a test names one.
+    keys: u64,
 }
 
 impl World {
@@ -39,6 +41,7 @@
             waiting: BTreeMap::new(),
             admitted: BTreeMap::new(),
             shed: BTreeMap::new(),
+            keys: 0,
         }
     }
 
@@ -49,9 +52,21 @@
     }
 
     fn arrive(&mut self, caller: u32, class: Class, left: Duration) -> Arrival {
+        self.keys += 1;
+        self.arrive_key(caller, class, left, key::Hash(self.keys))
+    }
+
+    fn arrive_key(
+        &mut self,
+        caller: u32,
+        class: Class,
+        left: Duration,
+        hash: key::Hash,
+    ) -> Arrival {
         let ticket = Ticket {
             caller: id::Caller(caller),
             service: id::Service(1),
+            hash,
             class,
             deadline: self.now + left,
             request: None,
@@ -318,3 +333,35 @@
     }
     assert_eq!(limits, [3, 4, 6, 8, 10, 12]);
 }
+
+/// Guards against a hot key that delays or displaces the other keys of its caller.
+///
+/// The hot key alone brings twice what the server can take.
+#[test]
+fn other_keys_do_not_wait_for_a_hot_key() {
+    const HOT: key::Hash = key::Hash(u64::MAX);
+    let mut world = World::warm();
+    let mut waits = BTreeMap::new();
+    let mut longest = Duration::ZERO;
+    for step in 0..4_000_u64 {
+        world.pass(1, Finish::Completed, |_| 10);
+        waits.retain(|key, since: &mut Instant| {
+            longest = longest.max(world.now.saturating_since(*since));
+            world.waiting.contains_key(key)
+        });
+        for _ in 0..2 {
+            world.arrive_key(1, Class::Interactive, ms(10_000), HOT);
+        }
+        if step % 4 == 0 {
+            let shed = world.shed.get(&1).copied();
+            let arrival = world.arrive(1, Class::Interactive, ms(10_000));
+            assert_eq!(world.shed.get(&1).copied(), shed, "step {step}");
+            if let Arrival::Queued(key) = arrival {
+                waits.insert(key, world.now);
+            }
+        }
+    }
+    assert!(world.shed.get(&1).is_some_and(|shed| *shed > 0));
+    // One request of the server, of which it runs 12 at a time, takes 10 ms.
+    assert!(longest <= ms(10), "{longest:?}");
+}
--- a/crates/traffic/tests/scenario.rs
+++ b/crates/traffic/tests/scenario.rs
@@ -117,10 +117,11 @@
     let mut output = String::new();
     let mut names = HashMap::new();
     let mut running = Vec::new();
-    for word in case.input.split_whitespace() {
+    for (number, word) in (0..).zip(case.input.split_whitespace()) {
         let ticket = gate::Ticket {
             caller: id::Caller(1),
             service: id::Service(1),
+            hash: key::Hash(number),
             class: gate::Class::Interactive,
             deadline: now + Duration::from_millis(word.parse().expect("a number")),
             request: None,
