--- a/crates/harness/examples/load/overload.rs
+++ b/crates/harness/examples/load/overload.rs
@@ -21,7 +21,7 @@
         let mut plan = bench.plan(plan::Mode::Nodes, targets(), rate);
         plan.deadline = DEADLINE;
         plan.threads = 3;
-        let report = bench::run(what, plan)?;
+        let report = bench::run(what, &plan)?;
         clean &= report.is_clean();
         Ok::<_, bench::Error>(report.goodput)
     };
