--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -23,7 +23,6 @@
 use std::sync;
 use std::time::Duration;
 
-use poem::listener;
 use sequoiayoke_model::clock;
 use sequoiayoke_supervise::{Stop, Supervisor, budget, policy, supervisor};
 use tokio::net::TcpListener;
@@ -106,8 +105,7 @@
         serve_http(acceptor, endpoint, stop.clone()).await
     };
     let backend = || async {
-        let acceptor = listener::TcpAcceptor::from_tokio(clone(&listeners.backend)?);
-        let acceptor = acceptor.map_err(failed)?;
+        let acceptor = accept(&listeners.backend)?;
         serve_http(acceptor, announce.clone(), stop.clone()).await
     };
     let peer = || async {
@@ -120,9 +118,8 @@
             return Ok(());
         };
         let serve = || async {
-            let acceptor = listener::TcpAcceptor::from_tokio(clone(listener)?);
             let endpoint = scrape::Scrape::new(path.clone());
-            serve_http(acceptor.map_err(failed)?, endpoint, stop.clone()).await
+            serve_http(accept(listener)?, endpoint, stop.clone()).await
         };
         supervisor
             .run("metrics", policy::Policy::Permanent, serve)
@@ -172,6 +169,12 @@
     cloned.map_err(failed)
 }
 
+fn accept(
+    listener: &net::TcpListener,
+) -> Result<listener::TcpAcceptor, error_stack::Report<supervisor::Error>> {
+    listener::TcpAcceptor::from_tokio(clone(listener)?).map_err(failed)
+}
+
 fn failed(error: io::Error) -> error_stack::Report<supervisor::Error> {
     error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
 }
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -30,7 +30,7 @@
 
 async fn start() -> (Deployment, Writers) {
     let spec = Spec::new(3).with_service(SERVICE, 4, 8, 1);
-    let deployment = Deployment::start(support::programs(), spec.with_fencing(false)).unwrap();
+    let deployment = Deployment::start(&support::bin(), spec.with_fencing(false)).unwrap();
     deployment.wait_joined().await.unwrap();
     deployment.create_services(12).await.unwrap();
     let writers = Writers::start(&deployment);
--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -20,7 +20,7 @@
 
 /// Starts three replicas without backend servers, so that the log holds tickets only.
 async fn start() -> Deployment {
-    let deployment = Deployment::start(support::programs(), Spec::new(3)).unwrap();
+    let deployment = Deployment::start(&support::bin(), Spec::new(3)).unwrap();
     deployment.wait_leader(&ALL).await.unwrap();
     deployment
 }
--- a/tests/tickets/force.rs
+++ b/tests/tickets/force.rs
@@ -18,7 +18,7 @@
 
 async fn start() -> Deployment {
     let spec = Spec::new(3).with_service(SERVICE, 3, 4, 0);
-    let deployment = Deployment::start(support::programs(), spec).unwrap();
+    let deployment = Deployment::start(&support::bin(), spec).unwrap();
     deployment.wait_joined().await.unwrap();
     deployment.create_services(6).await.unwrap();
     deployment
