--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -108,7 +108,9 @@
             path: &path_and_query,
             headers: &headers,
             deadline,
-            id: parse::request_id(&http, &self.signer)?,
+            id: parse::request_id(&http, |text| {
+                self.signer.verify(text, subject.service, subject.hash)
+            })?,
             caller: subject.caller,
             scope: &subject.scope,
             idempotent: subject.idempotent,
@@ -160,7 +162,8 @@
         let id = self.new_id(view).ok_or_else(|| {
             Problem::new(outcome::Reason::Vacant, "the key has no owner at present")
         })?;
-        let body = serde_json::json!({ "request_id": self.signer.sign(id) });
+        let body =
+            serde_json::json!({ "request_id": self.signer.sign(id, view.service, view.hash) });
         Ok(poem::Response::builder()
             .content_type("application/json")
             .body(body.to_string()))
@@ -179,7 +182,9 @@
         let table = snapshot.view.table(view.service);
         let holder = table.and_then(|table| table.find(view.hash).0.holder);
         let owner = holder.and_then(|holder| snapshot.view.server(holder.server));
-        let id = view.id.map(|id| self.signer.sign(id));
+        let id = view
+            .id
+            .map(|id| self.signer.sign(id, view.service, view.hash));
         reply::response(answer, id, owner.map(|owner| owner.caller_address))
     }
 }
--- a/crates/node/src/traffic/callers/ids.rs
+++ b/crates/node/src/traffic/callers/ids.rs
@@ -2,9 +2,12 @@
 //!
 //! An owner trusts the epoch and the time of issue in an id. A caller that made
 //! up its own ids could raise the floor of a slice's record, and other callers'
-//! requests would then be refused as too old.
+//! requests would then be refused as too old. The signature also covers the key
+//! and its scope, so that an id serves only for what it was handed out for.
 
 use hmac::Mac;
+use sequoiayoke_model::id;
+use sequoiayoke_model::key;
 use sequoiayoke_model::request;
 
 /// Bytes of the signature that an id carries; enough against guessing online.
@@ -30,14 +33,16 @@
     /// # Examples
     ///
     /// ```
-    /// use sequoiayoke_model::{id, request};
+    /// use sequoiayoke_model::{id, key, request};
     /// use sequoiayoke_node::traffic::callers::ids;
     ///
     /// let signer = ids::Signer::new(b"the shared secret");
     /// let id = request::Id::new(id::Epoch(7), 1_000, 42);
-    /// let text = signer.sign(id);
-    /// assert_eq!(signer.verify(&text), Some(id));
-    /// assert_eq!(signer.verify(&text.replace("3e8", "3e9")), None);
+    /// let (service, hash) = (id::Service(1), key::Hash::new("mill-a", "lot-4"));
+    /// let text = signer.sign(id, service, hash);
+    /// assert_eq!(signer.verify(&text, service, hash), Some(id));
+    /// assert_eq!(signer.verify(&text.replace("3e8", "3e9"), service, hash), None);
+    /// assert_eq!(signer.verify(&text, service, key::Hash::new("mill-b", "lot-4")), None);
     /// ```
     pub fn new(secret: &[u8]) -> Self {
         let mut mac = Hmac::new_from_slice(secret).expect("HMAC takes a key of any length");
@@ -45,25 +50,35 @@
         Self(mac)
     }
 
-    /// Returns the id with its signature, as a caller gets it.
-    pub fn sign(&self, id: request::Id) -> String {
+    /// Returns the id for this key with its signature, as a caller gets it.
+    pub fn sign(&self, id: request::Id, service: id::Service, hash: key::Hash) -> String {
         let text = id.to_string();
-        let tag = self.mac(&text).finalize().into_bytes();
+        let tag = self.mac(&text, service, hash).finalize().into_bytes();
         let tag = u64::from_be_bytes(tag[..TAG].try_into().expect("a tag has 8 bytes"));
         format!("{text}-{tag:016x}")
     }
 
-    /// Returns the id, if the signature fits.
-    pub fn verify(&self, signed: &str) -> Option<request::Id> {
+    /// Returns the id, if it was signed for this key.
+    pub fn verify(
+        &self,
+        signed: &str,
+        service: id::Service,
+        hash: key::Hash,
+    ) -> Option<request::Id> {
         let (text, tag) = signed.rsplit_once('-')?;
         let tag = u64::from_str_radix(tag, 16).ok()?.to_be_bytes();
         // Compares in constant time.
-        self.mac(text).verify_truncated_left(&tag).ok()?;
+        self.mac(text, service, hash)
+            .verify_truncated_left(&tag)
+            .ok()?;
         text.parse().ok()
     }
 
-    fn mac(&self, text: &str) -> Hmac {
+    fn mac(&self, text: &str, service: id::Service, hash: key::Hash) -> Hmac {
         let mut mac = self.0.clone();
+        // Of fixed length, so that the text behind them cannot shift into them.
+        mac.update(&service.0.to_be_bytes());
+        mac.update(&hash.0.to_be_bytes());
         mac.update(text.as_bytes());
         mac
     }
--- a/crates/node/src/traffic/callers/parse.rs
+++ b/crates/node/src/traffic/callers/parse.rs
@@ -6,7 +6,7 @@
 use sequoiayoke_model::outcome;
 use sequoiayoke_model::request;
 
-use super::{Limits, Problem, ids};
+use super::{Limits, Problem};
 
 /// Longest key, in bytes after decoding.
 const MAX_KEY_BYTES: usize = 1024;
@@ -130,16 +130,16 @@
         })
 }
 
-/// Reads the request id.
-pub(super) fn request_id(
-    http: &poem::Request,
-    signer: &ids::Signer,
-) -> Result<Option<request::Id>, Problem> {
+/// Reads the request id, which `verify` accepts only for the key of the request.
+pub(super) fn request_id<F>(http: &poem::Request, verify: F) -> Result<Option<request::Id>, Problem>
+where
+    F: FnOnce(&str) -> Option<request::Id>,
+{
     let Some(value) = http.headers().get("sequoiayoke-request-id") else {
         return Ok(None);
     };
-    let id = value.to_str().ok().and_then(|text| signer.verify(text));
-    let text = "sequoiayoke-request-id: not an id handed out by POST /v1/request-ids";
+    let id = value.to_str().ok().and_then(verify);
+    let text = "sequoiayoke-request-id: not an id handed out for this key by POST /v1/request-ids";
     id.map(Some).ok_or_else(|| bad(text))
 }
 
