--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -23,6 +23,7 @@
 use std::sync;
 use std::time::Duration;
 
+use poem::listener;
 use sequoiayoke_model::clock;
 use sequoiayoke_supervise::{Stop, Supervisor, budget, policy, supervisor};
 use tokio::net::TcpListener;
