Let requests wait for the next owner while their slice is released here

Cause: a request that found its slice closed was refused as `not-owner` after its body had been handed over. A body beyond 64 KiB can be sent only once, so an upload that arrived during a move got "not run" and a closed connection.

Change: the entry node takes a closed slice for one without an owner and waits for the next view, as it does for a vacant slice. A test cancels uploads, too.

--- a/crates/node/src/traffic/owned.rs
+++ b/crates/node/src/traffic/owned.rs
@@ -44,6 +44,10 @@
         self.state.fetch_or(CLOSED, atomic::Ordering::AcqRel);
     }
 
+    fn is_closed(&self) -> bool {
+        self.state.load(atomic::Ordering::Acquire) & CLOSED != 0
+    }
+
     fn count(&self) -> u64 {
         self.state.load(atomic::Ordering::Acquire) & !CLOSED
     }
@@ -202,6 +206,11 @@
         self.gauge.close();
     }
 
+    /// Tells whether no further request may start.
+    pub fn is_closed(&self) -> bool {
+        self.gauge.is_closed()
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> u64 {
         let earlier: u64 = self.earlier.iter().map(|gauge| gauge.count()).sum();
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -335,11 +335,15 @@
         };
         match route::decide(&snapshot.view, snapshot.me, &query) {
             route::Decision::Refuse(reason) => Err(reason),
-            // Granted, but the backend server has not taken the grant yet.
+            // Granted, but the backend server has not taken the grant yet; or on its way to
+            // the next owner, for which a body that is sent only once must be kept.
             route::Decision::Local { epoch, .. }
                 if snapshot
                     .owned_slice(view.service, view.hash)
-                    .is_none_or(|slice| slice.epoch() != epoch) =>
+                    .is_none_or(|slice| {
+                        let moves = view.forwarded.is_none() && slice.is_closed();
+                        slice.epoch() != epoch || moves
+                    }) =>
             {
                 Ok(route::Decision::Wait)
             }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -343,6 +343,25 @@
     }
 }
 
+/// Guards against an upload that runs on at the owner after its caller is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upload_is_cancelled_with_its_caller() {
+    let (_deployment, pairs) = backend::start(bin(), 2, &json!({})).await;
+    for number in 0..4 {
+        for pair in &pairs {
+            let key = format!("upload-{number}-{}", pair.name);
+            let mut socket = TcpStream::connect(pair.caller()).await.unwrap();
+            let fields = "content-length: 1000000\r\nsequoiayoke-deadline-ms: 60000";
+            let head = format!("POST /s/desk/{key} HTTP/1.1\r\nhost: desk\r\n{fields}\r\n\r\n");
+            socket.write_all(head.as_bytes()).await.unwrap();
+            socket.write_all(&[b'x'; 500_000]).await.unwrap();
+            wait_any(&pairs, &format!("started {key}")).await;
+            drop(socket);
+            wait_any(&pairs, &format!("cancelled {key}")).await;
+        }
+    }
+}
+
 /// Guards against an answer that holds its slot because its caller does not read it.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_is_not_read_is_cancelled() {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -235,9 +235,16 @@
     deployment.wait_status("moved", slices(1)).await.unwrap();
     let entries: Vec<_> = pairs.iter().collect();
     check_served(&deployment, &entries, &pairs[0], &key).await;
+    // A further upload to the same key waits for the next owner.
+    let (address, again) = (pairs[0].caller().to_owned(), key.clone());
+    let waiting = tokio::spawn(async move {
+        let upload = Upload::start(&address, &again).await;
+        upload.finish().await;
+    });
     for upload in uploads {
         upload.finish().await;
     }
+    waiting.await.unwrap();
     deployment.wait_status("empty", slices(0)).await.unwrap();
 }
 
