node: send nothing to a backend server's earlier run under a new epoch

Cause: a request kept the connection pool with which it had begun to wait for a slot. If another run of the backend server announced itself meanwhile, for example because the earlier one was paused, the request was checked against the new grant and then sent to the earlier run, which executed it under the new epoch beside the new run, with fencing too. Change: after the slice is entered, the present target must be the one that the request waited for; otherwise it is not run and is sent again.

--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin;
+use std::sync;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -10,7 +11,7 @@
 use sequoiayoke_traffic::admission::gate;
 use sequoiayoke_traffic::window;
 
-use super::Path;
+use super::{Path, Target};
 use crate::traffic::answer;
 use crate::traffic::owned;
 use crate::traffic::request;
@@ -42,6 +43,13 @@
             Ok(checked) => checked,
             Err(refused) => return *refused,
         };
+        // Another run of the backend server may have taken over while the request waited.
+        // The slice is entered by now, and slices of the former run are closed before the
+        // target changes, so the present target is the one that was granted this epoch.
+        if !self.is_present(&target) {
+            end(run, window::End::NotRun);
+            return answer::Answer::not_run(outcome::Reason::Unreachable);
+        }
         let response = target.server.dispatch(view, fence, body).await;
         let response = match response {
             Ok(response) if response.refused => {
@@ -81,6 +89,13 @@
         }
     }
 
+    fn is_present(&self, target: &sync::Arc<Target<S>>) -> bool {
+        let present = self.target.load();
+        present
+            .as_ref()
+            .is_some_and(|present| sync::Arc::ptr_eq(present, target))
+    }
+
     /// Checks, as the last step before the dispatch, that this node may act as the owner.
     ///
     /// The slice is entered before the lease is checked, so that a slice that is
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -6,7 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-use sequoiayoke_harness::{fault, settings};
+use reqwest::Method;
+use sequoiayoke_harness::{caller, fault, settings};
 use sequoiayoke_model::clock;
 use serde_json::json;
 use support::{DEADLINE, SERVICE, SHORT, World};
@@ -259,6 +260,57 @@
     support::assert_one_owner(&world.executions());
 }
 
+/// Guards against a request that waits for the slots of a backend server while another run
+/// of it takes over, and that is then sent to the earlier run under the new epoch.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replaced_backend_server_gets_no_request_that_waited() {
+    let mut world = support::start(1, 1, 2, true).await;
+    let entry = world.pairs[0].caller().to_owned();
+    let (_, epoch) = world.owner(SERVICE, KEY).await.unwrap();
+    support::served_after(&world, &entry, KEY, 0).await;
+    // Holds the only slot until the new run owns the key.
+    let held = json!({ "ms": 60_000 });
+    let pair = &world.pairs[0];
+    fault::set(world.http(), pair, "delay", &held)
+        .await
+        .unwrap();
+    let (http, address) = (world.http().clone(), entry.clone());
+    let limit = Duration::from_millis(2500);
+    let first = tokio::spawn(async move {
+        let sent = support::post(&http, &address, KEY, None, limit).await;
+        sent.unwrap()
+    });
+    fault::wait_load(world.http(), pair, |running, _| running == 1)
+        .await
+        .unwrap();
+    pair.standin.pause();
+    // A read, since the record of ids keeps a write of the former epoch from running.
+    let (http, address) = (world.http().clone(), entry.clone());
+    let waiting = tokio::spawn(async move {
+        let path = support::path(KEY);
+        let sent = caller::send(&http, &address, Method::GET, &path, None, DEADLINE);
+        sent.await.unwrap()
+    });
+    let server = world.pairs[0].server.clone();
+    let node = world.pairs[0].node.field("backend").unwrap().to_owned();
+    let next = world.start_standin(&server, &node).unwrap();
+    let former = std::mem::replace(&mut world.pairs[0].standin, next);
+    support::served_after(&world, &entry, KEY, epoch).await;
+    assert_eq!(first.await.unwrap().outcome, "unknown");
+    former.resume();
+    let waiting = waiting.await.unwrap();
+    println!("the request that waited: {waiting:?}");
+    let all = world.executions();
+    // Both runs log into one file, so the counts of the new run tell them apart.
+    let counted = fault::executions(world.http(), &world.pairs[0])
+        .await
+        .unwrap();
+    let totals = counted["totals"].as_object().unwrap().values();
+    let by_next: u64 = totals.filter_map(|one| one["started"].as_u64()).sum();
+    let ran = all.iter().filter(|one| one.epoch > epoch);
+    assert_eq!(ran.count() as u64, by_next, "{waiting:?} {all:?}");
+}
+
 /// Guards against a second VM that announces the name of a live one and takes its keys.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_server_of_the_same_name_waits_for_the_end_of_the_first() {
