--- a/crates/control/src/coordinator/documents.rs
+++ b/crates/control/src/coordinator/documents.rs
@@ -159,8 +159,10 @@
                 holder: holder.unwrap_or(unknown),
             }
         }
-        machine::Refusal::NotPresent | machine::Refusal::Conflict => error::Error::Malformed {
-            detail: refusal.to_string(),
-        },
+        machine::Refusal::NotPresent | machine::Refusal::Conflict | machine::Refusal::Crowded => {
+            error::Error::Malformed {
+                detail: refusal.to_string(),
+            }
+        }
     }
 }
--- a/crates/control/src/coordinator/leader.rs
+++ b/crates/control/src/coordinator/leader.rs
@@ -191,6 +191,7 @@
     /// Time passes: leases lapse, slices are planned.
     pub fn tick(&mut self, now: clock::Instant, machine: &machine::Machine) {
         self.end_lapsed(now, machine);
+        self.repeat_late_releases(now);
         let due = self.planner.next_deadline().is_some_and(|at| at <= now);
         if now >= self.plan_from && (self.plan_due || due) {
             self.plan_due = false;
@@ -207,7 +208,9 @@
         let far = now + Duration::from_secs(1);
         // A lease that lapsed is reported until its end is committed, so only later ones count.
         let lease = self.leases.next_deadline();
-        [lease, plan].into_iter().flatten().fold(far, Ord::min)
+        let release = self.next_release();
+        let due = [lease, plan, release];
+        due.into_iter().flatten().fold(far, Ord::min)
     }
 
     /// Stops to lead; nodes connect to the next leader, operators have to ask again.
--- a/crates/control/src/coordinator/leader/moves.rs
+++ b/crates/control/src/coordinator/leader/moves.rs
@@ -4,6 +4,8 @@
 //! release a slice it serves it no more, so a move is never abandoned: if the
 //! target is gone by then, the planner names another one.
 
+use std::time::Duration;
+
 use sequoiayoke_lease::registry;
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
@@ -26,12 +28,19 @@
 /// Moves in one command, so that it stays far below the frame limit.
 const MOVES_PER_COMMAND: usize = 1_000;
 
+/// Time after which a release that was not confirmed is asked for again.
+///
+/// A node ignores the request while its backend server has not taken the grant yet.
+const RELEASE_REPEAT: Duration = Duration::from_millis(250);
+
 /// A planned move that has started.
 #[derive(Clone, Debug)]
 pub(super) struct Transfer {
     from: table::Holder,
     to: action::Target,
     cause: String,
+    // When the holder was last asked to release the slice.
+    asked: clock::Instant,
 }
 
 /// A slice that its holder has released.
@@ -209,7 +218,15 @@
                     from,
                     to,
                     cause,
-                } => self.start_transfer((service, start), from, to, cause.to_string()),
+                } => {
+                    let transfer = Transfer {
+                        from,
+                        to,
+                        cause: cause.to_string(),
+                        asked: now,
+                    };
+                    self.start_transfer((service, start), transfer);
+                }
                 action::Action::Split { service, at, .. } => {
                     self.propose(command::Command::Split { service, at });
                 }
@@ -223,22 +240,15 @@
         }
     }
 
-    fn start_transfer(
-        &mut self,
-        place: super::Place,
-        from: table::Holder,
-        to: action::Target,
-        cause: String,
-    ) {
-        let transfer = Transfer { from, to, cause };
-        if let Some(target) = self.session_of(to) {
+    fn start_transfer(&mut self, place: super::Place, transfer: Transfer) {
+        if let Some(target) = self.session_of(transfer.to) {
             self.send(
                 target,
                 session::Prepare {
                     service: place.0.0,
                     start: place.1.0,
                     window: None,
-                    epoch: from.epoch.0,
+                    epoch: transfer.from.epoch.0,
                 },
             );
         }
@@ -263,6 +273,29 @@
         }
     }
 
+    /// Asks again for releases that are late.
+    pub(super) fn repeat_late_releases(&mut self, now: clock::Instant) {
+        let mut late = Vec::new();
+        for (place, transfer) in &mut self.transfers {
+            let waits = !self.released.contains_key(place);
+            if waits && now >= transfer.asked + RELEASE_REPEAT {
+                transfer.asked = now;
+                late.push((*place, transfer.clone()));
+            }
+        }
+        for (place, transfer) in late {
+            self.ask_release(place, &transfer);
+        }
+    }
+
+    /// Returns when [`Leader::repeat_late_releases`] is due.
+    pub(super) fn next_release(&self) -> Option<clock::Instant> {
+        let waiting = self.transfers.iter();
+        let waiting = waiting.filter(|(place, _)| !self.released.contains_key(place));
+        let due = waiting.map(|(_, transfer)| transfer.asked + RELEASE_REPEAT);
+        due.min()
+    }
+
     /// Asks again for releases that a node may have missed while it had no session.
     pub(super) fn repeat_releases(&mut self, member: registry::Member) {
         let missed: Vec<_> = self
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -19,6 +19,11 @@
 /// Accepted tickets that are kept whole; of older ones only the number is known.
 pub const MAX_TICKETS: usize = 20_000;
 
+/// Earlier runs of one node that may wait for the record of their end.
+///
+/// A node that restarts faster than leases end must not make the state grow without bound.
+pub const MAX_STALE_RUNS: usize = 16;
+
 /// A key that is pinned to a server.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
 pub struct Pinned {
@@ -49,6 +54,9 @@
     /// A newer run of the node has joined, or this one has left.
     #[error("the run of the node is not the present one")]
     NotPresent,
+    /// Too many earlier runs of the node may still hold a lease.
+    #[error("{MAX_STALE_RUNS} earlier runs of the node have not ended yet")]
+    Crowded,
     /// No such service, server or slice, or it changed meanwhile.
     #[error("the object is not there or has changed")]
     Conflict,
--- a/crates/state/src/machine/apply.rs
+++ b/crates/state/src/machine/apply.rs
@@ -6,7 +6,7 @@
 use sequoiayoke_model::table;
 use sequoiayoke_model::view;
 
-use super::{Applied, MAX_TICKETS, Machine, Pinned, Refusal};
+use super::{Applied, MAX_STALE_RUNS, MAX_TICKETS, Machine, Pinned, Refusal};
 use crate::command;
 use crate::history;
 use crate::member;
@@ -220,6 +220,9 @@
                     ..Applied::default()
                 });
             }
+            if record.stale_runs.len() >= MAX_STALE_RUNS {
+                return Err(Refusal::Crowded);
+            }
             // The earlier run may still hold a valid lease; its slices stay its own until `Leave`.
             record.stale_runs.push(run.incarnation);
         }
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -11,7 +11,9 @@
 
 use std::time::Duration;
 
+use reqwest::Method;
 use sequoiayoke_harness::Deployment;
+use sequoiayoke_harness::caller;
 use sequoiayoke_harness::operator::server_ticket;
 use sequoiayoke_harness::settings::Spec;
 use serde_json::Value;
@@ -155,15 +157,36 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_missed_its_drain_runs_nothing() {
     let (deployment, writers) = start().await;
+    let address = deployment.pairs[LEAVING].caller().to_owned();
     deployment.pairs[LEAVING].node.pause();
     submit(&deployment).await;
     let before = drained(&deployment, &ALL).await;
-    stays_idle(&deployment, &writers, &[0, 2, 3], before).await;
-    deployment.pairs[LEAVING].node.resume();
+    // Its lease has ended and its view has not, and these requests wait in its sockets.
+    let late = (0..64).map(|key| write(&deployment, &address, key));
+    let resume = async {
+        tokio::task::yield_now().await;
+        deployment.pairs[LEAVING].node.resume();
+    };
+    tokio::join!(futures_util::future::join_all(late), resume);
     stays_idle(&deployment, &writers, &[0, 1, 2, 3], before).await;
     writers.stop().await;
 }
 
+/// Sends one write whose outcome does not matter.
+async fn write(deployment: &Deployment, address: &str, key: usize) {
+    let path = format!("/s/{SERVICE}/key-{key}");
+    let deadline = Duration::from_secs(3);
+    let sent = caller::send(
+        deployment.http(),
+        address,
+        Method::POST,
+        &path,
+        None,
+        deadline,
+    );
+    drop(sent.await);
+}
+
 /// Guards against nodes that go on by what they knew while nothing can be decided.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_survives_the_loss_of_the_majority() {
--- /dev/null
+++ b/tests/session.rs
@@ -0,0 +1,146 @@
+//! A session of an operator with the command line and real control replicas, as a golden file.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::fs;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use sequoiayoke_harness::Deployment;
+use sequoiayoke_harness::settings::Spec;
+
+const FIRST: &str = r#"{
+  "number": 1, // the first one
+  "objects": [
+    { "service": { "name": "refunds", "slices": 4, "weights": { "unavailable": 4 } } },
+    { "pin": { "service": "refunds", "key": "kiosk-17", "server": "refunds-2" } }
+  ]
+}"#;
+const OTHER: &str =
+    r#"{ "number": 1, "objects": [{ "server": { "name": "x", "state": "serving" } }] }"#;
+const LATE: &str =
+    r#"{ "number": 7, "objects": [{ "server": { "name": "x", "state": "serving" } }] }"#;
+
+/// Time until the deployment has to have settled.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Session {
+    control: String,
+    folder: tempfile::TempDir,
+    transcript: String,
+}
+
+impl Session {
+    fn file(&self, name: &str, text: &str) {
+        fs::write(self.folder.path().join(name), text).unwrap();
+    }
+
+    /// Runs a command line as a process and returns what it wrote.
+    fn output(&self, line: &str) -> String {
+        let output = Command::new(env!("CARGO_BIN_EXE_sequoiayoke"))
+            .env_clear()
+            .env("SEQUOIAYOKE_CONTROL", &self.control)
+            .current_dir(self.folder.path())
+            .args(line.split_whitespace())
+            .output()
+            .unwrap();
+        let mut shown = format!("$ sequoiayoke {line}\n");
+        shown.push_str(&String::from_utf8(output.stdout).unwrap());
+        for line in String::from_utf8(output.stderr).unwrap().lines() {
+            shown.push_str(format!("! {line}").trim_end());
+            shown.push('\n');
+        }
+        shown + &format!("exit {}\n\n", output.status.code().unwrap())
+    }
+
+    fn run(&mut self, line: &str) {
+        let shown = self.output(line);
+        self.transcript.push_str(&shown);
+    }
+
+    /// Runs a command line until its output holds `text`, and keeps the last output.
+    fn run_until(&mut self, line: &str, text: &str) {
+        let start = Instant::now();
+        loop {
+            let shown = self.output(line);
+            if shown.contains(text) {
+                return self.transcript.push_str(&shown);
+            }
+            assert!(start.elapsed() < PATIENCE, "no {text:?} in {shown}");
+        }
+    }
+}
+
+/// Guards against a command line and control replicas that do not understand each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator() {
+    let mut spec = Spec::new(3).with_service("refunds", 2, 4, 0);
+    let second = spec.servers.pop().unwrap();
+    let mut deployment = Deployment::start(support::programs(), spec).unwrap();
+    deployment.wait_joined().await.unwrap();
+    // Servers are listed in the order in which they joined.
+    let pair = deployment.start_pair(&second).unwrap();
+    deployment.pairs.push(pair);
+    deployment.wait_joined().await.unwrap();
+    let mut session = Session {
+        control: deployment.operators().join(","),
+        folder: tempfile::tempdir().unwrap(),
+        transcript: String::new(),
+    };
+    session.file("0001.jsonc", FIRST);
+    session.file("other.jsonc", OTHER);
+    session.file("late.jsonc", LATE);
+    session.run("ticket list");
+    session.run("ticket check 0001.jsonc");
+    session.run("ticket submit 0001.jsonc");
+    session.run_until("ticket show 1", "in force everywhere");
+    session.run("ticket submit 0001.jsonc");
+    session.run("ticket submit other.jsonc");
+    session.run("ticket submit late.jsonc");
+    session.run_until("explain refunds kiosk-17", "owner    refunds-2");
+    session.run_until("status", "nothing needs attention");
+    session.run("drain refunds-2");
+    session.run("drain refunds-2 --submit");
+    session.run_until("status", "refunds-2  draining  0 ");
+    session.run("drain refunds-1");
+    session.run_until("ticket list", "yes (2 of 2 nodes)  server refunds-2");
+    let mut settings = insta::Settings::clone_current();
+    for (pattern, name) in FILTERS {
+        settings.add_filter(pattern, *name);
+    }
+    settings.bind(|| insta::assert_snapshot!(session.transcript));
+}
+
+/// What differs from run to run.
+const FILTERS: &[(&str, &str)] = &[
+    (r"127\.\d+\.\d+\.\d+:\d+", "[address]"),
+    // Widths of columns follow the numbers in them.
+    (r"([^\n ])  +", "$1  "),
+    (r"\d+ ms", "[ms]"),
+    (r"leader control-\d, term \d+", "leader [control], term [n]"),
+    (r"committed \d+, version \d+", "committed [n], version [n]"),
+    (
+        r"(refunds-\d)  (\w+)  (0|[1-9]\d*)  \[ms\]  \d+  (domain-\d)  \d+",
+        "$1  $2  $3 slices  [ms]  [n]  $4  [n]",
+    ),
+    (r"[1-9]\d* slices", "[n] slices"),
+    (r"refunds  \d+  0  \d+\.\d\d", "refunds  [n]  0  [n]"),
+    (
+        r"(control-\d)  (leader|follower)  \[address\]  \d+",
+        "$1  [role]  [address]  [n]",
+    ),
+    (r"version \d+\)", "version [n])"),
+    (r"in force on \d of 2 live nodes", "[force]"),
+    (r"in force everywhere \(2 live nodes\)", "[force]"),
+    (r"`sequoiayoke ticket show \d` shows when [^\n]*\n", ""),
+    (r"(?m)^(\d)  \d+  yes", "$1  [n]  yes"),
+    (r"incarnation \d+, epoch \d+", "incarnation [n], epoch [n]"),
+    (r"slice  [0-9a-f]+ to [0-9a-f]+", "slice  [first] to [last]"),
+    (r"(?m)^\d+  pinned", "[n]  pinned"),
+    (
+        r"(?m)^(\d+  (assigned|vacated)[^\n]*\n)+",
+        "[assignments]\n",
+    ),
+];
