--- a/crates/node/src/traffic/callers/connection.rs
+++ b/crates/node/src/traffic/callers/connection.rs
@@ -270,6 +270,16 @@
 
 impl Stream {
     /// Returns the socket, unless the connection was or is to be reset.
+    /// Tells whether small writes are sent at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub fn nodelay(&self) -> io::Result<bool> {
+        let ended = || io::Error::from(io::ErrorKind::NotConnected);
+        self.socket.as_ref().ok_or_else(ended)?.nodelay()
+    }
+
     fn live(&mut self) -> Option<&mut TcpStream> {
         if self.line.is_cut() {
             self.reset();
--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use poem::endpoint;
+use poem::listener::Acceptor as _;
 use sequoiayoke_model::clock;
 use sequoiayoke_node::published;
 use sequoiayoke_node::traffic;
@@ -173,3 +174,15 @@
     read.await.unwrap().unwrap();
     wait_closed(&mut socket).await;
 }
+
+/// Guards against streamed answers that wait 40 ms for a delayed acknowledgement.
+#[tokio::test]
+async fn small_writes_are_sent_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = sync::Arc::new(connection::Connections::new(limits()));
+    let mut acceptor = connection::Acceptor::new(listener, connections);
+    let (_caller, accepted) = tokio::join!(TcpStream::connect(address), acceptor.accept());
+    let (io, _, _, _) = accepted.unwrap();
+    assert!(io.nodelay().unwrap());
+}
