--- a/crates/node/src/traffic/callers/connection.rs
+++ b/crates/node/src/traffic/callers/connection.rs
@@ -3,7 +3,7 @@
 //! poem polls a connection again after an error, and goes on running a handler
 //! whose caller is gone. A body that breaks off would then be ended by a valid
 //! last chunk, and a cancelled request would run on. So the stream of each
-//! connection has a [`Line`] that its requests share: the stream tells it that
+//! connection has a `Line` that its requests share: the stream tells it that
 //! the caller is gone, and a request whose answer is cut tells it to reset the
 //! connection. The stream also bounds how long a caller may keep it waiting.
 
