--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -27,6 +27,7 @@
 
 use crate::published;
 use crate::traffic;
+use crate::traffic::ids;
 use crate::traffic::path;
 use crate::traffic::server;
 use crate::traffic::server::{command, permit};
@@ -59,6 +60,8 @@
     pub drain: Duration,
     /// Requests that may wait for the backend server.
     pub queue: u32,
+    /// Signs request ids.
+    pub signer: ids::Signer,
     /// Token that proves to the backend server who sends a command.
     pub token: sync::Arc<str>,
     /// Connections to the backend server, if fewer than announced.
@@ -313,7 +316,7 @@
         });
         self.path.set_target(Some(sync::Arc::new(path::Target {
             name: backend.name.clone(),
-            server: server::Http::new(client, backend),
+            server: server::Http::new(client, backend, self.config.signer.clone()),
             admission,
         })));
     }
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -22,7 +22,7 @@
 use crate::measure;
 use crate::published;
 use crate::traffic;
-use crate::traffic::{callers, path, peers, server};
+use crate::traffic::{callers, ids, path, peers, server};
 
 /// Errors of the node.
 #[derive(Debug, thiserror::Error)]
@@ -214,7 +214,7 @@
             default_deadline: Duration::from_millis(limits.default_deadline_ms),
             max_deadline: Duration::from_millis(limits.max_deadline_ms),
         },
-        signer: callers::ids::Signer::new(settings.secret.reveal().as_bytes()),
+        signer: ids::Signer::new(settings.secret.reveal().as_bytes()),
         connections: callers::connection::Limits {
             connections: limits.callers,
             head: callers::HEAD_TIMEOUT,
@@ -273,6 +273,7 @@
         renew: Duration::from_millis(timing.renew_ms),
         drain: Duration::from_millis(timing.drain_ms),
         queue: u32::try_from(settings.limits.queue).unwrap_or(u32::MAX),
+        signer: ids::Signer::new(settings.secret.reveal().as_bytes()),
         token: sync::Arc::from(settings.backend.token.reveal()),
         max_connections: settings.backend.connections,
         connect: Duration::from_millis(timing.connect_ms),
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -11,6 +11,7 @@
 pub mod callers;
 pub mod evidence;
 pub mod flights;
+pub mod ids;
 pub mod owned;
 pub mod path;
 pub mod peers;
@@ -55,7 +56,7 @@
     /// Bounds of what callers may send.
     pub callers: callers::Limits,
     /// Signs request ids.
-    pub signer: callers::ids::Signer,
+    pub signer: ids::Signer,
     /// Bounds of the connections of callers.
     pub connections: callers::connection::Limits,
     /// Connections from other nodes.
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -4,7 +4,6 @@
 //! [`request::View`] and an answer back into HTTP. The path decides.
 
 pub mod connection;
-pub mod ids;
 
 mod caller;
 mod outgoing;
@@ -23,6 +22,7 @@
 use sequoiayoke_model::request as model_request;
 
 use super::answer;
+use super::ids;
 use super::path;
 use super::request;
 use super::server;
--- a/crates/node/src/traffic/callers/ids.rs
+++ b/crates/node/src/traffic/ids.rs
@@ -1,4 +1,4 @@
-//! Request ids as callers see them: signed by the region's nodes.
+//! Request ids as callers and backend servers see them: signed by the region's nodes.
 //!
 //! An owner trusts the epoch and the time of issue in an id. A caller that made
 //! up its own ids could raise the floor of a slice's record, and other callers'
@@ -34,7 +34,7 @@
     ///
     /// ```
     /// use sequoiayoke_model::{id, key, request};
-    /// use sequoiayoke_node::traffic::callers::ids;
+    /// use sequoiayoke_node::traffic::ids;
     ///
     /// let signer = ids::Signer::new(b"the shared secret");
     /// let id = request::Id::new(id::Epoch(7), 1_000, 42);
--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -15,6 +15,7 @@
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
 
+use super::ids;
 use super::request;
 
 /// What the backend server has announced.
@@ -102,6 +103,7 @@
 pub struct Http {
     client: reqwest::Client,
     backend: sync::Arc<Backend>,
+    signer: ids::Signer,
 }
 
 /// Errors of starting the HTTP client.
@@ -130,8 +132,16 @@
 
 impl Http {
     /// Makes the connection pool of a backend server.
-    pub const fn new(client: reqwest::Client, backend: sync::Arc<Backend>) -> Self {
-        Self { client, backend }
+    pub const fn new(
+        client: reqwest::Client,
+        backend: sync::Arc<Backend>,
+        signer: ids::Signer,
+    ) -> Self {
+        Self {
+            client,
+            backend,
+            signer,
+        }
     }
 
     /// Returns what the server has announced.
@@ -156,7 +166,9 @@
             .header("sequoiayoke-lease-until-us", fence.lease_until.as_micros())
             .header("sequoiayoke-deadline-ms", left.as_millis() as u64);
         if let Some(id) = view.id {
-            builder = builder.header("sequoiayoke-request-id", id.to_string());
+            // The same text as the caller has, so that both can speak about the request.
+            let id = self.signer.sign(id, view.service, view.hash);
+            builder = builder.header("sequoiayoke-request-id", id);
         }
         if !view.scope.is_empty() {
             builder = builder.header("sequoiayoke-scope", view.scope);
