node: number streams in the order in which they are opened

Cause: a forwarded request took its stream number and then its place in the queue of frames. Two requests at the same time could swap; the owner takes a number that is not larger than the one before as a breach and closes the connection, so every request on it became 'unknown, connection-lost'. Change: number and place in the queue are taken under one lock.

--- a/crates/node/src/traffic/peers/dial.rs
+++ b/crates/node/src/traffic/peers/dial.rs
@@ -149,19 +149,17 @@
         B: Stream<Item = io::Result<Bytes>> + Send + 'static,
     {
         let connection = self.connection(address);
-        let number = connection.next.fetch_add(1, atomic::Ordering::Relaxed);
-        let (feed, incoming) = incoming::channel(number, connection.frames.clone());
+        let frames = connection.frames.clone();
+        let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
+        let place = frames.reserve().await.map_err(|_| unreachable)?;
         let (sender, head) = oneshot::channel();
         let credit = outgoing::Credit::new();
-        connection.register(number, sender, feed, credit.clone(), self.config.streams)?;
+        let limit = self.config.streams;
+        let (number, incoming) = connection.start(place, open, sender, credit.clone(), limit)?;
         let guard = Guard {
             connection: sync::Arc::clone(&connection),
             number,
         };
-        let frame = stream::Frame::new(number, stream::Body::Open(open));
-        let frames = connection.frames.clone();
-        let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
-        frames.send(frame).await.map_err(|_| unreachable)?;
         let upload = async move { outgoing::send(number, body, &credit, &frames).await };
         let upload = Upload(tokio::spawn(upload));
         let lost = outcome::Outcome::Unknown(outcome::Reason::ConnectionLost);
@@ -208,14 +206,16 @@
             .expect("no code panics while it holds a connection's lock")
     }
 
-    fn register(
+    /// Opens a stream; its number and its place in the queue are taken under one lock,
+    /// since the peer takes a number that is not larger than the one before as a breach.
+    fn start(
         &self,
-        number: u64,
+        place: mpsc::Permit<'_, stream::Frame>,
+        open: stream::Open,
         head: oneshot::Sender<Result<stream::Head, outcome::Outcome>>,
-        feed: incoming::Feed,
         credit: outgoing::Credit,
         limit: usize,
-    ) -> Result<(), outcome::Outcome> {
+    ) -> Result<(u64, incoming::Incoming), outcome::Outcome> {
         let mut table = self.lock();
         if table.closed {
             let reason = outcome::Reason::Unreachable;
@@ -224,13 +224,16 @@
         if table.streams.len() >= limit {
             return Err(outcome::Outcome::NotRun(outcome::Reason::Overload));
         }
+        let number = self.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let (feed, incoming) = incoming::channel(number, self.frames.clone());
         let entry = Entry {
             head: Some(head),
             feed,
             credit,
         };
         table.streams.insert(number, entry);
-        Ok(())
+        place.send(stream::Frame::new(number, stream::Body::Open(open)));
+        Ok((number, incoming))
     }
 
     async fn run(
