Resume stale nodes in the drain tests while their views are still valid

Cause: with the lease check of the owner taken out the tests passed, since the node's view had gone stale as well before it was resumed. Change: resume right after the drain, with 64 writes in the sockets of the node.

Safeguard trials (safeguard out: test that failed, message): - lease check of the owner: an_owner_that_missed_its_drain, 'new work for a server that has left' - release before assign, together with the view of the leaving node: a_drained_server, a_stale_entry_node, leader_is_killed and loss_of_the_majority, the same message - release before assign alone, or the removal of a released slice alone at the owner: no test failed, since the owner's view stops it as well

--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -147,8 +147,7 @@
     deployment.pairs[STALE].node.pause();
     submit(&deployment).await;
     let before = drained(&deployment, &ALL).await;
-    stays_idle(&deployment, &writers, &[0, 1, 2], before).await;
-    deployment.pairs[STALE].node.resume();
+    resume(&deployment, STALE).await;
     stays_idle(&deployment, &writers, &[0, 1, 2, 3], before).await;
     writers.stop().await;
 }
@@ -157,19 +156,23 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_that_missed_its_drain_runs_nothing() {
     let (deployment, writers) = start().await;
-    let address = deployment.pairs[LEAVING].caller().to_owned();
     deployment.pairs[LEAVING].node.pause();
     submit(&deployment).await;
     let before = drained(&deployment, &ALL).await;
-    // Its lease has ended and its view has not, and these requests wait in its sockets.
-    let late = (0..64).map(|key| write(&deployment, &address, key));
+    resume(&deployment, LEAVING).await;
+    stays_idle(&deployment, &writers, &[0, 1, 2, 3], before).await;
+    writers.stop().await;
+}
+
+/// Resumes a node whose lease has ended and whose view has not, with writes in its sockets.
+async fn resume(deployment: &Deployment, pair: usize) {
+    let pair = &deployment.pairs[pair];
+    let late = (0..64).map(|key| write(deployment, pair.caller(), key));
     let resume = async {
         tokio::task::yield_now().await;
-        deployment.pairs[LEAVING].node.resume();
+        pair.node.resume();
     };
     tokio::join!(futures_util::future::join_all(late), resume);
-    stays_idle(&deployment, &writers, &[0, 1, 2, 3], before).await;
-    writers.stop().await;
 }
 
 /// Sends one write whose outcome does not matter.
