settings: report an unclosed string on its own line

Cause: the parser counts the line end at which it stops to the next line, so a string without its closing quote was reported one line too far down. Change: use the end of the line before. Before: settings.jsonc:13:1 for a string on line 12.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -56,9 +56,10 @@
     let mut reader = serde_json::Deserializer::from_slice(&plain);
     let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
         let field = error.path().to_string();
-        fault(&error.into_inner(), field)
+        fault(text, &error.into_inner(), field)
     })?;
-    reader.end().map_err(|error| fault(&error, String::new()))?;
+    let ended = reader.end();
+    ended.map_err(|error| fault(text, &error, String::new()))?;
     Ok(value)
 }
 
@@ -132,10 +133,10 @@
     }
 }
 
-fn fault(error: &serde_json::Error, field: String) -> Fault {
-    let text = error.to_string();
+fn fault(text: &[u8], error: &serde_json::Error, field: String) -> Fault {
+    let message = error.to_string();
     let place = format!(" at line {} column {}", error.line(), error.column());
-    let detail = match text.strip_suffix(&place).unwrap_or(&text) {
+    let detail = match message.strip_suffix(&place).unwrap_or(&message) {
         "invalid socket address syntax" => "expected an address `IP:port`",
         "expected value" => "expected a value; a comment starts with `//` or `/*`",
         other if other.starts_with("invalid length") => "expected an object in braces",
@@ -144,10 +145,21 @@
         }
         other => other,
     };
+    let (line, column) = match (error.line(), error.column()) {
+        // The parser counts the line end at which it stopped to the next line.
+        (after @ 2.., 0) => (after - 1, columns(text, after - 1)),
+        (line, column) => (line.max(1), column.max(1)),
+    };
     Fault {
-        line: error.line().max(1),
-        column: error.column().max(1),
+        line,
+        column,
         field: if field == "." { String::new() } else { field },
         detail: detail.to_owned(),
     }
 }
+
+/// Returns the number of bytes of a line with its end; lines count from 1.
+fn columns(text: &[u8], line: usize) -> usize {
+    let mut lines = text.split(|&byte| byte == b'\n');
+    lines.nth(line - 1).map_or(0, <[u8]>::len) + 1
+}
