node: let a peer end a body once

Cause: End frames cost no credit, and each took a place in an unbounded queue, so a peer could fill the memory while a request waited. Change: a second end, and data after the end, are a breach that ends the connection. Before: the queue took every end.

--- a/crates/node/src/traffic/peers/dial.rs
+++ b/crates/node/src/traffic/peers/dial.rs
@@ -307,10 +307,11 @@
             }
             Some(stream::Body::Data(chunk)) => {
                 let taken = entry.feed.data(chunk);
-                taken.map_err(|_| breach("credit exceeded"))?;
+                taken.map_err(|_| breach("credit exceeded, or data after the end"))?;
             }
             Some(stream::Body::End(_)) => {
-                entry.feed.end();
+                let taken = entry.feed.end();
+                taken.map_err(|_| breach("a body was ended twice"))?;
                 table.streams.remove(&frame.stream);
             }
             Some(stream::Body::Credit(size)) => entry.credit.grant(size),
--- a/crates/node/src/traffic/peers/incoming.rs
+++ b/crates/node/src/traffic/peers/incoming.rs
@@ -40,9 +40,10 @@
 pub struct Feed {
     parts: mpsc::UnboundedSender<Part>,
     queued: sync::Arc<atomic::AtomicU32>,
+    ended: atomic::AtomicBool,
 }
 
-/// The peer sent more than it had credit for.
+/// The peer sent more than it had credit for, or more after the end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overrun;
 
@@ -54,6 +55,7 @@
     let feed = Feed {
         parts: sender,
         queued: sync::Arc::clone(&queued),
+        ended: atomic::AtomicBool::new(false),
     };
     let incoming = Incoming {
         number,
@@ -71,8 +73,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if the peer exceeds its credit.
+    /// Fails if the peer exceeds its credit or has ended the body.
     pub fn data(&self, chunk: Bytes) -> Result<(), Overrun> {
+        if self.ended.load(atomic::Ordering::Acquire) {
+            return Err(Overrun);
+        }
         // An empty chunk costs no credit, so it must not take a place in the queue.
         if chunk.is_empty() {
             return Ok(());
@@ -88,8 +93,18 @@
     }
 
     /// Ends the body.
-    pub fn end(&self) {
+    ///
+    /// An end costs no credit, so a second one must not take a place in the queue.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer has ended the body before.
+    pub fn end(&self) -> Result<(), Overrun> {
+        if self.ended.swap(true, atomic::Ordering::AcqRel) {
+            return Err(Overrun);
+        }
         let _ = self.parts.send(Part::End);
+        Ok(())
     }
 
     /// Cuts the body.
--- a/crates/node/src/traffic/peers/serve.rs
+++ b/crates/node/src/traffic/peers/serve.rs
@@ -150,12 +150,13 @@
             Some(stream::Body::Data(chunk)) => {
                 if let Some(entry) = table.0.get(&frame.stream) {
                     let taken = entry.feed.data(chunk);
-                    taken.map_err(|_| breach("credit exceeded"))?;
+                    taken.map_err(|_| breach("credit exceeded, or data after the end"))?;
                 }
             }
             Some(stream::Body::End(_)) => {
                 if let Some(entry) = table.0.get(&frame.stream) {
-                    entry.feed.end();
+                    let taken = entry.feed.end();
+                    taken.map_err(|_| breach("a body was ended twice"))?;
                 }
             }
             Some(stream::Body::Credit(size)) => {
