Test hostile input to real processes and bad starts

Cause: no test sent garbage to the listeners of real processes or started them with what cannot work. Change: tests/hostile.rs: malformed requests, paths that leave their key, garbage and bodies that break off to the callers' listener; strangers, garbage behind a valid proof, reused stream numbers, exceeded credit and malformed heads to the peer, node and replica listeners; taken addresses, malformed settings and foreign data directories. Every process lives on, serves, and grows by less than 64 MiB (the bound of control on a node).

--- /dev/null
+++ b/tests/hostile/callers.rs
@@ -0,0 +1,206 @@
+//! Hostile requests to the listener for callers.
+
+use sequoiayoke_harness::fault;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::{assert_serving, exchange, memory, support};
+use support::{DEADLINE, SERVICE, World};
+
+/// Asserts a refusal as `docs/protocol.md` lists it.
+fn assert_refused(answer: &str, status: u16, reason: &str, what: &str) {
+    let head = answer.to_ascii_lowercase();
+    assert!(
+        head.starts_with(&format!("http/1.1 {status} ")),
+        "{what}: {answer}"
+    );
+    let has = |name: &str, value: &str| head.contains(&format!("\r\n{name}: {value}\r\n"));
+    assert!(has("sequoiayoke-outcome", "not-run"), "{what}: {answer}");
+    assert!(has("sequoiayoke-reason", reason), "{what}: {answer}");
+}
+
+fn get(path: &str, headers: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: node\r\n{headers}\r\n")
+}
+
+/// Guards against malformed requests that run, or that are refused without a reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_requests_are_refused_with_a_reason() {
+    let world = support::start(2, 12, 0, true).await;
+    let before = memory(&world);
+    let paths = [
+        "/",
+        "/s",
+        "/s/refunds",
+        "/s/refunds/",
+        "/s//key",
+        "/s/refunds//key",
+        "/s/refunds/%",
+        "/s/refunds/%4",
+        "/s/refunds/%zz",
+        "/s/refunds/%+1",
+        "/s/refunds/%ff",
+        "/v1/request-ids/refunds",
+        "/v1/drain",
+    ];
+    let headers = [
+        "sequoiayoke-deadline-ms: soon\r\n",
+        "sequoiayoke-deadline-ms: 0\r\n",
+        "sequoiayoke-deadline-ms: -1\r\n",
+        "sequoiayoke-deadline-ms: 60001\r\n",
+        "sequoiayoke-deadline-ms: 99999999999999999999999\r\n",
+        "sequoiayoke-deadline-ms:\r\n",
+        "sequoiayoke-request-id: 1-2-3\r\n",
+        "sequoiayoke-request-id: 1-2-3-4\r\n",
+        "sequoiayoke-request-id: -\r\n",
+    ];
+    let long_key = format!("/s/refunds/{}", "k".repeat(1025));
+    let long_head = format!("long: {}\r\n", "x".repeat(16_384));
+    for pair in &world.pairs {
+        for path in paths.into_iter().chain([long_key.as_str()]) {
+            let answer = exchange(pair.caller(), get(path, "").as_bytes()).await;
+            assert_refused(&answer, 400, "bad-request", path);
+        }
+        for header in headers.into_iter().chain([long_head.as_str()]) {
+            let request = get("/s/refunds/key", header);
+            let answer = exchange(pair.caller(), request.as_bytes()).await;
+            assert_refused(&answer, 400, "bad-request", header);
+        }
+        let answer = exchange(pair.caller(), get("/s/unknown/key", "").as_bytes()).await;
+        assert_refused(&answer, 404, "unknown-service", "an unknown service");
+    }
+    assert!(world.executions().is_empty(), "{:?}", world.executions());
+    assert_serving(&world, &before).await;
+}
+
+/// Guards against paths that the HTTP client towards the backend server rewrites: the request
+/// would reach another key, another service or a command of the server.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_path_cannot_leave_its_key() {
+    let world = support::start(2, 12, 0, true).await;
+    let before = memory(&world);
+    let paths = [
+        "/s/refunds/a/../b",
+        "/s/refunds/a/..",
+        "/s/refunds/a/.",
+        "/s/refunds/a/./b",
+        "/s/refunds/..",
+        "/s/refunds/.",
+        "/s/refunds/%2e%2E",
+        "/s/refunds/a/%2e%2e/b",
+        "/s/refunds/a/.%2E/b",
+        "/s/refunds/a/%2E/b",
+        "/s/refunds/a/../../../v1/drain",
+        "/s/refunds/a/../../../fault/v1/executions",
+        "/s/refunds/a/..?x",
+        "/s/refunds/a\\..\\b",
+        "/s/refunds/a/x\\..\\..\\..\\b",
+        "/v1/request-ids/refunds/..",
+    ];
+    for pair in &world.pairs {
+        for path in paths {
+            for method in ["GET", "POST"] {
+                let request = format!("{method} {path} HTTP/1.1\r\nhost: node\r\n\r\n");
+                let answer = exchange(pair.caller(), request.as_bytes()).await;
+                assert_refused(&answer, 400, "bad-request", path);
+            }
+        }
+        for path in [
+            "/s/refunds/a/...",
+            "/s/refunds/..a/b.c",
+            "/s/refunds/a?x=/../b",
+        ] {
+            let answer = exchange(pair.caller(), get(path, "").as_bytes()).await;
+            assert!(answer.starts_with("HTTP/1.1 200 "), "{path}: {answer}");
+        }
+    }
+    let strange = |key: &str| !["a", "..a"].contains(&key);
+    let ran = world.executions();
+    assert!(!ran.iter().any(|one| strange(&one.key)), "{ran:?}");
+    assert_serving(&world, &before).await;
+}
+
+/// Guards against requests that are no HTTP, and heads and chunks without an end.
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_is_refused_or_closed() {
+    let world = support::start(2, 12, 0, true).await;
+    let before = memory(&world);
+    let many = "a: b\r\n".repeat(2_000);
+    let huge = format!("a: {}\r\n", "x".repeat(8 << 20));
+    let post = |headers: &str, body: &str| {
+        format!("POST /s/refunds/broken HTTP/1.1\r\nhost: node\r\n{headers}\r\n{body}")
+    };
+    let requests = [
+        "\0\u{1}\u{2}\r\n\r\n".to_owned(),
+        "GET\r\n\r\n".to_owned(),
+        "GET /s/refunds/key HTTP/9.9\r\n\r\n".to_owned(),
+        "GET /s/refunds/\0 HTTP/1.1\r\n\r\n".to_owned(),
+        get("/s/refunds/key", "bad header\r\n"),
+        get("/s/refunds/key", "a\0b: c\r\n"),
+        get("/s/refunds/key", &many),
+        get("/s/refunds/key", &huge),
+        get(&format!("/s/refunds/{}", "k".repeat(1 << 20)), ""),
+        post("content-length: -1\r\n", ""),
+        post("content-length: 99999999999999999999999\r\n", ""),
+        post("content-length: 1\r\ncontent-length: 2\r\n", "ab"),
+        post("transfer-encoding: chunked\r\n", "zz\r\nab\r\n0\r\n\r\n"),
+        post("transfer-encoding: chunked\r\n", "ffffffffffffffffff\r\nab"),
+    ];
+    for pair in &world.pairs {
+        for request in &requests {
+            let answer = exchange(pair.caller(), request.as_bytes()).await;
+            let shown = &request[..request.len().min(100)];
+            let refused = answer.is_empty() || !answer.starts_with("HTTP/1.1 2");
+            assert!(refused, "{shown:?}: {answer}");
+        }
+    }
+    assert_unwritten(&world, "broken").await;
+    assert_serving(&world, &before).await;
+}
+
+/// Guards against a body that breaks off and is taken for a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_breaks_off_changes_nothing() {
+    let world = support::start(2, 12, 0, true).await;
+    let before = memory(&world);
+    let bodies = [
+        "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "transfer-encoding: chunked\r\n\r\n5\r\nhel",
+        "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+        "content-length: 100\r\n\r\nhello",
+        // Longer than what a node holds whole.
+        "content-length: 200000\r\n\r\nhello",
+    ];
+    let mut keys = Vec::new();
+    for (entry, pair) in world.pairs.iter().enumerate() {
+        for (number, body) in bodies.iter().enumerate() {
+            let key = format!("broken-{entry}-{number}");
+            let head = format!("POST /s/{SERVICE}/{key} HTTP/1.1\r\nhost: node\r\n");
+            let mut io = TcpStream::connect(pair.caller()).await.unwrap();
+            io.write_all(format!("{head}{body}").as_bytes())
+                .await
+                .unwrap();
+            io.shutdown().await.unwrap();
+            keys.push(key);
+        }
+    }
+    for key in keys {
+        assert_unwritten(&world, &key).await;
+    }
+    assert_serving(&world, &before).await;
+}
+
+/// Asserts that no request to a key has taken effect, once none runs any more.
+async fn assert_unwritten(world: &World, key: &str) {
+    for pair in &world.pairs {
+        let idle = |running, queued| running + queued == 0;
+        fault::wait_load(world.http(), pair, idle).await.unwrap();
+    }
+    let (method, path) = (reqwest::Method::GET, support::path(key));
+    let address = world.pairs[0].caller();
+    let read =
+        sequoiayoke_harness::caller::send(world.http(), address, method, &path, None, DEADLINE);
+    let read = read.await.unwrap();
+    assert_eq!(read.outcome, "answered", "{read:?}");
+    assert_eq!(read.body["value"]["version"], 0, "{key}: {read:?}");
+}
