node: end requests whose body breaks off at once, and not as failures of the server

Cause: a malformed chunk of a caller cuts the request to the backend server. The owner counted that as a failure of the server, so one caller could make the server look ill and its slices move away. For a forwarded request the owner gives up without an answer, and the entry node waited for the deadline, 10 s by default. Change: a body that the caller cut is a failure of its own: outcome unknown, reason cancelled, no evidence about the server. The entry node ends the request when its upload is cut.

--- a/crates/node/src/traffic/peers/dial.rs
+++ b/crates/node/src/traffic/peers/dial.rs
@@ -168,9 +168,17 @@
         };
         let frames = connection.frames.clone();
         let upload = async move { outgoing::send(number, body, &credit, &frames).await };
-        let upload = Upload(tokio::spawn(upload));
+        let mut upload = Upload(tokio::spawn(upload));
         let lost = outcome::Outcome::Unknown(outcome::Reason::ConnectionLost);
-        let head = opened.head.await.unwrap_or(Err(lost))?;
+        let mut head = opened.head;
+        let head = tokio::select! {
+            biased;
+            head = &mut head => head.unwrap_or(Err(lost))?,
+            // The peer gives up a request whose body was cut, and answers nothing.
+            Ok(outgoing::End::Cut) = &mut upload.0 => {
+                return Err(outcome::Outcome::Unknown(outcome::Reason::Cancelled));
+            }
+        };
         Ok(Reply {
             head,
             body: Body {
--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -7,10 +7,11 @@
 use std::future;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{Stream, TryStreamExt};
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
@@ -71,6 +72,8 @@
     TimedOut,
     /// The connection ended after something may have been sent.
     Lost,
+    /// The body of the request broke off; this tells nothing about the server.
+    Cut,
 }
 
 impl Failure {
@@ -80,6 +83,7 @@
             Self::NotSent => outcome::Outcome::NotRun(outcome::Reason::Unreachable),
             Self::TimedOut => outcome::Outcome::Unknown(outcome::Reason::Deadline),
             Self::Lost => outcome::Outcome::Unknown(outcome::Reason::ConnectionLost),
+            Self::Cut => outcome::Outcome::Unknown(outcome::Reason::Cancelled),
         }
     }
 }
@@ -186,10 +190,15 @@
     where
         B: Stream<Item = std::io::Result<Bytes>> + Send + 'static,
     {
+        let cut = sync::Arc::new(atomic::AtomicBool::new(false));
+        let noting = sync::Arc::clone(&cut);
+        let body = body.inspect_err(move |_| noting.store(true, atomic::Ordering::Release));
         let request = self.build(view, fence, body).ok_or(Failure::NotSent)?;
         let response = self.client.execute(request).await.map_err(|error| {
             if error.is_connect() {
                 Failure::NotSent
+            } else if cut.load(atomic::Ordering::Acquire) {
+                Failure::Cut
             } else if error.is_timeout() {
                 Failure::TimedOut
             } else {
--- a/tests/hostile/callers.rs
+++ b/tests/hostile/callers.rs
@@ -1,5 +1,7 @@
 //! Hostile requests to the listener for callers.
 
+use std::time::Instant;
+
 use sequoiayoke_harness::fault;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -190,6 +192,36 @@
     assert_serving(&world, &before).await;
 }
 
+/// Guards against a caller whose malformed bodies hold slots until their deadline, or make
+/// the backend server look ill, so that its keys are moved away.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_bodies_harm_nobody_else() {
+    let world = support::start(2, 12, 0, true).await;
+    let before = memory(&world);
+    let (owner, epoch) = world.owner(SERVICE, "broken").await.unwrap();
+    let head = format!("POST /s/{SERVICE}/broken HTTP/1.1\r\nhost: node\r\n");
+    let request = format!("{head}transfer-encoding: chunked\r\n\r\n1\r\na\r\nzz\r\n");
+    for entry in [owner, 1 - owner] {
+        for _ in 0..200 {
+            let start = Instant::now();
+            let answer = exchange(world.pairs[entry].caller(), request.as_bytes()).await;
+            assert!(start.elapsed() < DEADLINE, "{:?}", start.elapsed());
+            let unknown = answer.contains("\r\nsequoiayoke-outcome: unknown\r\n");
+            assert!(unknown, "{answer}");
+        }
+        let read = support::post(
+            world.http(),
+            world.pairs[entry].caller(),
+            "broken",
+            None,
+            DEADLINE,
+        );
+        let read = read.await.unwrap();
+        assert_eq!(read.epoch, epoch, "the key was moved: {read:?}");
+    }
+    assert_serving(&world, &before).await;
+}
+
 /// Asserts that no request to a key has taken effect, once none runs any more.
 async fn assert_unwritten(world: &World, key: &str) {
     for pair in &world.pairs {
