--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -163,7 +163,7 @@
     let address = listener.local_addr().unwrap();
     let connections = sync::Arc::new(connection::Connections::new(limits));
     let acceptor = connection::Acceptor::new(listener, connections.clone());
-    let signer = ids::Signer::new(b"a shared secret");
+    let signer = traffic::ids::Signer::new(b"a shared secret");
     let callers = callers::Callers::new(path(), HEADS, signer, connections);
     tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(callers));
     let mut socket = TcpStream::connect(address).await.unwrap();
