tests: random faults with a seed, and the stop of a node

tests/faults.rs draws planned moves, pauses and kills of VMs, nodes, stand-ins and the leader, and compares the order of (server, epoch) per key.

--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -272,3 +272,34 @@
         assert_once(&world, &id, 1);
     }
 }
+
+/// Guards against a node that stops and takes the record of ids of some slices with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_after_a_stop_of_the_node_gets_the_first_answer() {
+    let mut world = support::start(3, 12, 2, true).await;
+    for _ in 0..2 {
+        let (owner, epoch) = world.owner(SERVICE, KEY).await.unwrap();
+        let entry = support::other(&world, &[owner]);
+        let address = world.pairs[entry].caller().to_owned();
+        let http = world.http().clone();
+        // Many keys, so that each slice of the node has one, the last one to go too.
+        let mut sent = Vec::new();
+        for number in 0..64 {
+            let key = format!("order-{number}");
+            let id = caller::request_id(&http, &address, SERVICE, &key).await;
+            let id = id.unwrap();
+            let first = support::post(&http, &address, &key, Some(&id), DEADLINE).await;
+            sent.push((key, id, first.unwrap()));
+        }
+        assert!(world.pairs[owner].node.terminate(support::PATIENCE));
+        support::served_after(&world, &address, KEY, epoch).await;
+        for (key, id, first) in &sent {
+            let again = support::post(&http, &address, key, Some(id), DEADLINE).await;
+            assert_replay(&again.unwrap(), first);
+            assert_once(&world, id, 1);
+        }
+        world.pairs[owner].standin.kill();
+        world.restart_pair(owner).unwrap();
+        world.wait_joined().await.unwrap();
+    }
+}
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,126 @@
+//! I1 under random faults.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use sequoiayoke_harness::{Deployment, fault};
+use support::{SERVICE, World};
+
+const KEYS: [&str; 3] = ["kiosk-17", "order-3", "lot-5"];
+/// Faults in one run; each waits until the key is served again.
+const FAULTS: u32 = 14;
+
+/// Writes to the keys through each node until told to stop.
+fn start_writers(world: &World, stop: &sync::Arc<atomic::AtomicBool>) {
+    for index in 0..world.pairs.len() {
+        for key in KEYS {
+            let (http, stop) = (world.http().clone(), sync::Arc::clone(stop));
+            let address = world.pairs[index].caller().to_owned();
+            tokio::spawn(async move {
+                while !stop.load(atomic::Ordering::Relaxed) {
+                    let limit = Duration::from_millis(300);
+                    let _ = support::post(&http, &address, key, None, limit).await;
+                    tokio::time::sleep(Duration::from_millis(2)).await;
+                }
+            });
+        }
+    }
+}
+
+async fn brief(world: &Deployment, index: usize, key: &str) {
+    // Ends after a few requests that the paused process cannot answer.
+    let address = world.pairs[(index + 1) % world.pairs.len()].caller();
+    for _ in 0..3 {
+        let _ = support::post(world.http(), address, key, None, support::SHORT).await;
+    }
+}
+
+/// Guards against two owners in orders of faults that nobody thought of.
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_follow_each_other_under_random_faults() {
+    let seed = std::env::var("SEED").map_or_else(|_| rand::random(), |seed| seed.parse().unwrap());
+    println!("SEED={seed}");
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    let mut world = support::start(4, 12, 1, true).await;
+    let stop = sync::Arc::default();
+    start_writers(&world, &stop);
+    let mut number = 2;
+    for step in 0..FAULTS {
+        let key = KEYS[random.random_range(0..KEYS.len())];
+        let (owner, epoch) = world.owner(SERVICE, key).await.unwrap();
+        let other = (owner + random.random_range(1..4)) % 4;
+        let address = world.pairs[other].caller().to_owned();
+        let kind = random.random_range(0..9);
+        println!("{step}: fault {kind}, {key} at {owner} under {epoch}");
+        match kind {
+            0 | 1 => {
+                let name = world.pairs[other].server.name.clone();
+                support::pin(&world, number, key, &name).await;
+                number += 1;
+            }
+            2 => {
+                world.pairs[owner].pause();
+                support::served_after(&world, &address, key, epoch).await;
+                world.pairs[owner].resume();
+            }
+            3 => {
+                world.pairs[owner].node.pause();
+                support::served_after(&world, &address, key, epoch).await;
+                world.pairs[owner].node.resume();
+            }
+            4 => {
+                let name = world.pairs[other].server.name.clone();
+                world.pairs[owner].standin.pause();
+                brief(&world, owner, key).await;
+                support::pin(&world, number, key, &name).await;
+                number += 1;
+                brief(&world, owner, key).await;
+                world.pairs[owner].standin.resume();
+            }
+            5 => {
+                world.pairs[owner].kill();
+                support::served_after(&world, &address, key, epoch).await;
+                world.restart_pair(owner).unwrap();
+            }
+            6 => {
+                world.restart_node(owner).unwrap();
+                support::served_after(&world, &address, key, epoch).await;
+            }
+            7 => {
+                let leader = world.leader().await.unwrap();
+                world.control[leader] = None;
+                world.pairs[owner].pause();
+                support::served_after(&world, &address, key, epoch).await;
+                world.pairs[owner].resume();
+                world.start_control(leader).unwrap();
+            }
+            _ => {
+                let leader = world.leader().await.unwrap();
+                world.control[leader].as_ref().unwrap().pause();
+                world.wait_status("another leads", |_| true).await.unwrap();
+                world.control[leader].as_ref().unwrap().resume();
+            }
+        }
+        support::served_after(&world, &address, key, 0).await;
+        world.wait_joined().await.unwrap();
+    }
+    stop.store(true, atomic::Ordering::Relaxed);
+    for pair in &world.pairs {
+        let idle = |running, queued| running + queued == 0;
+        fault::wait_load(world.http(), pair, idle).await.unwrap();
+    }
+    let executions = world.executions();
+    println!("{} executions", executions.len());
+    support::assert_one_owner(&executions);
+    let counts = support::counts(&executions);
+    // A write that arrives while its key has no owner gets no id.
+    let named = counts.iter().filter(|(id, _)| !id.is_empty());
+    let repeated: Vec<_> = named.filter(|(_, count)| **count > 1).collect();
+    assert!(repeated.is_empty(), "{repeated:?}");
+}
