--- a/crates/harness/examples/fleet.rs
+++ b/crates/harness/examples/fleet.rs
@@ -24,6 +24,7 @@
 const SERVICE: &str = "queue-board";
 const RENEW: Duration = Duration::from_millis(150);
 const SILENCE: Duration = Duration::from_millis(600);
+const LOOK: Duration = Duration::from_millis(250);
 const STEADY: Duration = Duration::from_secs(10);
 const SECRET: &[u8] = b"harness-shared-secret-0001";
 
@@ -55,7 +56,8 @@
 async fn run(bin: &Path, nodes: u32, slices: u32) -> Result<(), Error> {
     let mut spec = settings::Spec::new(3).with_service(SERVICE, 1, 9, 1);
     spec.level = "warn".to_owned();
-    let deployment = Deployment::start(bin, spec)?;
+    let mut deployment = Deployment::start(bin, spec)?;
+    deployment.look = LOOK;
     deployment.wait_joined().await?;
     let counts = Arc::new(Counts::default());
     let start = Instant::now();
