Issue ids for waiting writes anew, and check replicas where they connect

(2) A replica of another region, or one that is not listed, was told off but its log messages went on to the replicated log. (3) POST /v1/drain was promised and never sent; a server that took it would refuse work after its node has started again. Change: (1) an id that nobody was told is issued anew before each sending if the grant has changed; (2) such a connection ends; (3) the command is gone from page and code. The coordinator's status moved to its own file; start errors carry no colours unless on a terminal. Before, with the reissue taken out: a_write_without_an_id_waits_for_the_next_owner fails, outcome unknown.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -11,6 +11,7 @@
 mod figures;
 pub mod formation;
 pub mod leader;
+mod overview;
 pub mod publish;
 pub mod replica;
 
@@ -20,11 +21,10 @@
 
 use bytes::Bytes;
 use error_stack::ResultExt;
-use sequoiayoke_api::{error, status};
+use sequoiayoke_api::error;
 use sequoiayoke_consensus::config;
 use sequoiayoke_consensus::event as log;
 use sequoiayoke_consensus::members;
-use sequoiayoke_consensus::position;
 use sequoiayoke_consensus::stored;
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
@@ -217,19 +217,6 @@
     }
 
     fn replica_hello(&mut self, hello: &message::Hello) -> supervisor::Outcome {
-        if hello.region != self.config.leader.region {
-            tracing::error!(
-                region = hello.region,
-                name = hello.name,
-                "a replica belongs to another region"
-            );
-            return Ok(());
-        }
-        let listed = self.config.peers.iter().any(|peer| peer.name == hello.name);
-        if !listed {
-            tracing::error!(name = hello.name, "a replica is not listed in the settings");
-            return Ok(());
-        }
         self.live.insert(hello.name.clone(), id::Replica(hello.id));
         self.formation.hello(hello).map_err(failed)?;
         self.form()
@@ -490,45 +477,4 @@
         let name = self.formation.name_of(role.leader?)?;
         self.config.peers.iter().find(|peer| peer.name == name)
     }
-
-    /// Returns the part of the status that every replica knows.
-    fn status(&self) -> status::Status {
-        let replica = self.driver.as_ref().map(replica::Driver::replica);
-        let term = replica.map_or(position::Term(0), |replica| replica.role().term);
-        let commit = replica.map_or(position::Index(0), |replica| replica.commit());
-        let replicas = self.config.peers.iter().map(|peer| {
-            let driver = self.driver.as_ref();
-            let id = match &peer.outgoing {
-                Some(_) => self.live.get(&peer.name).copied(),
-                None => driver.map(|driver| driver.replica().id()),
-            };
-            let voting = id.is_some_and(|id| {
-                driver.is_some_and(|driver| driver.replica().members().is_voter(id))
-            });
-            let matched = driver.and_then(|driver| match &peer.outgoing {
-                None => Some(driver.replica().last().index.0),
-                Some(_) => {
-                    let mut matched = driver.replica().matched();
-                    matched.find(|(one, _)| Some(*one) == id).map(|(_, m)| m.0)
-                }
-            });
-            status::Replica {
-                name: peer.name.clone(),
-                address: peer.operator.to_string(),
-                voting,
-                matched: matched.unwrap_or(0),
-            }
-        });
-        status::Status {
-            region: self.config.leader.region.clone(),
-            leader: self.leader_peer().map(|peer| peer.name.clone()),
-            term: term.0,
-            commit: commit.0,
-            version: id::Version(0),
-            next_ticket: id::Ticket(0),
-            replicas: replicas.collect(),
-            servers: Vec::new(),
-            services: Vec::new(),
-        }
-    }
 }
--- a/crates/control/src/root.rs
+++ b/crates/control/src/root.rs
@@ -111,6 +111,12 @@
         )?;
         let config = traffic::Config {
             secret: sync::Arc::from(settings.secret.reveal().as_bytes()),
+            region: settings.region.clone(),
+            replicas: settings
+                .replicas
+                .iter()
+                .map(|one| one.name.clone())
+                .collect(),
             connect: CONNECT,
             events,
             hello: heard,
--- a/crates/control/src/traffic.rs
+++ b/crates/control/src/traffic.rs
@@ -53,6 +53,10 @@
 pub struct Config {
     /// Secret that the region's processes share.
     pub secret: sync::Arc<[u8]>,
+    /// Region of the group.
+    pub region: String,
+    /// Names of all replicas of the settings.
+    pub replicas: Vec<String>,
     /// Time to open and authenticate a connection.
     pub connect: Duration,
     /// Where events go.
--- a/crates/control/src/traffic/peers.rs
+++ b/crates/control/src/traffic/peers.rs
@@ -121,6 +121,11 @@
         };
         let event = match frame?.body {
             Some(replica::Body::Hello(hello)) => {
+                if hello.region != config.region || !config.replicas.contains(&hello.name) {
+                    let (region, name) = (&hello.region, &hello.name);
+                    tracing::error!(region, name, "a replica is not of this group");
+                    return Err(breach());
+                }
                 from = Some(id::Replica(hello.id));
                 event::Event::ReplicaHello(hello)
             }
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -12,21 +12,19 @@
 mod reply;
 
 use std::sync;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use poem::http::StatusCode;
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::key;
 use sequoiayoke_model::outcome;
-use sequoiayoke_model::request as model_request;
 
 use super::answer;
 use super::ids;
 use super::path;
 use super::request;
 use super::server;
-use crate::published;
 
 /// Time for the head of a request to arrive.
 pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -166,6 +164,7 @@
             id: parse::request_id(&http, |text| {
                 self.signer.verify(text, subject.service, subject.hash)
             })?,
+            is_untold: false,
             caller: subject.caller,
             scope: &subject.scope,
             idempotent: subject.idempotent,
@@ -175,12 +174,13 @@
             return self.issue(&view).await;
         }
         if view.id.is_none() && !view.idempotent {
-            view.id = self.new_id(&view);
+            view.id = self.path.new_id(&view);
+            view.is_untold = true;
         }
         let body = http.take_body();
         // Boxed by the HTTP library; the path itself stays generic over the body.
         let body = Box::pin(body.into_bytes_stream());
-        let answer = self.path.serve(&view, body).await;
+        let answer = self.path.serve(&mut view, body).await;
         Ok(self.reply(&view, answer, exchange))
     }
 
@@ -214,7 +214,7 @@
     async fn issue(&self, view: &request::View<'_>) -> Result<poem::Response, Problem> {
         let waited = self.path.wait_for_owner(view).await;
         waited.map_err(|reason| Problem::new(reason, "the key has no owner at present"))?;
-        let id = self.new_id(view).ok_or_else(|| {
+        let id = self.path.new_id(view).ok_or_else(|| {
             Problem::new(outcome::Reason::Vacant, "the key has no owner at present")
         })?;
         let body =
@@ -224,14 +224,6 @@
             .body(body.to_string()))
     }
 
-    fn new_id(&self, view: &request::View<'_>) -> Option<model_request::Id> {
-        let snapshot = self.path.published().load();
-        let epoch = epoch_of(&snapshot, view.service, view.hash)?;
-        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let issued_ms = since.map_or(0, |since| since.as_millis() as u64);
-        Some(model_request::Id::new(epoch, issued_ms, rand::random()))
-    }
-
     fn reply(
         &self,
         view: &request::View<'_>,
@@ -250,15 +242,6 @@
     }
 }
 
-fn epoch_of(
-    snapshot: &published::Snapshot,
-    service: id::Service,
-    hash: key::Hash,
-) -> Option<id::Epoch> {
-    let (slice, _) = snapshot.view.table(service)?.find(hash);
-    slice.holder.map(|holder| holder.epoch)
-}
-
 impl<C, S> poem::Endpoint for Callers<C, S>
 where
     C: clock::Clock + Send + Sync + 'static,
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -5,6 +5,7 @@
 //! its lease, and dispatches. Whatever is reported as not run was never
 //! dispatched, or was refused by the backend server under its protocol.
 
+mod issue;
 mod local;
 mod record;
 
@@ -199,7 +200,7 @@
     }
 
     /// Carries a request to its end, and logs the decision.
-    pub async fn serve<B>(&self, view: &request::View<'_>, body: B) -> answer::Answer
+    pub async fn serve<B>(&self, view: &mut request::View<'_>, body: B) -> answer::Answer
     where
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
     {
@@ -212,7 +213,7 @@
         answer
     }
 
-    async fn attempt_all<B>(&self, view: &request::View<'_>, body: B) -> answer::Answer
+    async fn attempt_all<B>(&self, view: &mut request::View<'_>, body: B) -> answer::Answer
     where
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
     {
@@ -231,7 +232,10 @@
             let mut changed = self.published.subscribe();
             let answer = match self.decide(view).await {
                 Ok(decision) => match source.sending() {
-                    Some(sending) => self.carry_out(view, decision, sending).await,
+                    Some(sending) => {
+                        self.reissue(view);
+                        self.carry_out(view, decision, sending).await
+                    }
                     None => answer::Answer::not_run(outcome::Reason::Unreachable),
                 },
                 Err(reason) => return after(uncertain, answer::Answer::not_run(reason)),
@@ -269,12 +273,6 @@
         let _ = tokio::time::timeout(pause, other_owner).await;
     }
 
-    fn epoch_of(&self, view: &request::View<'_>) -> Option<id::Epoch> {
-        let snapshot = self.published.load();
-        let (slice, _) = snapshot.view.table(view.service)?.find(view.hash);
-        slice.holder.map(|holder| holder.epoch)
-    }
-
     fn may_retry<B>(
         &self,
         view: &request::View<'_>,
--- a/crates/node/src/traffic/peers/serve.rs
+++ b/crates/node/src/traffic/peers/serve.rs
@@ -238,7 +238,7 @@
     let headers = open.headers.into_iter();
     let headers: Vec<(String, Bytes)> = headers.map(|one| (one.name, one.value)).collect();
     let left = Duration::from_millis(u64::from(open.deadline_ms)).min(MAX_DEADLINE);
-    let view = request::View {
+    let mut view = request::View {
         service: id::Service(open.service),
         hash: key::Hash(open.hash),
         method: &open.method,
@@ -246,12 +246,13 @@
         headers: &headers,
         deadline: path.clock().now() + left,
         id,
+        is_untold: false,
         caller: path.caller_named(&open.caller),
         scope: &open.scope,
         idempotent: open.idempotent,
         forwarded: Some(id::Epoch(open.epoch)),
     };
-    path.serve(&view, body).await
+    path.serve(&mut view, body).await
 }
 
 async fn respond(
--- a/crates/node/src/traffic/request.rs
+++ b/crates/node/src/traffic/request.rs
@@ -25,6 +25,8 @@
     pub deadline: clock::Instant,
     /// Request id.
     pub id: Option<request::Id>,
+    /// Whether this node issued the id and has told nobody yet.
+    pub is_untold: bool,
     /// The caller, if it is known.
     pub caller: id::Caller,
     /// Scope of the caller's keys.
--- a/crates/node/src/traffic/server/command.rs
+++ b/crates/node/src/traffic/server/command.rs
@@ -1,4 +1,4 @@
-//! Commands to the backend server: prepare, grant, revoke, drain.
+//! Commands to the backend server: prepare, grant, revoke.
 //!
 //! A grant counts only when the server has taken it; the coordinator publishes
 //! the slice after that.
@@ -108,15 +108,6 @@
         self.send("revoke", &body).await
     }
 
-    /// Asks the server to take no new work.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the server does not take the command in time.
-    pub async fn drain(&self) -> Result<(), Error> {
-        self.send("drain", &serde_json::json!({})).await
-    }
-
     /// Asks the health endpoint.
     pub async fn health(&self) -> health::Probe {
         let url = format!("http://{}/v1/health", self.backend.address);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,7 @@
 //! What the daemons' binaries share: arguments, settings, logs, signals.
 
 use std::io;
-use std::io::Write;
+use std::io::{IsTerminal, Write};
 use std::path;
 use std::process;
 use std::thread;
@@ -141,6 +141,9 @@
     match run_with::<D>(&Arguments::parse()) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(report) => {
+            if !io::stderr().is_terminal() {
+                Report::set_color_mode(error_stack::fmt::ColorMode::None);
+            }
             // Standard error may be closed; the exit status tells the rest.
             let _ = writeln!(io::stderr(), "{report:?}");
             match report.current_context() {
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -303,3 +303,28 @@
         world.wait_joined().await.unwrap();
     }
 }
+
+/// Guards against a write that waited for the next owner being taken for one that may have
+/// run under the former, only since the entry node issued its id before the loss.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_without_an_id_waits_for_the_next_owner() {
+    let mut world = support::start(3, 12, 5, true).await;
+    let (owner, _) = world.owner(SERVICE, KEY).await.unwrap();
+    let entry = support::other(&world, &[owner]);
+    let address = world.pairs[entry].caller().to_owned();
+    support::served_slowly(&world, &address, KEY, 0).await;
+    let (owner, epoch) = world.owner(SERVICE, KEY).await.unwrap();
+    let entry = support::other(&world, &[owner]);
+    let address = world.pairs[entry].caller().to_owned();
+    world.pairs[owner].kill();
+    let answer = support::post(world.http(), &address, KEY, None, support::DEADLINE).await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.outcome, "answered", "{answer:?}");
+    assert!(answer.epoch > epoch, "{answer:?}");
+    let again = Some(answer.request.as_str());
+    let again = support::post(world.http(), &address, KEY, again, support::DEADLINE).await;
+    assert!(
+        again.unwrap().replayed,
+        "the caller's id is the one that ran"
+    );
+}
