--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -81,7 +81,6 @@
 }
 
 /// What to do.
-// The load tool has a crate of its own; its subcommand belongs here and in `run::command`.
 #[derive(Clone, Debug, clap::Subcommand)]
 pub enum Command {
     /// Submit, check, list or show change tickets.
