--- a/crates/harness/examples/recovery.rs
+++ b/crates/harness/examples/recovery.rs
@@ -12,6 +12,8 @@
 use serde_json::json;
 
 const DEADLINE: Duration = Duration::from_secs(10);
+/// Deadline of a request to a server that may be frozen.
+const SHORT: Duration = Duration::from_millis(200);
 const SERVICE: &str = "kiosk-status";
 const KEY: &str = "kiosk-17";
 const SERVERS: usize = 6;
@@ -22,6 +24,8 @@
     Owner,
     Leader,
     Both,
+    /// The backend server freezes while its node lives.
+    Backend,
 }
 
 #[tokio::main]
@@ -46,7 +50,7 @@
     let mut deployment = Deployment::start(bin, spec)?;
     deployment.wait_joined().await?;
     deployment.create_services(48).await?;
-    for loss in [Loss::Owner, Loss::Leader, Loss::Both] {
+    for loss in [Loss::Owner, Loss::Leader, Loss::Both, Loss::Backend] {
         let mut times = histogram();
         for _ in 0..rounds {
             let time = lose(&mut deployment, loss).await?;
@@ -95,6 +99,9 @@
     let entry = deployment.pairs[other].caller().to_owned();
     let leader = deployment.leader().await;
     let leader = leader.ok_or_else(|| Error::Timeout("a leader".to_owned()))?;
+    if loss == Loss::Backend {
+        return freeze(deployment, owner, &entry, &path).await;
+    }
     if loss != Loss::Owner
         && let Some(mut replica) = deployment.control[leader].take()
     {
@@ -130,6 +137,30 @@
     Ok(time)
 }
 
+/// Freezes the owner's backend server under requests until another server answers.
+async fn freeze(
+    deployment: &Deployment,
+    owner: usize,
+    entry: &str,
+    path: &str,
+) -> Result<Duration, Error> {
+    let http = deployment.http();
+    deployment.pairs[owner].standin.pause();
+    let start = Instant::now();
+    while start.elapsed() < DEADLINE {
+        let sent = caller::send(http, entry, Method::GET, path, None, SHORT).await;
+        let served = sent.is_ok_and(|answer| answer.outcome == "answered");
+        if served {
+            let time = start.elapsed();
+            deployment.pairs[owner].standin.resume();
+            deployment.wait_joined().await?;
+            return Ok(time);
+        }
+    }
+    deployment.pairs[owner].standin.resume();
+    Err(Error::Timeout("an answer of another server".to_owned()))
+}
+
 async fn in_force(deployment: &Deployment, number: u64) -> Result<Duration, Error> {
     let ticket = json!({ "number": number, "objects": [
         { "server": { "name": format!("{SERVICE}-1"), "state": "serving" } },
