Wait in the harness until a node takes requests, not only until it has joined

Cause: at_most_once::a_resend_after_the_loss_of_the_owner_is_unknown failed in 1 of about 12 runs: the restarted node was shown as joined, had no view yet, and rightly answered 'not-run stale-view'. Change: wait_joined asks every node's /v1/ready.

--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -371,7 +371,10 @@
         Err(Error::Timeout(format!("{what}; last status: {last}")))
     }
 
-    /// Waits until every node has joined.
+    /// Waits until every node has joined and takes requests.
+    ///
+    /// The control plane shows a node before the node has its view, and until then it
+    /// refuses every request.
     ///
     /// # Errors
     ///
@@ -384,9 +387,25 @@
                 .is_some_and(|s| s.len() == count)
         };
         self.wait_status("all nodes have joined", all).await?;
+        for pair in &self.pairs {
+            self.wait_ready(pair).await?;
+        }
         Ok(())
     }
 
+    async fn wait_ready(&self, pair: &Pair) -> Result<(), Error> {
+        let url = format!("http://{}/v1/ready", pair.caller());
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            let sent = self.http.get(&url).send().await;
+            if sent.is_ok_and(|answer| answer.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(Error::Timeout(format!("{} is ready", pair.server.name)))
+    }
+
     /// Creates every service of the deployment by ticket number 1, and waits until all is owned.
     ///
     /// # Errors
