Start again on a volume that renumbers its files; release only when no grant is on its way

Cause: identity check by inode numbers, which this platform changes; a renewed grant overtook a release.

--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -40,6 +40,8 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
+    /// Whether the volume of the data directory numbers its files anew at each start.
+    pub inodes_change: bool,
     /// Length of a lease.
     pub lease: Duration,
 }
@@ -193,6 +195,9 @@
     let failed = supervisor::Error::Child("log");
     let founds = settings.is_first_start && settings.seeds.contains(&settings.operator);
     let mut owner = identity::Owner::new(&settings.name, &settings.region);
+    if settings.inodes_change {
+        owner = owner.with_changing_inodes();
+    }
     if founds {
         owner = owner.with_founder(founder(settings.operator));
     }
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -49,6 +49,13 @@
     Connected,
     /// A message of a control replica.
     Control(session::FromControl),
+    /// A grant is no longer on its way, answered or not.
+    Settled {
+        /// The keys.
+        range: slice::Range,
+        /// Number of the grant.
+        fence: slice::Fence,
+    },
     /// The backend server has confirmed a grant.
     Granted {
         /// The keys.
@@ -200,6 +207,7 @@
                 fence,
                 until,
             } => self.state.granted(range, fence, until),
+            Event::Settled { range, fence } => self.state.settled(now, range, fence),
             Event::Refused { range, fence } => self.state.refused(range, fence),
             Event::Released {
                 range,
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -85,7 +85,9 @@
     service: String,
     range: slice::Range,
     fence: slice::Fence,
-    asked: clock::Instant,
+    /// When it was sent last; a release waits for grants of its keys that are
+    /// on their way, since the backend server could take one after it.
+    asked: Option<clock::Instant>,
     handover: Option<Option<String>>,
 }
 
@@ -109,6 +111,8 @@
     renewed: Option<clock::Instant>,
     grants: Vec<Grant>,
     releases: Vec<Release>,
+    /// Grants that the backend server has not answered.
+    open: Vec<(slice::Range, slice::Fence)>,
     parts: Vec<usage::Part>,
     service_s: f64,
     effects: Vec<Effect>,
@@ -131,6 +135,7 @@
             renewed: None,
             grants: Vec::new(),
             releases: Vec::new(),
+            open: Vec::new(),
             parts: Vec::new(),
             service_s: 0.0,
             effects: Vec::new(),
@@ -258,6 +263,7 @@
     fn reset(&mut self) {
         self.grants.clear();
         self.releases.clear();
+        self.open.clear();
         self.parts.clear();
         self.lease.dropped();
         self.is_changed = true;
@@ -440,13 +446,15 @@
                 .map_or(Duration::ZERO, |until| now.saturating_until(until));
             let asked = grant
                 .asked
-                .is_some_and(|asked| now.saturating_since(asked) < GRANT_RETRY);
+                .is_some_and(|asked| now.saturating_since(asked) < GRANT_RETRY)
+                || self.open.contains(&(grant.range, grant.fence));
             // Renewing at two thirds leaves time for several commands that get lost.
             let is_due = held < self.config.lease * 2 / 3 && held + MIN_HOLD < hold;
             if asked || grant.is_refused || !is_due {
                 continue;
             }
             grant.asked = Some(now);
+            self.open.push((grant.range, grant.fence));
             self.effects.push(Effect::Grant {
                 instance: own.announcement.instance.clone(),
                 range: grant.range,
@@ -458,6 +466,14 @@
         }
     }
 
+    /// Records that a grant is no longer on its way, answered or not.
+    pub fn settled(&mut self, now: clock::Instant, range: slice::Range, fence: slice::Fence) {
+        if let Some(at) = self.open.iter().position(|one| *one == (range, fence)) {
+            self.open.swap_remove(at);
+        }
+        self.ask_releases(now);
+    }
+
     /// Takes the backend server's confirmation of a grant.
     pub fn granted(&mut self, range: slice::Range, fence: slice::Fence, until: clock::Instant) {
         for grant in &mut self.grants {
@@ -488,9 +504,9 @@
         range: slice::Range,
         fence: slice::Fence,
     ) {
-        let Some(own) = &self.own else {
+        if self.own.is_none() {
             return;
-        };
+        }
         let known = self.releases.iter().any(|one| one.range.overlaps(range));
         let holds = self
             .grants
@@ -503,16 +519,37 @@
             service: service.to_owned(),
             range,
             fence,
-            asked: now,
+            asked: None,
             handover: None,
         });
-        self.effects.push(Effect::Release {
-            instance: own.announcement.instance.clone(),
-            service: service.to_owned(),
-            range,
-            fence,
-        });
         self.reconcile(now);
+        self.ask_releases(now);
+    }
+
+    /// Sends the releases that are due.
+    fn ask_releases(&mut self, now: clock::Instant) {
+        let Some(own) = &self.own else {
+            return;
+        };
+        for release in &mut self.releases {
+            let is_asked = release
+                .asked
+                .is_some_and(|asked| now.saturating_since(asked) < RELEASE_RETRY);
+            let waits = self
+                .open
+                .iter()
+                .any(|(range, fence)| *fence == release.fence && range.overlaps(release.range));
+            if release.handover.is_some() || is_asked || waits {
+                continue;
+            }
+            release.asked = Some(now);
+            self.effects.push(Effect::Release {
+                instance: own.announcement.instance.clone(),
+                service: release.service.clone(),
+                range: release.range,
+                fence: release.fence,
+            });
+        }
     }
 
     /// Takes the backend server's confirmation of a release.
@@ -542,21 +579,7 @@
             self.renew(now);
         }
         self.grant(now);
-        let Some(own) = &self.own else {
-            return;
-        };
-        for release in &mut self.releases {
-            let waits = now.saturating_since(release.asked);
-            if release.handover.is_none() && waits >= RELEASE_RETRY {
-                release.asked = now;
-                self.effects.push(Effect::Release {
-                    instance: own.announcement.instance.clone(),
-                    service: release.service.clone(),
-                    range: release.range,
-                    fence: release.fence,
-                });
-            }
-        }
+        self.ask_releases(now);
     }
 
     /// Returns the run that has not announced itself for `span`, if there is one.
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -205,6 +205,7 @@
                 Some(409) => context.tell(coordinator::Event::Refused { range, fence }),
                 _ => {}
             }
+            context.tell(coordinator::Event::Settled { range, fence });
             let (first, last) = (range.first, range.last);
             let hold_ms = hold.as_millis() as u64;
             tracing::debug!(first, last, fence = fence.0, hold_ms, ?status, "granted keys");
--- a/crates/settings/src/director.rs
+++ b/crates/settings/src/director.rs
@@ -22,6 +22,9 @@
     pub replicas: Vec<net::SocketAddr>,
     /// Whether the whole deployment starts for the first time, with empty disks.
     pub first_start: bool,
+    /// Whether the volume of `data` numbers its files anew at each start.
+    #[serde(default)]
+    pub inodes_change: bool,
     /// Length of a lease.
     pub lease: span::Span,
     /// Log output.
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -22,6 +22,7 @@
     name: String,
     region: String,
     founder: Option<id::Replica>,
+    ignores_inodes: bool,
 }
 
 impl Owner {
@@ -31,6 +32,7 @@
             name: name.to_owned(),
             region: region.to_owned(),
             founder: None,
+            ignores_inodes: false,
         }
     }
 
@@ -43,6 +45,16 @@
         self
     }
 
+    /// Accepts a directory whose inode numbers have changed.
+    ///
+    /// Some volumes number their files anew each time that they are mounted. A
+    /// copy cannot be told from the original there, so only a platform that
+    /// never gives one volume to two VMs may use this.
+    pub fn with_changing_inodes(mut self) -> Self {
+        self.ignores_inodes = true;
+        self
+    }
+
     /// Returns the identity that an empty directory gets.
     pub(crate) fn new_id(&self) -> id::Replica {
         self.founder.unwrap_or_else(|| id::Replica(rand::random()))
@@ -119,7 +131,7 @@
         }));
     }
     let inodes = medium.inodes(FILE).change_context_lazy(|| io("inspect"))?;
-    if inodes != (identity.folder_inode, identity.file_inode) {
+    if !owner.ignores_inodes && inodes != (identity.folder_inode, identity.file_inode) {
         return Err(Report::new(fault::Fault::Copied {
             name: found.describe(),
         }));
