--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -270,10 +270,7 @@
         // A remainder smaller than half a run joins the run before it.
         let end = first + width - 1;
         let end = if end + width / 2 >= last { last } else { end };
-        parts.push(slice::Range::new(
-            first as slice::Key,
-            end as slice::Key,
-        ));
+        parts.push(slice::Range::new(first as slice::Key, end as slice::Key));
         first = end + 1;
     }
     parts
--- /dev/null
+++ b/crates/balance/tests/planner.rs
@@ -0,0 +1,132 @@
+//! Plans for load patterns, without a network.
+
+use sequoiayoke_balance::planner;
+use sequoiayoke_catalog::slice;
+use sequoiayoke_dispatch::usage;
+use sequoiayoke_model::{clock, id};
+
+fn owner(number: u32, parts: Vec<usage::Part>) -> planner::Owner {
+    planner::Owner {
+        id: id::Server(number),
+        slots: 12.0,
+        is_open: true,
+        pace: 1.0,
+        parts,
+    }
+}
+
+fn part(first: u16, last: u16, load: f64) -> usage::Part {
+    usage::Part {
+        range: slice::Range::new(first, last),
+        load,
+    }
+}
+
+fn apply(table: &mut slice::Table, moves: &[planner::Move], fence: u64) {
+    for one in moves {
+        let change = slice::Move {
+            service: "status".to_owned(),
+            range: one.range,
+            expected: one.fence,
+            from: one.from,
+            to: one.to,
+            handover: None,
+        };
+        assert!(table.assign(&change, slice::Fence(fence)), "{one:?}");
+    }
+}
+
+fn held(table: &slice::Table, number: u32) -> u32 {
+    let own = table.slices().iter();
+    let own = own.filter(|slice| slice.owner == Some(id::Server(number)));
+    own.map(|slice| slice.range.len()).sum()
+}
+
+/// Guards against vacant keys, and against all of them at one backend server.
+#[test]
+fn vacant_keys_are_spread() {
+    let owners: Vec<_> = (0..5).map(|number| owner(number, Vec::new())).collect();
+    let planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let moves = planner.fill(&table, &owners);
+    apply(&mut table, &moves, 1);
+    for number in 0..5 {
+        let share = held(&table, number);
+        assert!((13_000..=13_300).contains(&share), "{share}");
+    }
+}
+
+/// A hot key: guards against neighbours that wait behind it. Its owner gives
+/// other keys away until it is no busier than it must be.
+#[test]
+fn the_owner_of_a_hot_key_gives_keys_away() {
+    let mut planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let bare = [owner(0, Vec::new()), owner(1, Vec::new())];
+    let moves = planner.fill(&table, &bare);
+    apply(&mut table, &moves, 1);
+    let first = table.slices()[0].clone();
+    let busy = first.owner.expect("the slice has an owner").0;
+    let parts = vec![part(10, 10, 5.0), part(11, 200, 3.0), part(201, 900, 3.0)];
+    let owners = [
+        owner(busy, parts),
+        owner(1 - busy, vec![part(40_000, 50_000, 2.0)]),
+    ];
+    let now = clock::Instant::from_micros(0);
+    let moves = planner.balance(now, &table, &owners);
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|one| one.from == Some(id::Server(busy))));
+    let moved: f64 = moves
+        .iter()
+        .flat_map(|one| {
+            owners[0]
+                .parts
+                .iter()
+                .filter(|part| part.range == one.range)
+        })
+        .map(|part| part.load)
+        .sum();
+    assert!((3.0..=6.0).contains(&moved), "{moved}");
+}
+
+/// Guards against churn: a range that has moved rests, and small differences stay.
+#[test]
+fn a_moved_range_rests_and_small_differences_stay() {
+    let mut planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let bare = [owner(0, Vec::new()), owner(1, Vec::new())];
+    let moves = planner.fill(&table, &bare);
+    apply(&mut table, &moves, 1);
+    let (one, other) = (table.slices()[0].owner, table.slices()[1].owner);
+    let (one, other) = (one.expect("owned").0, other.expect("owned").0);
+    let now = clock::Instant::from_micros(0);
+    let even = [
+        owner(one, vec![part(0, 100, 7.0)]),
+        owner(other, vec![part(40_000, 41_000, 6.0)]),
+    ];
+    assert_eq!(planner.balance(now, &table, &even), []);
+    let uneven = [
+        owner(one, vec![part(0, 100, 6.0), part(101, 200, 4.0)]),
+        owner(other, vec![part(40_000, 41_000, 2.0)]),
+    ];
+    let moves = planner.balance(now, &table, &uneven);
+    assert_eq!(moves.len(), 1);
+    // The report is still the old one; the same range must not move again.
+    assert_eq!(planner.balance(now, &table, &uneven), []);
+}
+
+/// Guards against a leaving backend server that keeps keys.
+#[test]
+fn a_closed_owner_gives_all_keys_away() {
+    let mut planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let mut owners: Vec<_> = (0..3).map(|number| owner(number, Vec::new())).collect();
+    let moves = planner.fill(&table, &owners);
+    apply(&mut table, &moves, 1);
+    owners[1].is_open = false;
+    let now = clock::Instant::from_micros(0);
+    let moves = planner.balance(now, &table, &owners);
+    apply(&mut table, &moves, 2);
+    assert_eq!(held(&table, 1), 0);
+    assert!(held(&table, 0) > 25_000 && held(&table, 2) > 25_000);
+}
--- a/crates/catalog/src/machine.rs
+++ b/crates/catalog/src/machine.rs
@@ -156,8 +156,7 @@
 
     /// Returns whether exactly this order took effect before.
     pub fn is_accepted(&self, order: &Order) -> bool {
-        self.history
-            .contains(&(order.config.version, order.digest))
+        self.history.contains(&(order.config.version, order.digest))
     }
 
     fn configure(&mut self, order: &Order) -> Result<Output, Refusal> {
@@ -168,8 +167,7 @@
         if self.history.len() >= MAX_HISTORY {
             self.history.pop_front();
         }
-        self.history
-            .push_back((order.config.version, order.digest));
+        self.history.push_back((order.config.version, order.digest));
         for service in order.config.services.iter().filter(|one| one.is_keyed) {
             self.tables.entry(service.name.clone()).or_default();
         }
--- /dev/null
+++ b/crates/catalog/tests/machine.rs
@@ -0,0 +1,215 @@
+//! The replicated state: orders of operators, backend servers and owners.
+
+use sequoiayoke_catalog::{config, machine, server, slice};
+use sequoiayoke_model::{id, replicated::Replicated};
+
+fn order(base: u64, version: u64, digest: u64) -> machine::Order {
+    machine::Order {
+        base: config::Version(base),
+        config: config::Config {
+            version: config::Version(version),
+            services: vec![config::Service {
+                name: "status".to_owned(),
+                health_path: "/health".to_owned(),
+                max_connections: 10,
+                is_keyed: true,
+                warm_up_ms: 1_000,
+            }],
+            routes: vec![config::Route {
+                name: "r".to_owned(),
+                host: "h".to_owned(),
+                prefix: "/a/".to_owned(),
+                kind: config::Kind::Idempotent,
+                timeout_ms: 1_000,
+                target_ms: 100,
+                priority: 1,
+                max_attempts: 2,
+                shares: vec![config::Share {
+                    service: "status".to_owned(),
+                    weight: 1.0,
+                }],
+            }],
+            ..config::Config::default()
+        },
+        document: digest.to_string().into_bytes(),
+        digest,
+    }
+}
+
+fn announcement(name: &str, born_ms: u64, port: u16) -> server::Announcement {
+    server::Announcement {
+        instance: server::Instance {
+            name: name.to_owned(),
+            born_ms,
+        },
+        service: "status".to_owned(),
+        address: ([127, 0, 0, 1], port).into(),
+        node: ([127, 0, 0, 1], port + 1_000).into(),
+        domain: "a".to_owned(),
+        slots: 4,
+        is_draining: false,
+    }
+}
+
+fn joined(machine: &mut machine::Machine, index: u64, one: server::Announcement) -> id::Server {
+    match machine.apply(index, &machine::Command::Join(one)) {
+        machine::Output::Joined(id) => id,
+        other => panic!("the backend server has not joined: {other:?}"),
+    }
+}
+
+fn vacant(to: id::Server) -> slice::Move {
+    slice::Move {
+        service: "status".to_owned(),
+        range: slice::Range::ALL,
+        expected: slice::Fence(0),
+        from: None,
+        to,
+        handover: None,
+    }
+}
+
+/// Guards against two orders on the same base both taking effect.
+#[test]
+fn one_of_two_orders_on_the_same_base_wins() {
+    let mut machine = machine::Machine::new();
+    let first = machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    assert_eq!(first, machine::Output::Configured);
+    let second = machine.apply(2, &machine::Command::Configure(order(0, 5, 50)));
+    assert!(matches!(
+        second,
+        machine::Output::Refused(machine::Refusal::Conflict { .. })
+    ));
+    assert_eq!(machine.version(), config::Version(3));
+}
+
+/// Guards against a refusal of an order whose answer was lost, also after later orders.
+#[test]
+fn a_repeated_order_is_accepted_again() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    machine.apply(2, &machine::Command::Configure(order(3, 7, 70)));
+    let again = machine.apply(3, &machine::Command::Configure(order(0, 3, 30)));
+    assert_eq!(again, machine::Output::Configured);
+    assert_eq!(machine.version(), config::Version(7));
+}
+
+/// Guards against another content under the number of an accepted order.
+#[test]
+fn a_number_in_use_is_refused_for_other_content() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    let other = machine.apply(2, &machine::Command::Configure(order(3, 3, 31)));
+    assert!(matches!(other, machine::Output::Refused(_)));
+}
+
+/// Guards against invalid configurations in force.
+#[test]
+fn invalid_configurations_are_refused() {
+    let machine = machine::Machine::new();
+    let edits: [fn(&mut config::Config); 6] = [
+        |config| config.routes[0].timeout_ms = 0,
+        |config| config.routes[0].timeout_ms = 600_001,
+        |config| config.routes[0].shares[0].weight = -1.0,
+        |config| config.routes[0].shares[0].service = "unknown".to_owned(),
+        |config| config.routes[0].prefix = "a".to_owned(),
+        |config| config.routes.push(config.routes[0].clone()),
+    ];
+    for (number, edit) in edits.into_iter().enumerate() {
+        let mut order = order(0, 3, 30);
+        edit(&mut order.config);
+        let checked = machine.check(&order);
+        assert!(
+            matches!(checked, Err(machine::Refusal::Invalid(_))),
+            "edit {number}: {checked:?}"
+        );
+    }
+}
+
+/// Guards against keys that stay with a run that has ended: a later run has its address.
+#[test]
+fn a_later_run_at_an_address_vacates_the_keys_of_the_former() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    let former = joined(&mut machine, 2, announcement("i-1", 10, 1));
+    machine.apply(3, &machine::Command::Assign(vec![vacant(former)]));
+    let later = joined(&mut machine, 4, announcement("i-2", 20, 1));
+    assert_ne!(former, later);
+    assert_eq!(machine.tables()["status"].find(9).owner, None);
+}
+
+/// Guards against a late announcement of a run that has ended.
+#[test]
+fn an_earlier_run_does_not_replace_a_later_one() {
+    let mut machine = machine::Machine::new();
+    joined(&mut machine, 1, announcement("i-2", 20, 1));
+    let late = machine.apply(2, &machine::Command::Join(announcement("i-1", 10, 1)));
+    assert_eq!(late, machine::Output::Refused(machine::Refusal::Outdated));
+}
+
+/// Guards against a run that starts again under its name and keeps its keys.
+#[test]
+fn a_run_with_the_same_name_and_another_start_holds_nothing() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    let first = joined(&mut machine, 2, announcement("i-1", 10, 1));
+    machine.apply(3, &machine::Command::Assign(vec![vacant(first)]));
+    joined(&mut machine, 4, announcement("i-1", 11, 1));
+    assert_eq!(machine.tables()["status"].find(0).owner, None);
+}
+
+/// Guards against two owners: a move that was planned on an older grant has no effect.
+#[test]
+fn a_move_needs_the_present_grant() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    let one = joined(&mut machine, 2, announcement("i-1", 10, 1));
+    let other = joined(&mut machine, 3, announcement("i-2", 10, 2));
+    machine.apply(4, &machine::Command::Assign(vec![vacant(one)]));
+    let stale = machine.apply(5, &machine::Command::Assign(vec![vacant(other)]));
+    assert_eq!(stale, machine::Output::Assigned(0));
+    assert_eq!(machine.tables()["status"].find(0).owner, Some(one));
+}
+
+/// Guards against lost keys: slices cover all keys after any sequence of moves.
+#[test]
+fn slices_cover_all_keys_after_moves() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    let one = joined(&mut machine, 2, announcement("i-1", 10, 1));
+    let other = joined(&mut machine, 3, announcement("i-2", 10, 2));
+    machine.apply(4, &machine::Command::Assign(vec![vacant(one)]));
+    let mut index = 5;
+    for (first, last) in [(0, 9), (100, 199), (65_000, 65_535), (150, 150)] {
+        let slice = machine.tables()["status"].find(first).clone();
+        let to = if slice.owner == Some(one) { other } else { one };
+        let change = slice::Move {
+            service: "status".to_owned(),
+            range: slice::Range::new(first, last),
+            expected: slice.fence,
+            from: slice.owner,
+            to,
+            handover: Some("value".to_owned()),
+        };
+        let output = machine.apply(index, &machine::Command::Assign(vec![change]));
+        assert_eq!(output, machine::Output::Assigned(1));
+        index += 1;
+    }
+    let mut next = 0;
+    for slice in machine.tables()["status"].slices() {
+        assert_eq!(u32::from(slice.range.first), next);
+        next = u32::from(slice.range.last) + 1;
+    }
+    assert_eq!(next, 65_536);
+}
+
+/// Guards against replicas that differ after a snapshot.
+#[test]
+fn a_snapshot_is_the_whole_state() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    joined(&mut machine, 2, announcement("i-1", 10, 1));
+    let bytes = postcard::to_stdvec(&machine.to_snapshot()).expect("the state can be encoded");
+    let copy = postcard::from_bytes(&bytes).expect("the state can be decoded");
+    assert_eq!(machine::Machine::with_snapshot(copy), machine);
+}
--- a/crates/control/src/coordinator/leader.rs
+++ b/crates/control/src/coordinator/leader.rs
@@ -178,12 +178,7 @@
     }
 
     /// A command took effect or was refused at its place in the log.
-    pub fn applied(
-        &mut self,
-        now: clock::Instant,
-        machine: &machine::Machine,
-        applied: &Applied,
-    ) {
+    pub fn applied(&mut self, now: clock::Instant, machine: &machine::Machine, applied: &Applied) {
         let waiting = self.waiting.remove(&applied.position.index);
         // An entry of another term at this index means that the proposal was lost.
         let waiter = match waiting {
--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -133,8 +133,8 @@
         shared: watch::Sender<Published>,
     ) -> Result<Self, Failed> {
         let now = clock::Instant::now();
-        let driver = Driver::new(disk, log, stored, now)
-            .change_context(supervisor::Error::Child("log"))?;
+        let driver =
+            Driver::new(disk, log, stored, now).change_context(supervisor::Error::Child("log"))?;
         Ok(Self {
             region: settings.region.clone(),
             lease: settings.lease,
@@ -158,7 +158,11 @@
     /// # Errors
     ///
     /// Fails if the log cannot be written.
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Event>, stop: Stop) -> supervisor::Outcome {
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Event>,
+        stop: Stop,
+    ) -> supervisor::Outcome {
         self.announce();
         loop {
             let pause = clock::Instant::now().saturating_until(self.next_deadline());
@@ -205,8 +209,12 @@
             Event::ReplicaLog(from, message) => {
                 self.heard.insert(from, now);
                 match message::decode(message) {
-                    Ok(message) => self.driver.step(now, log::Event::Received { from, message }),
-                    Err(error) => tracing::error!(%from, %error, "a replica sent a malformed message"),
+                    Ok(message) => self
+                        .driver
+                        .step(now, log::Event::Received { from, message }),
+                    Err(error) => {
+                        tracing::error!(%from, %error, "a replica sent a malformed message")
+                    }
                 }
             }
             Event::NodeUp(queue, reply) => self.node_up(queue, reply),
@@ -285,17 +293,13 @@
                 _ => operator::Answer::Unavailable,
             },
             (true, operator::Call::Read) => match self.driver.machine().order() {
-                Some(order) => {
-                    operator::Answer::Document(Bytes::copy_from_slice(&order.document))
-                }
+                Some(order) => operator::Answer::Document(Bytes::copy_from_slice(&order.document)),
                 None => operator::Answer::Unavailable,
             },
-            (true, operator::Call::Configure(order)) => {
-                match self.driver.machine().check(&order) {
-                    Ok(()) => return self.configure(now, order, reply),
-                    Err(refusal) => operator::Answer::Refused(refusal),
-                }
-            }
+            (true, operator::Call::Configure(order)) => match self.driver.machine().check(&order) {
+                Ok(()) => return self.configure(now, order, reply),
+                Err(refusal) => operator::Answer::Refused(refusal),
+            },
         };
         answer_to(reply, answer);
     }
@@ -339,9 +343,10 @@
         self.flush(now)?;
         self.check_members(now)?;
         self.publish();
-        let waiting = self.orders.iter().position(|order| {
-            now.saturating_since(order.since) >= ORDER_TIMEOUT
-        });
+        let waiting = self
+            .orders
+            .iter()
+            .position(|order| now.saturating_since(order.since) >= ORDER_TIMEOUT);
         if let Some(at) = waiting {
             // The order may still be committed; the caller asks again.
             let order = self.orders.remove(at);
@@ -362,7 +367,11 @@
                 continue;
             };
             // The log tolerates lost messages, so a full queue loses the newest.
-            if self.outgoing.try_send((address, message::encode(message))).is_err() {
+            if self
+                .outgoing
+                .try_send((address, message::encode(message)))
+                .is_err()
+            {
                 tracing::debug!(%to, "dropping a message to a replica, the queue is full");
             }
         }
@@ -383,7 +392,10 @@
     }
 
     fn answer_order(&mut self, position: position::Position, output: &machine::Output) {
-        let found = self.orders.iter().position(|order| order.position.index == position.index);
+        let found = self
+            .orders
+            .iter()
+            .position(|order| order.position.index == position.index);
         let Some(at) = found else {
             return;
         };
@@ -470,7 +482,7 @@
             return Some(members::Change::Remove(id));
         }
         let voters = present.voters().count();
-        let is_even = voters % 2 == 0;
+        let is_even = voters.is_multiple_of(2);
         let lost = present.all().find(|id| {
             let span = silent(id);
             *id != own && (span >= LOST_AFTER || (span >= REPLACED_AFTER && is_even))
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -244,7 +244,12 @@
         }
         self.leaves.insert(server.id, now);
         let instance = &server.announcement.instance.name;
-        tracing::info!(server = server.id.0, instance, cause, "removing a backend server");
+        tracing::info!(
+            server = server.id.0,
+            instance,
+            cause,
+            "removing a backend server"
+        );
         self.proposals.push(machine::Command::Leave {
             server: server.id,
             incarnation: server.incarnation,
@@ -283,14 +288,15 @@
             others.next().map(|one| one.id)
         });
         let to = to.unwrap_or(from.id);
-        self.proposals.push(machine::Command::Assign(vec![slice::Move {
-            service: released.service,
-            range: released.range,
-            expected: released.fence,
-            from: Some(from.id),
-            to,
-            handover: released.handover,
-        }]));
+        self.proposals
+            .push(machine::Command::Assign(vec![slice::Move {
+                service: released.service,
+                range: released.range,
+                expected: released.fence,
+                from: Some(from.id),
+                to,
+                handover: released.handover,
+            }]));
     }
 
     /// Takes a command that has been applied.
@@ -316,7 +322,13 @@
                 self.forget_absent(machine);
                 self.mark(|due| (due.servers, due.tables) = (true, true));
             }
-            (machine::Command::Leave { server, incarnation }, machine::Output::Left(true)) => {
+            (
+                machine::Command::Leave {
+                    server,
+                    incarnation,
+                },
+                machine::Output::Left(true),
+            ) => {
                 let member = registry::Member::new(*server, *incarnation);
                 self.leases.removed(member);
                 self.forget_absent(machine);
@@ -412,7 +424,12 @@
                 return;
             }
             let moves = planner.fill(table, &owners);
-            tracing::info!(service, vacant, moves = moves.len(), "assigning vacant keys");
+            tracing::info!(
+                service,
+                vacant,
+                moves = moves.len(),
+                "assigning vacant keys"
+            );
             let moves = moves.into_iter().map(|change| slice::Move {
                 service: service.to_owned(),
                 range: change.range,
@@ -421,12 +438,17 @@
                 to: change.to,
                 handover: None,
             });
-            self.proposals.push(machine::Command::Assign(moves.collect()));
+            self.proposals
+                .push(machine::Command::Assign(moves.collect()));
             self.assigned = Some(now);
             return;
         }
         self.vacant.remove(service);
-        if self.pending.iter().any(|pending| pending.service == service) {
+        if self
+            .pending
+            .iter()
+            .any(|pending| pending.service == service)
+        {
             return;
         }
         for change in planner.balance(now, table, &owners) {
@@ -445,7 +467,14 @@
                 continue;
             };
             let (first, last) = (change.range.first, change.range.last);
-            tracing::info!(service, first, last, from = from.0, to = change.to.0, "moving keys");
+            tracing::info!(
+                service,
+                first,
+                last,
+                from = from.0,
+                to = change.to.0,
+                "moving keys"
+            );
             let release = session::FromControl::Release {
                 service: service.to_owned(),
                 range: change.range,
--- a/crates/director/src/traffic.rs
+++ b/crates/director/src/traffic.rs
@@ -82,8 +82,8 @@
                     break;
                 }
                 Some((address, frame)) = frames.recv() => {
-                    let sent = links.get(&address).map(|link: &Link| link.queue.try_send(frame));
-                    if !matches!(sent, Some(Ok(()))) {
+                    let link: Option<&Link> = links.get(&address);
+                    if !link.is_some_and(|link| link.queue.try_send(frame).is_ok()) {
                         tracing::debug!(%address, "dropping a message to a replica");
                     }
                 }
--- a/crates/director/src/traffic/nodes.rs
+++ b/crates/director/src/traffic/nodes.rs
@@ -69,7 +69,10 @@
     }
 }
 
-async fn write(mut writer: tcp::OwnedWriteHalf, mut frames: mpsc::Receiver<Bytes>) -> io::Result<()> {
+async fn write(
+    mut writer: tcp::OwnedWriteHalf,
+    mut frames: mpsc::Receiver<Bytes>,
+) -> io::Result<()> {
     while let Some(frame) = frames.recv().await {
         writer.write_all(&frame).await?;
     }
--- a/crates/director/src/traffic/replicas.rs
+++ b/crates/director/src/traffic/replicas.rs
@@ -136,7 +136,12 @@
             (Some(replica::Body::Log(log)), Some(from)) => {
                 coordinator::Event::ReplicaLog(from, log)
             }
-            _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "unexpected frame")),
+            _ => {
+                return Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    "unexpected frame",
+                ));
+            }
         };
         let sent = config.events.send(event).await;
         sent.map_err(io::Error::other)?;
--- /dev/null
+++ b/crates/dispatch/tests/overload.rs
@@ -0,0 +1,170 @@
+//! Load patterns at one backend server, without a network.
+
+use std::time::Duration;
+
+use sequoiayoke_dispatch::{admission, budget, choice, usage};
+use sequoiayoke_model::clock;
+
+fn at(ms: u64) -> clock::Instant {
+    clock::Instant::from_micros(ms * 1_000)
+}
+
+fn offer(now: clock::Instant, rank: u32) -> admission::Offer {
+    admission::Offer {
+        rank,
+        class: u64::from(rank),
+        useful_until: now + Duration::from_millis(500),
+        deadline: now + Duration::from_millis(1_200),
+    }
+}
+
+/// More work than slots: guards against a queue in which every request ends late.
+/// Requests that are admitted end within their target.
+#[test]
+fn more_work_than_slots_is_refused_and_not_late() {
+    let mut gate = admission::Gate::new(4);
+    let work = Duration::from_millis(160);
+    for _ in 0..50 {
+        gate.observe(1, work);
+    }
+    let mut ends: Vec<(clock::Instant, clock::Instant)> = Vec::new();
+    let mut waiting = std::collections::HashMap::new();
+    let (mut refused, mut late, mut served) = (0, 0, 0);
+    // Twice the work that four slots can do.
+    for arrival in (0..8_000).step_by(20) {
+        let now = at(arrival);
+        ends.sort();
+        while let Some((end, arrived)) = ends.first().copied().filter(|(end, _)| *end <= now) {
+            ends.remove(0);
+            served += 1;
+            if end > arrived + Duration::from_millis(500) {
+                late += 1;
+            }
+            for release in gate.finish(end) {
+                match release {
+                    admission::Release::Start(ticket) => {
+                        let arrived = waiting.remove(&ticket).expect("it waited");
+                        ends.push((end + work, arrived));
+                    }
+                    admission::Release::Refuse(..) => refused += 1,
+                }
+            }
+            ends.sort();
+        }
+        match gate.offer(now, offer(now, 1)) {
+            admission::Verdict::Start => ends.push((now + work, now)),
+            admission::Verdict::Wait(ticket) => {
+                waiting.insert(ticket, now);
+            }
+            admission::Verdict::Refuse(after) => {
+                assert!(after > Duration::ZERO);
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused > 100, "{refused} refused");
+    assert!(served > 190, "{served} served; four slots can serve 200");
+    assert!(late * 20 <= served, "{late} of {served} late");
+}
+
+/// Guards against an urgent request behind less urgent ones.
+#[test]
+fn the_lower_rank_starts_first() {
+    let mut gate = admission::Gate::new(1);
+    let now = at(0);
+    assert_eq!(gate.offer(now, offer(now, 2)), admission::Verdict::Start);
+    let admission::Verdict::Wait(_) = gate.offer(now, offer(now, 2)) else {
+        panic!("the slot is taken");
+    };
+    let admission::Verdict::Wait(urgent) = gate.offer(now, offer(now, 0)) else {
+        panic!("the slot is taken");
+    };
+    assert_eq!(gate.finish(at(10)), [admission::Release::Start(urgent)]);
+}
+
+/// Impatient callers: guards against a slot for a request whose caller has gone.
+#[test]
+fn a_cancelled_request_gets_no_slot() {
+    let mut gate = admission::Gate::new(1);
+    let now = at(0);
+    gate.offer(now, offer(now, 1));
+    let admission::Verdict::Wait(ticket) = gate.offer(now, offer(now, 1)) else {
+        panic!("the slot is taken");
+    };
+    gate.cancel(ticket);
+    assert_eq!(gate.finish(at(10)), []);
+    assert_eq!(gate.load().running, 0);
+}
+
+/// Guards against more second sendings than all nodes may make together.
+#[test]
+fn second_sendings_of_all_nodes_stay_within_the_shared_bound() {
+    const NODES: usize = 12;
+    let config = budget::Config {
+        ratio: 0.2,
+        allowance: 60.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budgets = vec![budget::Budget::new(config); NODES];
+    let mut spent = 0;
+    // Every request fails, for one window.
+    for ms in (0..10_000).step_by(50) {
+        for budget in &mut budgets {
+            budget.earn();
+            spent += usize::from(budget.spend(at(ms), NODES));
+        }
+    }
+    let requests = 200 * NODES;
+    let bound = (0.2 * requests as f64 + 60.0) as usize;
+    assert!(spent <= bound, "{spent} of {bound}");
+    assert!(spent > bound / 3, "{spent} of {bound}");
+}
+
+/// Slow backend servers: guards against a choice by reported load alone.
+#[test]
+fn a_slow_or_failing_backend_server_is_passed_over() {
+    let load = admission::Load {
+        running: 2,
+        waiting: 0,
+        slots: 12,
+        service_s: 0.1,
+    };
+    let good = choice::Candidate {
+        load,
+        outstanding: 2,
+        is_near: false,
+        failing: 0.0,
+    };
+    let slow = choice::Candidate {
+        load: admission::Load {
+            service_s: 0.5,
+            ..load
+        },
+        is_near: true,
+        ..good
+    };
+    let failing = choice::Candidate {
+        failing: 0.6,
+        is_near: true,
+        ..good
+    };
+    assert_eq!(choice::best([slow, failing, good], 1_000), Some(2));
+}
+
+/// A hot key: guards against a report in which a busy key hides among its neighbours.
+#[test]
+fn a_busy_key_is_a_part_of_its_own() {
+    let mut usage = usage::Usage::new();
+    for key in 1_000..1_400 {
+        usage.add(key, 0.01);
+    }
+    usage.add(1_200, 3.0);
+    usage.decay(1.0);
+    let parts = usage.parts(16);
+    let hot = parts
+        .iter()
+        .find(|part| part.range.contains(1_200))
+        .expect("the key has load");
+    assert_eq!(hot.range.len(), 1);
+    assert!(parts.len() <= 18, "{} parts", parts.len());
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -148,7 +148,11 @@
     /// # Errors
     ///
     /// Never fails.
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Event>, stop: Stop) -> supervisor::Outcome {
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Event>,
+        stop: Stop,
+    ) -> supervisor::Outcome {
         let mut is_stopping = false;
         loop {
             let now = clock::Instant::now();
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -163,7 +163,11 @@
                 .filter_map(|grant| {
                     let until = grant.until?;
                     let (range, fence) = (grant.range, grant.fence);
-                    Some(view::Held { range, fence, until })
+                    Some(view::Held {
+                        range,
+                        fence,
+                        until,
+                    })
                 })
                 .collect(),
         });
@@ -173,8 +177,7 @@
     fn own_id(&self) -> Option<id::Server> {
         let own = self.own.as_ref()?;
         let mut servers = self.view.servers.values();
-        let found =
-            servers.find(|one| one.announcement.instance == own.announcement.instance)?;
+        let found = servers.find(|one| one.announcement.instance == own.announcement.instance)?;
         Some(found.id)
     }
 
@@ -322,7 +325,11 @@
         if let Some(config) = state.config {
             let current = self.view.config.as_ref().map(|config| config.version);
             if current.is_none_or(|current| current < config.version) {
-                tracing::info!(version = config.version.0, index = state.index, "configuration in force");
+                tracing::info!(
+                    version = config.version.0,
+                    index = state.index,
+                    "configuration in force"
+                );
                 self.view.config = Some(sync::Arc::new(config));
             }
         }
@@ -370,9 +377,9 @@
             .filter(|slice| slice.owner == Some(id))
             .collect();
         self.releases.retain(|release| {
-            own_slices.iter().any(|slice| {
-                slice.fence == release.fence && slice.range.overlaps(release.range)
-            })
+            own_slices
+                .iter()
+                .any(|slice| slice.fence == release.fence && slice.range.overlaps(release.range))
         });
         let wanted: Vec<_> = own_slices
             .iter()
@@ -387,9 +394,9 @@
                 Some(at) => former.swap_remove(at),
                 None => {
                     // A part of a grant that was confirmed is confirmed too.
-                    let whole = former.iter().find(|grant| {
-                        grant.fence == slice.fence && grant.range.covers(range)
-                    });
+                    let whole = former
+                        .iter()
+                        .find(|grant| grant.fence == slice.fence && grant.range.covers(range));
                     Grant {
                         range,
                         fence: slice.fence,
@@ -488,7 +495,11 @@
     pub fn refused(&mut self, range: slice::Range, fence: slice::Fence) {
         for grant in &mut self.grants {
             if grant.fence == fence && grant.range == range {
-                tracing::warn!(first = range.first, fence = fence.0, "the backend server has seen a later grant");
+                tracing::warn!(
+                    first = range.first,
+                    fence = fence.0,
+                    "the backend server has seen a later grant"
+                );
                 grant.is_refused = true;
                 grant.until = None;
                 self.is_changed = true;
@@ -592,8 +603,8 @@
     /// Returns when [`State::tick`] has something to do next.
     pub fn next_deadline(&self, now: clock::Instant) -> clock::Instant {
         let renew = self.renewed.map_or(now, |at| at + RENEW_PAUSE);
-        let waits = !self.releases.is_empty()
-            || self.grants.iter().any(|grant| grant.until.is_none());
+        let waits =
+            !self.releases.is_empty() || self.grants.iter().any(|grant| grant.until.is_none());
         match waits {
             true => renew.min(now + GRANT_RETRY / 2),
             false => renew,
@@ -602,10 +613,7 @@
 }
 
 /// Counts the slices of each owner, for logs.
-pub fn owned(
-    tables: &collections::BTreeMap<String, slice::Table>,
-    owner: id::Server,
-) -> usize {
+pub fn owned(tables: &collections::BTreeMap<String, slice::Table>, owner: id::Server) -> usize {
     let slices = tables.values().flat_map(slice::Table::slices);
     slices.filter(|slice| slice.owner == Some(owner)).count()
 }
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -296,11 +296,20 @@
                 (false, _) => peer::Reason::RefusedByServer,
             };
             let status = response.status;
-            tracing::info!(id = open.id, status, ?reason, "the backend server refused a request");
+            tracing::info!(
+                id = open.id,
+                status,
+                ?reason,
+                "the backend server refused a request"
+            );
             return not_run(reason, Duration::ZERO, true);
         }
         if (200..300).contains(&response.status) && !verdict.is_marked {
-            tracing::warn!(id = open.id, status = response.status, "an answer lacks the server's mark");
+            tracing::warn!(
+                id = open.id,
+                status = response.status,
+                "an answer lacks the server's mark"
+            );
             return peer::Outcome::Unknown(peer::Reason::Malformed);
         }
         slot.is_observed = true;
@@ -397,7 +406,9 @@
             // Bytes that arrived without a request belong to none; an end shows too.
             match connection.io.try_read_buf(&mut connection.input) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(connection),
-                Ok(count) => tracing::debug!(count, "a kept connection has ended or has stray bytes"),
+                Ok(count) => {
+                    tracing::debug!(count, "a kept connection has ended or has stray bytes")
+                }
                 Err(error) => tracing::debug!(%error, "a kept connection has broken"),
             }
         }
@@ -436,7 +447,11 @@
                 }
             };
             if let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
-                if !frontend.verdict(&response).id.is_some_and(|other| other != id) {
+                if frontend
+                    .verdict(&response)
+                    .id
+                    .is_none_or(|other| other == id)
+                {
                     break response;
                 }
                 stray += 1;
@@ -580,4 +595,3 @@
         .find_map(|seconds| seconds.parse().ok());
     seconds.map(Duration::from_secs)
 }
-
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -455,9 +455,9 @@
     let (_alive, cancelled) = tokio::sync::oneshot::channel();
     let task = {
         let context = rc::Rc::clone(context);
-        tokio::task::spawn_local(async move {
-            super::serving::run(&open, cancelled, &context).await
-        })
+        tokio::task::spawn_local(
+            async move { super::serving::run(&open, cancelled, &context).await },
+        )
     };
     let outcome = match task.await {
         Ok(Some(outcome)) => outcome,
@@ -550,9 +550,7 @@
 }
 
 fn refuse(id: &str, head: &request::Head, failure: Failure, arrived: clock::Instant) -> Answer {
-    let took_ms = clock::Instant::now()
-        .saturating_since(arrived)
-        .as_millis() as u64;
+    let took_ms = clock::Instant::now().saturating_since(arrived).as_millis() as u64;
     let (status, after) = match failure {
         Failure::NoId => (400, None),
         Failure::NoRoute => (404, None),
@@ -562,7 +560,16 @@
     };
     let retry_after_ms = after.map(|after| after.as_millis() as u64);
     let (method, path) = (&head.method, head.path());
-    tracing::info!(id, method, path, status, ?failure, took_ms, retry_after_ms, "not served");
+    tracing::info!(
+        id,
+        method,
+        path,
+        status,
+        ?failure,
+        took_ms,
+        retry_after_ms,
+        "not served"
+    );
     let phrase = serve::phrase(status);
     let mut text = format!(
         "HTTP/1.1 {status} {phrase}\r\ncontent-type: text/plain\r\ncontent-length: {}\r\n",
@@ -592,4 +599,3 @@
         body: Bytes::new(),
     }
 }
-
--- a/crates/gateway/src/traffic/peers.rs
+++ b/crates/gateway/src/traffic/peers.rs
@@ -107,7 +107,12 @@
 
 impl Drop for Call {
     fn drop(&mut self) {
-        let waits = self.link.pending.borrow_mut().remove(&self.stream).is_some();
+        let waits = self
+            .link
+            .pending
+            .borrow_mut()
+            .remove(&self.stream)
+            .is_some();
         if waits && !self.link.outbox.push(&peer::ToServer::Cancel(self.stream)) {
             tracing::debug!("a cancellation could not be sent");
         }
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -138,6 +138,10 @@
     if is_running.get() && !open.is_idempotent {
         return Some(request.await);
     }
-    tracing::debug!(id = open.id, is_running = is_running.get(), "cancelled a request");
+    tracing::debug!(
+        id = open.id,
+        is_running = is_running.get(),
+        "cancelled a request"
+    );
     None
 }
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -223,7 +223,14 @@
             context.tell(coordinator::Event::Settled { range, fence });
             let (first, last) = (range.first, range.last);
             let hold_ms = hold.as_millis() as u64;
-            tracing::debug!(first, last, fence = fence.0, hold_ms, ?status, "granted keys");
+            tracing::debug!(
+                first,
+                last,
+                fence = fence.0,
+                hold_ms,
+                ?status,
+                "granted keys"
+            );
         }
         state::Effect::Release {
             instance,
@@ -237,7 +244,14 @@
             let waited_ms = clock::Instant::now().saturating_since(start).as_millis() as u64;
             let status = response.as_ref().map(|one| one.status);
             let (first, last) = (range.first, range.last);
-            tracing::info!(first, last, fence = fence.0, waited_ms, ?status, "released keys");
+            tracing::info!(
+                first,
+                last,
+                fence = fence.0,
+                waited_ms,
+                ?status,
+                "released keys"
+            );
             if let Some(response) = response.filter(|one| one.status == 200) {
                 let handover = context.frontend.handover(&response);
                 context.tell(coordinator::Event::Released {
--- /dev/null
+++ b/crates/gateway/tests/state.rs
@@ -0,0 +1,212 @@
+//! The control state of a node: lease, grants and releases, without a network.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sequoiayoke_catalog::{server, slice};
+use sequoiayoke_gateway::coordinator::state::{Config, Effect, State};
+use sequoiayoke_link::session;
+use sequoiayoke_model::{clock, id};
+
+const LEASE: Duration = Duration::from_secs(7);
+
+fn at(ms: u64) -> clock::Instant {
+    clock::Instant::from_micros(1_000_000 + ms * 1_000)
+}
+
+fn announcement(name: &str, born_ms: u64) -> server::Announcement {
+    server::Announcement {
+        instance: server::Instance {
+            name: name.to_owned(),
+            born_ms,
+        },
+        service: "status".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        node: ([127, 0, 0, 1], 2).into(),
+        domain: "a".to_owned(),
+        slots: 4,
+        is_draining: false,
+    }
+}
+
+fn table(slices: &[(u16, u16, u64, u32)]) -> BTreeMap<String, slice::Table> {
+    let mut table = slice::Table::new();
+    for (first, last, fence, owner) in slices {
+        let range = slice::Range::new(*first, *last);
+        let present = table.find(*first).clone();
+        let change = slice::Move {
+            service: "status".to_owned(),
+            range,
+            expected: present.fence,
+            from: present.owner,
+            to: id::Server(*owner),
+            handover: None,
+        };
+        assert!(table.assign(&change, slice::Fence(*fence)));
+    }
+    BTreeMap::from([("status".to_owned(), table)])
+}
+
+fn learned(index: u64, slices: &[(u16, u16, u64, u32)]) -> session::State {
+    let server = server::Server {
+        id: id::Server(1),
+        incarnation: id::Incarnation(3),
+        announcement: announcement("i-1", 10),
+    };
+    session::State {
+        index,
+        config: None,
+        servers: Some(vec![server]),
+        tables: Some(table(slices)),
+    }
+}
+
+/// Makes a node whose backend server owns all keys under fence 5 and has a lease
+/// that was renewed at `at(0)`.
+fn owner() -> State {
+    let mut state = State::new(Config {
+        lease: LEASE,
+        max_hold: Duration::from_secs(10),
+    });
+    assert!(state.announced(at(0), announcement("i-1", 10), 1));
+    state.learned(at(0), learned(5, &[(0, 65_535, 5, 1)]));
+    let sequence = last_renewal(&mut state);
+    state.renewed(at(1), sequence, id::Server(1));
+    state
+}
+
+fn last_renewal(state: &mut State) -> u64 {
+    let effects = state.take_effects();
+    let sequences = effects.iter().filter_map(|effect| match effect {
+        Effect::Renew(renewal) => Some(renewal.sequence),
+        _ => None,
+    });
+    sequences.last().expect("a renewal was sent")
+}
+
+fn grants(effects: &[Effect]) -> Vec<(slice::Range, Duration)> {
+    let grants = effects.iter().filter_map(|effect| match effect {
+        Effect::Grant { range, hold, .. } => Some((*range, *hold)),
+        _ => None,
+    });
+    grants.collect()
+}
+
+fn releases(effects: &[Effect]) -> usize {
+    let is_release = |effect: &&Effect| matches!(effect, Effect::Release { .. });
+    effects.iter().filter(is_release).count()
+}
+
+/// Guards against an owner after its lease: no grant outlasts the lease it was made
+/// under, even at a backend server whose clock runs 2 % slow.
+#[test]
+fn a_grant_ends_before_the_lease() {
+    let mut state = owner();
+    let granted = grants(&state.take_effects());
+    assert_eq!(granted.len(), 1);
+    assert!(granted[0].1.mul_f64(1.02) < LEASE);
+}
+
+/// Guards against grants by a node that control cannot reach.
+#[test]
+fn a_lapsed_lease_grants_nothing() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    state.settled(at(2), range, slice::Fence(5));
+    state.tick(at(7_100));
+    assert_eq!(grants(&state.take_effects()), []);
+}
+
+/// Guards against a release that is overtaken: the backend server would take the
+/// older grant after it and hold keys that another one has.
+#[test]
+fn a_release_waits_for_a_grant_on_its_way() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    let part = slice::Range::new(100, 199);
+    state.release(at(3), "status", part, slice::Fence(5));
+    assert_eq!(releases(&state.take_effects()), 0);
+    state.settled(at(4), range, slice::Fence(5));
+    assert_eq!(releases(&state.take_effects()), 1);
+}
+
+/// Guards against a grant of keys that are being released.
+#[test]
+fn keys_that_are_being_released_are_not_granted_again() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    state.granted(range, slice::Fence(5), at(6_600));
+    state.settled(at(4), range, slice::Fence(5));
+    let part = slice::Range::new(100, 199);
+    state.release(at(5), "status", part, slice::Fence(5));
+    state.tick(at(600));
+    let sequence = last_renewal(&mut state);
+    state.renewed(at(3_000), sequence, id::Server(1));
+    state.tick(at(3_000));
+    for (granted, _) in grants(&state.take_effects()) {
+        assert!(!granted.overlaps(part), "{granted:?}");
+    }
+    let view = state.take_view().expect("the view has changed");
+    let own = view.own.expect("a backend server is known");
+    assert!(!own.holds(150, at(3_000)));
+    assert!(own.holds(200, at(3_000)));
+}
+
+/// Guards against a lost release: it is stated with every renewal until the view
+/// shows another grant.
+#[test]
+fn a_release_is_stated_until_the_keys_have_a_new_grant() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    state.settled(at(2), range, slice::Fence(5));
+    let part = slice::Range::new(100, 199);
+    state.release(at(3), "status", part, slice::Fence(5));
+    state.released(at(4), part, slice::Fence(5), Some("value".to_owned()));
+    let stated = |state: &mut State| {
+        let effects = state.take_effects();
+        let renewals = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Renew(renewal) => Some(renewal.released.len()),
+            _ => None,
+        });
+        renewals.last()
+    };
+    assert_eq!(stated(&mut state), Some(1));
+    state.tick(at(700));
+    assert_eq!(stated(&mut state), Some(1));
+    state.learned(at(800), learned(9, &[(0, 65_535, 5, 1), (100, 199, 9, 2)]));
+    state.tick(at(1_400));
+    assert_eq!(stated(&mut state), Some(0));
+}
+
+/// Guards against the past: a replica that is behind does not take a node back.
+#[test]
+fn an_older_state_is_ignored() {
+    let mut state = owner();
+    state.learned(at(10), learned(4, &[(0, 65_535, 4, 2)]));
+    let view = state.take_view().expect("the view has changed");
+    assert_eq!(view.index, 5);
+    assert_eq!(view.tables["status"].find(0).owner, Some(id::Server(1)));
+}
+
+/// Guards against a late announcement of a run that has ended.
+#[test]
+fn an_ended_run_does_not_return() {
+    let mut state = owner();
+    let former = announcement("i-1", 10);
+    state.ended(at(20), &former.instance);
+    assert!(!state.announced(at(30), former, 7));
+    assert!(state.announced(at(40), announcement("i-2", 30), 1));
+    assert!(!state.announced(at(50), announcement("i-1", 10), 8));
+}
+
+/// Guards against work for a backend server that has said that it leaves.
+#[test]
+fn a_leaving_backend_server_does_not_return_to_service() {
+    let mut state = owner();
+    assert!(state.leaving(at(10), "i-1"));
+    assert!(state.announced(at(20), announcement("i-1", 10), 9));
+    let view = state.take_view().expect("the view has changed");
+    let own = view.own.expect("a backend server is known");
+    assert_eq!(own.draining_since, Some(at(10)));
+    assert!(own.announcement.is_draining);
+}
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -48,7 +48,9 @@
                 }
                 let digits = length.trim_ascii();
                 let all_digits = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
-                let number = std::str::from_utf8(digits).ok().and_then(|t| t.parse().ok());
+                let number = std::str::from_utf8(digits)
+                    .ok()
+                    .and_then(|t| t.parse().ok());
                 match number {
                     Some(number) if all_digits => Ok(Some(Self::Length(number))),
                     _ => Err(Fault::Framing),
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -156,8 +156,8 @@
         0 => fields.has_token("connection", "keep-alive"),
         _ => !fields.has_token("connection", "close"),
     };
-    let has_body = fields.get("content-length").is_some()
-        || fields.get("transfer-encoding").is_some();
+    let has_body =
+        fields.get("content-length").is_some() || fields.get("transfer-encoding").is_some();
     Ok(Some(Head {
         method,
         target,
--- a/crates/replication/src/driver.rs
+++ b/crates/replication/src/driver.rs
@@ -235,8 +235,7 @@
             let entry::Content::Payload(payload) = entry.content else {
                 continue;
             };
-            let command: M::Command =
-                codec::decode(&payload).ok_or(Error::Decode("log entry"))?;
+            let command: M::Command = codec::decode(&payload).ok_or(Error::Decode("log entry"))?;
             let result = self.machine.apply(entry.position.index.0, &command);
             outcome.applied.push(Applied {
                 position: entry.position,
--- a/crates/settings/src/span.rs
+++ b/crates/settings/src/span.rs
@@ -37,8 +37,9 @@
         D: serde::Deserializer<'de>,
     {
         let text = String::deserialize(deserializer)?;
-        Self::parse(&text)
-            .ok_or_else(|| D::Error::custom(format!("`{text}` is not a time such as 250ms or 2.5s")))
+        Self::parse(&text).ok_or_else(|| {
+            D::Error::custom(format!("`{text}` is not a time such as 250ms or 2.5s"))
+        })
     }
 }
 
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -2,11 +2,11 @@
 
 use std::io::{self, IsTerminal as _};
 
+use crate::output;
 use error_stack::{Report, ResultExt as _};
 use sequoiayoke_settings::common;
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::SubscriberExt as _;
-use crate::output;
 use tracing_subscriber::{EnvFilter, Layer as _, Registry, fmt};
 
 /// Logging could not be set up.
--- a/crates/telemetry/src/output.rs
+++ b/crates/telemetry/src/output.rs
@@ -68,11 +68,17 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let text = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{lost}}}\n");
+            let text = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{lost}}}\n"
+            );
             batch.extend_from_slice(text.as_bytes());
         }
         // A closed standard output ends the log, not the process.
-        if target.write_all(&batch).and_then(|()| target.flush()).is_err() {
+        if target
+            .write_all(&batch)
+            .and_then(|()| target.flush())
+            .is_err()
+        {
             return;
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -175,8 +175,7 @@
 where
     D: Daemon,
 {
-    let settings: D::Settings =
-        sequoiayoke_settings::load(file).change_context(Error::Settings)?;
+    let settings: D::Settings = sequoiayoke_settings::load(file).change_context(Error::Settings)?;
     D::init_log(&settings).change_context(Error::Settings)?;
     let daemon = D::start(&settings)?;
     watch_signals(daemon.stop())?;
