--- a/crates/director/src/traffic.rs
+++ b/crates/director/src/traffic.rs
@@ -83,7 +83,7 @@
                 }
                 Some((address, frame)) = frames.recv() => {
                     let link: Option<&Link> = links.get(&address);
-                    if !link.is_some_and(|link| link.queue.try_send(frame).is_ok()) {
+                    if link.is_none_or(|link| link.queue.try_send(frame).is_err()) {
                         tracing::debug!(%address, "dropping a message to a replica");
                     }
                 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: requests, the backend server, other nodes and the leader.
 //!
 //! Each listener is a task that ends only with the process. The tasks share one
-//! [`Context`] on one thread, so nothing here takes a lock.
+//! `Context` on one thread, so nothing here takes a lock.
 
 mod announcements;
 mod backend;
