--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -206,6 +206,26 @@
             service_s: renewal.service_s,
         };
         self.reports.insert(known.id, report);
+        for refence in renewal.refences {
+            let (service, range) = (refence.service, refence.range);
+            let (first, last) = (range.first, range.last);
+            tracing::info!(
+                service,
+                first,
+                last,
+                owner = known.id.0,
+                "giving keys a new fence"
+            );
+            self.proposals
+                .push(machine::Command::Assign(vec![slice::Move {
+                    service,
+                    range,
+                    expected: refence.fence,
+                    from: Some(known.id),
+                    to: known.id,
+                    handover: None,
+                }]));
+        }
         for released in renewal.released {
             self.released(now, machine, known, released);
         }
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -49,12 +49,14 @@
     Connected,
     /// A message of a control replica.
     Control(session::FromControl),
-    /// A grant is no longer on its way, answered or not.
+    /// A grant has got its answer, or none is waited for.
     Settled {
         /// The keys.
         range: slice::Range,
         /// Number of the grant.
         fence: slice::Fence,
+        /// Time until which it could hold, if it got no answer.
+        unanswered_until: Option<clock::Instant>,
     },
     /// The backend server has confirmed a grant.
     Granted {
@@ -211,7 +213,11 @@
                 fence,
                 until,
             } => self.state.granted(range, fence, until),
-            Event::Settled { range, fence } => self.state.settled(now, range, fence),
+            Event::Settled {
+                range,
+                fence,
+                unanswered_until,
+            } => self.state.settled(now, range, fence, unanswered_until),
             Event::Refused { range, fence } => self.state.refused(range, fence),
             Event::Released {
                 range,
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -78,6 +78,19 @@
     until: Option<clock::Instant>,
     asked: Option<clock::Instant>,
     is_refused: bool,
+    /// Whether the backend server has answered a grant with this fence, so that
+    /// it refuses earlier ones that arrive late.
+    is_confirmed: bool,
+}
+
+/// A grant without an answer. The backend server may still take it, even after it
+/// has released the keys.
+#[derive(Debug)]
+struct Uncertain {
+    range: slice::Range,
+    fence: slice::Fence,
+    /// Time after which it holds nothing, since its time counts from its arrival.
+    until: clock::Instant,
 }
 
 #[derive(Debug)]
@@ -113,6 +126,9 @@
     releases: Vec<Release>,
     /// Grants that the backend server has not answered.
     open: Vec<(slice::Range, slice::Fence)>,
+    uncertain: Vec<Uncertain>,
+    /// Keys that need a new fence before they can be released.
+    refences: Vec<session::Refence>,
     parts: Vec<usage::Part>,
     service_s: f64,
     effects: Vec<Effect>,
@@ -136,6 +152,8 @@
             grants: Vec::new(),
             releases: Vec::new(),
             open: Vec::new(),
+            uncertain: Vec::new(),
+            refences: Vec::new(),
             parts: Vec::new(),
             service_s: 0.0,
             effects: Vec::new(),
@@ -267,6 +285,8 @@
         self.grants.clear();
         self.releases.clear();
         self.open.clear();
+        self.uncertain.clear();
+        self.refences.clear();
         self.parts.clear();
         self.lease.dropped();
         self.is_changed = true;
@@ -308,6 +328,7 @@
             server: self.own.as_ref().map(|own| own.announcement.clone()),
             ended: self.ended.clone(),
             released: released.collect(),
+            refences: std::mem::take(&mut self.refences),
             parts: self.parts.clone(),
             service_s: self.service_s,
             is_leaving: self.view.is_stopping,
@@ -393,17 +414,18 @@
             let grant = match same {
                 Some(at) => former.swap_remove(at),
                 None => {
-                    // A part of a grant that was confirmed is confirmed too.
-                    let whole = former
-                        .iter()
-                        .find(|grant| grant.fence == slice.fence && grant.range.covers(range));
+                    // What was held stays held under a new fence of the same owner, and
+                    // a part of a confirmed grant is confirmed too.
+                    let whole = former.iter().find(|grant| grant.range.covers(range));
+                    let same = whole.filter(|grant| grant.fence == slice.fence);
                     Grant {
                         range,
                         fence: slice.fence,
                         handover: slice.handover.clone(),
                         until: whole.and_then(|grant| grant.until),
-                        asked: whole.and_then(|grant| grant.asked),
+                        asked: same.and_then(|grant| grant.asked),
                         is_refused: false,
+                        is_confirmed: same.is_some_and(|grant| grant.is_confirmed),
                     }
                 }
             };
@@ -456,7 +478,8 @@
                 .is_some_and(|asked| now.saturating_since(asked) < GRANT_RETRY)
                 || self.open.contains(&(grant.range, grant.fence));
             // Renewing at two thirds leaves time for several commands that get lost.
-            let is_due = held < self.config.lease * 2 / 3 && held + MIN_HOLD < hold;
+            let is_short = held < self.config.lease * 2 / 3 && held + MIN_HOLD < hold;
+            let is_due = is_short || !grant.is_confirmed;
             if asked || grant.is_refused || !is_due {
                 continue;
             }
@@ -473,18 +496,53 @@
         }
     }
 
-    /// Records that a grant is no longer on its way, answered or not.
-    pub fn settled(&mut self, now: clock::Instant, range: slice::Range, fence: slice::Fence) {
+    /// Records that a grant has got its answer, or that none is waited for; such
+    /// a grant may be taken late and then holds until `until`.
+    pub fn settled(
+        &mut self,
+        now: clock::Instant,
+        range: slice::Range,
+        fence: slice::Fence,
+        unanswered_until: Option<clock::Instant>,
+    ) {
         if let Some(at) = self.open.iter().position(|one| *one == (range, fence)) {
             self.open.swap_remove(at);
         }
+        if let Some(until) = unanswered_until {
+            self.uncertain.push(Uncertain {
+                range,
+                fence,
+                until,
+            });
+        }
         self.ask_releases(now);
     }
 
+    /// Returns whether keys that are released now stay released: no earlier grant
+    /// of them can still be taken.
+    fn is_release_final(
+        &mut self,
+        now: clock::Instant,
+        range: slice::Range,
+        fence: slice::Fence,
+    ) -> bool {
+        self.uncertain.retain(|one| now < one.until);
+        let mut overlapping = self
+            .uncertain
+            .iter()
+            .filter(|one| one.range.overlaps(range));
+        let is_confirmed = self
+            .grants
+            .iter()
+            .any(|grant| grant.fence == fence && grant.range.covers(range) && grant.is_confirmed);
+        overlapping.all(|one| one.fence < fence && is_confirmed)
+    }
+
     /// Takes the backend server's confirmation of a grant.
     pub fn granted(&mut self, range: slice::Range, fence: slice::Fence, until: clock::Instant) {
         for grant in &mut self.grants {
             if grant.fence == fence && range.covers(grant.range) {
+                grant.is_confirmed = true;
                 grant.until = grant.until.max(Some(until));
                 self.is_changed = true;
             }
@@ -526,6 +584,20 @@
         if known || !holds {
             return;
         }
+        if !self.is_release_final(now, range, fence) {
+            tracing::info!(
+                first = range.first,
+                fence = fence.0,
+                "a grant without an answer may still be taken; asking for a new fence"
+            );
+            self.refences.push(session::Refence {
+                service: service.to_owned(),
+                range,
+                fence,
+            });
+            self.renew(now);
+            return;
+        }
         self.releases.push(Release {
             service: service.to_owned(),
             range,
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -46,8 +46,6 @@
 const MAX_IDLE: usize = 32;
 /// Time beyond the deadline in which the backend server's own last word may arrive.
 const LAST_WORD: Duration = Duration::from_millis(40);
-/// Time for a command to the backend server.
-const COMMAND: Duration = Duration::from_millis(1_500);
 /// Time in which the rest of a body is written after an early answer.
 const REST: Duration = Duration::from_secs(1);
 /// Answers to other requests that are discarded before one of this request.
@@ -488,6 +486,7 @@
         context: &Context<Frontend>,
         instance: &server::Instance,
         order: &frontend::Order,
+        limit: Duration,
     ) -> Result<response::Response, Error>
     where
         Frontend: frontend::Frontend,
@@ -508,7 +507,7 @@
         .into_bytes();
         request.extend_from_slice(&order.body);
         let exchange = self.exchange(&context.frontend, connection, request, "");
-        let ended = tokio::time::timeout(COMMAND, exchange).await;
+        let ended = tokio::time::timeout(limit, exchange).await;
         ended.unwrap_or(Err(Error::Timeout))
     }
 
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -29,6 +29,10 @@
 /// Time in which a replica says where the leader is. A frozen one still accepts
 /// connections.
 const FIRST_WORD: Duration = Duration::from_millis(400);
+/// Time for the answer to a grant, which the backend server gives at once.
+const GRANT: Duration = Duration::from_millis(500);
+/// Time for the answer to a release, which waits for the work on the keys.
+const RELEASE: Duration = Duration::from_millis(1_500);
 /// Addresses of replicas that are remembered.
 const MAX_REPLICAS: usize = 32;
 
@@ -220,7 +224,14 @@
                 Some(409) => context.tell(coordinator::Event::Refused { range, fence }),
                 _ => {}
             }
-            context.tell(coordinator::Event::Settled { range, fence });
+            // A command may be carried out some time after it got no answer; the
+            // time that it grants still counts from its arrival.
+            let is_lost = status.is_none();
+            context.tell(coordinator::Event::Settled {
+                range,
+                fence,
+                unanswered_until: is_lost.then(|| clock::Instant::now() + hold),
+            });
             let (first, last) = (range.first, range.last);
             let hold_ms = hold.as_millis() as u64;
             tracing::debug!(
@@ -273,7 +284,12 @@
     Frontend: frontend::Frontend,
 {
     let order = context.frontend.order(command);
-    match context.backend.command(context, instance, &order).await {
+    let limit = match command {
+        frontend::Command::Grant { .. } => GRANT,
+        frontend::Command::Release { .. } => RELEASE,
+    };
+    let sent = context.backend.command(context, instance, &order, limit);
+    match sent.await {
         Ok(response) => Some(response),
         Err(error) => {
             tracing::warn!(path = order.path, %error, "a command got no answer");
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -77,11 +77,12 @@
 
 fn last_renewal(state: &mut State) -> u64 {
     let effects = state.take_effects();
-    let sequences = effects.iter().filter_map(|effect| match effect {
+    let sequence = |effect: &Effect| match effect {
         Effect::Renew(renewal) => Some(renewal.sequence),
         _ => None,
-    });
-    sequences.last().expect("a renewal was sent")
+    };
+    let newest = effects.iter().rev().find_map(sequence);
+    newest.expect("a renewal was sent")
 }
 
 fn grants(effects: &[Effect]) -> Vec<(slice::Range, Duration)> {
@@ -112,7 +113,7 @@
 fn a_lapsed_lease_grants_nothing() {
     let mut state = owner();
     let range = grants(&state.take_effects())[0].0;
-    state.settled(at(2), range, slice::Fence(5));
+    state.settled(at(2), range, slice::Fence(5), None);
     state.tick(at(7_100));
     assert_eq!(grants(&state.take_effects()), []);
 }
@@ -126,7 +127,7 @@
     let part = slice::Range::new(100, 199);
     state.release(at(3), "status", part, slice::Fence(5));
     assert_eq!(releases(&state.take_effects()), 0);
-    state.settled(at(4), range, slice::Fence(5));
+    state.settled(at(4), range, slice::Fence(5), None);
     assert_eq!(releases(&state.take_effects()), 1);
 }
 
@@ -136,7 +137,7 @@
     let mut state = owner();
     let range = grants(&state.take_effects())[0].0;
     state.granted(range, slice::Fence(5), at(6_600));
-    state.settled(at(4), range, slice::Fence(5));
+    state.settled(at(4), range, slice::Fence(5), None);
     let part = slice::Range::new(100, 199);
     state.release(at(5), "status", part, slice::Fence(5));
     state.tick(at(600));
@@ -158,17 +159,16 @@
 fn a_release_is_stated_until_the_keys_have_a_new_grant() {
     let mut state = owner();
     let range = grants(&state.take_effects())[0].0;
-    state.settled(at(2), range, slice::Fence(5));
+    state.settled(at(2), range, slice::Fence(5), None);
     let part = slice::Range::new(100, 199);
     state.release(at(3), "status", part, slice::Fence(5));
     state.released(at(4), part, slice::Fence(5), Some("value".to_owned()));
     let stated = |state: &mut State| {
         let effects = state.take_effects();
-        let renewals = effects.into_iter().filter_map(|effect| match effect {
+        effects.iter().rev().find_map(|effect| match effect {
             Effect::Renew(renewal) => Some(renewal.released.len()),
             _ => None,
-        });
-        renewals.last()
+        })
     };
     assert_eq!(stated(&mut state), Some(1));
     state.tick(at(700));
@@ -210,3 +210,49 @@
     assert_eq!(own.draining_since, Some(at(10)));
     assert!(own.announcement.is_draining);
 }
+
+fn refences(effects: &[Effect]) -> usize {
+    let renewals = effects.iter().filter_map(|effect| match effect {
+        Effect::Renew(renewal) => Some(renewal.refences.len()),
+        _ => None,
+    });
+    renewals.sum()
+}
+
+/// Guards against a grant that the backend server takes late, after it has released
+/// the keys: such keys get a higher fence first, which makes the late grant refused.
+#[test]
+fn keys_with_an_unanswered_grant_get_a_new_fence_before_their_release() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    let lost = Some(at(7_000));
+    state.settled(at(2), range, slice::Fence(5), lost);
+    let part = slice::Range::new(100, 199);
+    state.release(at(3), "status", part, slice::Fence(5));
+    let effects = state.take_effects();
+    assert_eq!((releases(&effects), refences(&effects)), (0, 1));
+    // The new fence alone is not enough: the backend server must have seen it.
+    state.learned(at(20), learned(9, &[(0, 65_535, 5, 1), (100, 199, 9, 1)]));
+    state.release(at(21), "status", part, slice::Fence(9));
+    assert_eq!(releases(&state.take_effects()), 0);
+    state.granted(part, slice::Fence(9), at(6_000));
+    state.settled(at(22), part, slice::Fence(9), None);
+    state.release(at(23), "status", part, slice::Fence(9));
+    assert_eq!(releases(&state.take_effects()), 1);
+}
+
+/// Guards against a wait without end: an unanswered grant holds nothing once its
+/// time has passed.
+#[test]
+fn an_unanswered_grant_is_forgotten_after_its_time() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    state.settled(at(2), range, slice::Fence(5), Some(at(1_000)));
+    state.release(
+        at(1_001),
+        "status",
+        slice::Range::new(0, 9),
+        slice::Fence(5),
+    );
+    assert_eq!(releases(&state.take_effects()), 1);
+}
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -24,6 +24,18 @@
     pub handover: Option<String>,
 }
 
+/// Keys whose owner needs a new fence, so that its backend server refuses grants
+/// that it may still take late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refence {
+    /// Service of the keys.
+    pub service: String,
+    /// The keys.
+    pub range: slice::Range,
+    /// Present grant.
+    pub fence: slice::Fence,
+}
+
 /// What a node states about itself.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Renewal {
@@ -37,6 +49,8 @@
     pub ended: Option<server::Instance>,
     /// Ranges that were released and not yet given to another owner.
     pub released: Vec<Released>,
+    /// Keys that need a new fence.
+    pub refences: Vec<Refence>,
     /// Load by keys.
     pub parts: Vec<usage::Part>,
     /// Mean time that a request runs here, in seconds.
