--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -30,7 +30,7 @@
             tolerance: 0.15,
             busy: 0.5,
             rest: Duration::from_secs(3),
-            max_moves: 8,
+            max_moves: 4,
             first_slices: 1,
         }
     }
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -21,8 +21,11 @@
     pub struct Session;
 }
 
-/// Pause between two plans.
+/// Pause between two looks at what is to be planned.
 const PLAN_PAUSE: Duration = Duration::from_millis(300);
+/// Time after a move in which reports still show the load as it was before:
+/// two reports of load and one renewal.
+const SETTLE: Duration = Duration::from_millis(1_600);
 /// Time after which a proposal or move that led to nothing is made again.
 const RETRY: Duration = Duration::from_secs(2);
 /// Time for which a mostly vacant service waits for more backend servers to
@@ -94,6 +97,7 @@
     joined: collections::BTreeMap<String, clock::Instant>,
     vacant: collections::BTreeMap<String, clock::Instant>,
     assigned: Option<clock::Instant>,
+    moved: collections::BTreeMap<String, clock::Instant>,
     planned: clock::Instant,
     proposals: Vec<machine::Command>,
     effects: Vec<Effect>,
@@ -119,6 +123,7 @@
             joined: collections::BTreeMap::new(),
             vacant: collections::BTreeMap::new(),
             assigned: None,
+            moved: collections::BTreeMap::new(),
             planned: now,
             proposals: Vec::new(),
             effects: Vec::new(),
@@ -464,11 +469,23 @@
             return;
         }
         self.vacant.remove(service);
-        if self
+        let waits = self
             .pending
             .iter()
-            .any(|pending| pending.service == service)
-        {
+            .any(|pending| pending.service == service);
+        let settles = self
+            .moved
+            .get(service)
+            .is_some_and(|at| now.saturating_since(*at) < SETTLE);
+        if waits {
+            self.moved.insert(service.to_owned(), now);
+            return;
+        }
+        let is_closing = owners.iter().any(|owner| {
+            let mut slices = table.slices().iter();
+            !owner.is_open && slices.any(|slice| slice.owner == Some(owner.id))
+        });
+        if settles && !is_closing {
             return;
         }
         for change in planner.balance(now, table, &owners) {
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -132,17 +132,8 @@
             return Verdict::Start;
         }
         let ahead = self.waiting.range(..=(offer.rank, Ticket(u64::MAX)));
-        let wait = self.wait_behind(ahead.count());
-        let end = now + wait + self.service(offer.class);
-        // An answer after its target still has some use, but a queue of such
-        // requests would make every later one late too.
-        let limit = if now + self.service(offer.class) <= offer.useful_until {
-            offer.useful_until
-        } else {
-            offer.deadline
-        };
-        if end > limit {
-            return Verdict::Refuse(retry_after(end, limit));
+        if let Some(after) = self.is_hopeless(now, &offer, ahead.count()) {
+            return Verdict::Refuse(after);
         }
         let ticket = Ticket(self.next);
         self.next += 1;
@@ -150,6 +141,40 @@
         Verdict::Wait(ticket)
     }
 
+    /// Returns the time after which to come back, if a request behind `ahead`
+    /// others would end too late.
+    ///
+    /// An answer after its target still has some use, but a queue of such
+    /// requests would make every later one late too.
+    fn is_hopeless(&self, now: clock::Instant, offer: &Offer, ahead: usize) -> Option<Duration> {
+        let service = self.service(offer.class);
+        let end = now + self.wait_behind(ahead) + service;
+        let limit = if now + service <= offer.useful_until {
+            offer.useful_until
+        } else {
+            offer.deadline
+        };
+        (end > limit).then(|| retry_after(end, limit))
+    }
+
+    /// Refuses requests that wait and can no longer end in time, because more
+    /// urgent ones have come before them.
+    pub fn evict(&mut self, now: clock::Instant) -> Vec<Release> {
+        let mut kept = 0;
+        let mut evicted = Vec::new();
+        for ((rank, ticket), offer) in &self.waiting {
+            match self.is_hopeless(now, offer, kept) {
+                Some(after) => evicted.push((*rank, *ticket, after)),
+                None => kept += 1,
+            }
+        }
+        for (rank, ticket, _) in &evicted {
+            self.waiting.remove(&(*rank, *ticket));
+        }
+        let refuse = |(_, ticket, after)| Release::Refuse(ticket, after);
+        evicted.into_iter().map(refuse).collect()
+    }
+
     /// Forgets a request that waited and whose caller has gone.
     pub fn cancel(&mut self, ticket: Ticket) {
         self.waiting.retain(|(_, other), _| *other != ticket);
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -168,3 +168,35 @@
     assert_eq!(hot.range.len(), 1);
     assert!(parts.len() <= 18, "{} parts", parts.len());
 }
+
+/// Calls between services: guards against a request that fails elsewhere because a
+/// less urgent one was before its call.
+#[test]
+fn less_urgent_requests_make_room_and_are_refused_at_once() {
+    let mut gate = admission::Gate::new(2);
+    for class in [1, 2] {
+        for _ in 0..50 {
+            gate.observe(class, Duration::from_millis(150));
+        }
+    }
+    let now = at(0);
+    let mut waiting = Vec::new();
+    for _ in 0..20 {
+        if let admission::Verdict::Wait(ticket) = gate.offer(now, offer(now, 2)) {
+            waiting.push(ticket);
+        }
+    }
+    assert!(waiting.len() >= 3);
+    for _ in 0..2 {
+        let verdict = gate.offer(now, offer(now, 1));
+        assert!(matches!(verdict, admission::Verdict::Wait(_)));
+    }
+    let evicted = gate.evict(now);
+    assert!(!evicted.is_empty());
+    for release in evicted {
+        let admission::Release::Refuse(ticket, after) = release else {
+            panic!("nothing can start");
+        };
+        assert!(waiting.contains(&ticket) && after > Duration::ZERO);
+    }
+}
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -89,7 +89,7 @@
 struct Uncertain {
     range: slice::Range,
     fence: slice::Fence,
-    /// Time after which it holds nothing, since its time counts from its arrival.
+    /// Time after which the backend server no longer takes it.
     until: clock::Instant,
 }
 
@@ -497,7 +497,7 @@
     }
 
     /// Records that a grant has got its answer, or that none is waited for; such
-    /// a grant may be taken late and then holds until `until`.
+    /// a grant may still be taken until the given time.
     pub fn settled(
         &mut self,
         now: clock::Instant,
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -338,7 +338,12 @@
         match verdict {
             admission::Verdict::Start => {}
             admission::Verdict::Refuse(after) => return Err(after),
-            admission::Verdict::Wait(ticket) => self.wait(ticket).await?,
+            admission::Verdict::Wait(ticket) => {
+                let turn = self.wait(ticket);
+                let evicted = self.gate.borrow_mut().evict(now);
+                self.carry_out(evicted);
+                turn.await?;
+            }
         }
         Ok(Slot {
             backend: self,
@@ -350,22 +355,29 @@
     }
 
     /// Waits until the gate names `ticket`.
-    async fn wait(&self, ticket: admission::Ticket) -> Result<(), Duration> {
+    fn wait(
+        &self,
+        ticket: admission::Ticket,
+    ) -> impl Future<Output = Result<(), Duration>> + use<'_> {
         let (sender, turn) = oneshot::channel();
         let has_started = rc::Rc::new(cell::Cell::new(false));
         let entry = (sender, rc::Rc::clone(&has_started));
         self.waiting.borrow_mut().insert(ticket, entry);
-        let mut waiting = Waiting {
+        let waiting = Waiting {
             backend: self,
             ticket: Some(ticket),
             has_started,
         };
-        let turn = turn.await;
-        waiting.ticket = None;
-        match turn {
-            Ok(Turn::Start) => Ok(()),
-            Ok(Turn::Refuse(after)) => Err(after),
-            Err(_) => Err(Duration::ZERO),
+        async move {
+            // Moves the whole value, which gives up the place when it is dropped.
+            let mut waiting = waiting;
+            let turn = turn.await;
+            waiting.ticket = None;
+            match turn {
+                Ok(Turn::Start) => Ok(()),
+                Ok(Turn::Refuse(after)) => Err(after),
+                Err(_) => Err(Duration::ZERO),
+            }
         }
     }
 
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -155,18 +155,21 @@
     let route = &entry.route;
     let timeout = Duration::from_millis(route.timeout_ms);
     let patience = caller.patience.unwrap_or(PATIENCE);
+    // A caller that came back has less patience left than its route allows.
+    let waited = timeout.saturating_sub(patience);
+    let target = Duration::from_millis(route.target_ms).saturating_sub(waited);
     let is_keyed = view.service(&service).is_some_and(|one| one.is_keyed);
     Ok(Journey {
         id,
         kind: route.kind,
         key: caller.key.filter(|_| is_keyed),
         service,
-        rank: route.priority,
+        rank: rank(route),
         class: entry.class,
         max_attempts: route.max_attempts.max(1),
         start: arrived,
         deadline: arrived + timeout.min(patience),
-        useful_until: arrived + Duration::from_millis(route.target_ms),
+        useful_until: arrived + target,
         method: &request.head.method,
         head: forwarded(context, request),
         body: request.head.has_body.then(|| request.body.clone()),
@@ -177,6 +180,13 @@
     })
 }
 
+/// Returns the rank of a route's requests: by priority, then by target. Calls
+/// between services have short targets and hold up a request elsewhere.
+fn rank(route: &config::Route) -> u32 {
+    let target_ms = u16::try_from(route.target_ms).unwrap_or(u16::MAX);
+    (route.priority.min(u32::from(u16::MAX)) << 16) | u32::from(target_ms)
+}
+
 /// Returns the request line and the fields that go to the backend server.
 fn forwarded<Frontend>(context: &Context<Frontend>, request: &request::Request) -> Bytes
 where
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -33,6 +33,9 @@
 const GRANT: Duration = Duration::from_millis(500);
 /// Time for the answer to a release, which waits for the work on the keys.
 const RELEASE: Duration = Duration::from_millis(1_500);
+/// Longest time after which a backend server may still take a grant that it has
+/// not answered; 12 s are known.
+const LATE: Duration = Duration::from_secs(15);
 /// Addresses of replicas that are remembered.
 const MAX_REPLICAS: usize = 32;
 
@@ -224,13 +227,11 @@
                 Some(409) => context.tell(coordinator::Event::Refused { range, fence }),
                 _ => {}
             }
-            // A command may be carried out some time after it got no answer; the
-            // time that it grants still counts from its arrival.
             let is_lost = status.is_none();
             context.tell(coordinator::Event::Settled {
                 range,
                 fence,
-                unanswered_until: is_lost.then(|| clock::Instant::now() + hold),
+                unanswered_until: is_lost.then(|| clock::Instant::now() + LATE),
             });
             let (first, last) = (range.first, range.last);
             let hold_ms = hold.as_millis() as u64;
