--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -101,6 +101,8 @@
     /// When it was sent last; a release waits for grants of its keys that are
     /// on their way, since the backend server could take one after it.
     asked: Option<clock::Instant>,
+    /// Whether the backend server has answered a grant with this fence.
+    is_confirmed: bool,
     handover: Option<Option<String>>,
 }
 
@@ -531,15 +533,17 @@
             .uncertain
             .iter()
             .filter(|one| one.range.overlaps(range));
-        let is_confirmed = self
-            .grants
-            .iter()
-            .any(|grant| grant.fence == fence && grant.range.covers(range) && grant.is_confirmed);
+        let mut releases = self.releases.iter();
+        let is_confirmed =
+            releases.any(|one| one.fence == fence && one.range == range && one.is_confirmed);
         overlapping.all(|one| one.fence < fence && is_confirmed)
     }
 
     /// Takes the backend server's confirmation of a grant.
     pub fn granted(&mut self, range: slice::Range, fence: slice::Fence, until: clock::Instant) {
+        for release in &mut self.releases {
+            release.is_confirmed |= release.fence == fence && range.covers(release.range);
+        }
         for grant in &mut self.grants {
             if grant.fence == fence && range.covers(grant.range) {
                 grant.is_confirmed = true;
@@ -577,40 +581,69 @@
             return;
         }
         let known = self.releases.iter().any(|one| one.range.overlaps(range));
-        let holds = self
-            .grants
-            .iter()
-            .any(|grant| grant.fence == fence && grant.range.covers(range));
-        if known || !holds {
+        let mut grants = self.grants.iter();
+        let held = grants.find(|grant| grant.fence == fence && grant.range.covers(range));
+        let Some(held) = held.filter(|_| !known) else {
             return;
-        }
-        if !self.is_release_final(now, range, fence) {
-            tracing::info!(
-                first = range.first,
-                fence = fence.0,
-                "a grant without an answer may still be taken; asking for a new fence"
-            );
-            self.refences.push(session::Refence {
-                service: service.to_owned(),
-                range,
-                fence,
-            });
-            self.renew(now);
-            return;
-        }
+        };
+        let is_confirmed = held.is_confirmed;
         self.releases.push(Release {
             service: service.to_owned(),
             range,
             fence,
             asked: None,
+            is_confirmed,
             handover: None,
         });
         self.reconcile(now);
         self.ask_releases(now);
     }
 
+    /// Gives up releases that would not be final, before they are sent, and asks
+    /// for a new fence instead.
+    fn refence(&mut self, now: clock::Instant) {
+        let unsent: Vec<_> = self
+            .releases
+            .iter()
+            .filter(|one| one.asked.is_none() && !self.is_open(one.range, one.fence))
+            .map(|one| (one.service.clone(), one.range, one.fence))
+            .collect();
+        let mut refences = Vec::new();
+        for (service, range, fence) in unsent {
+            if !self.is_release_final(now, range, fence) {
+                refences.push(session::Refence {
+                    service,
+                    range,
+                    fence,
+                });
+            }
+        }
+        if refences.is_empty() {
+            return;
+        }
+        for refence in &refences {
+            tracing::info!(
+                first = refence.range.first,
+                fence = refence.fence.0,
+                "a grant without an answer may still be taken; asking for a new fence"
+            );
+            self.releases
+                .retain(|one| (one.range, one.fence) != (refence.range, refence.fence));
+        }
+        self.refences.extend(refences);
+        self.reconcile(now);
+        self.renew(now);
+    }
+
+    /// Returns whether a grant of these keys is on its way.
+    fn is_open(&self, range: slice::Range, fence: slice::Fence) -> bool {
+        let mut open = self.open.iter();
+        open.any(|(other, number)| *number == fence && other.overlaps(range))
+    }
+
     /// Sends the releases that are due.
     fn ask_releases(&mut self, now: clock::Instant) {
+        self.refence(now);
         let Some(own) = &self.own else {
             return;
         };
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -256,3 +256,17 @@
     );
     assert_eq!(releases(&state.take_effects()), 1);
 }
+
+/// Guards against the same late grant when its answer fails to come only after the
+/// release was ordered.
+#[test]
+fn a_release_that_waits_for_a_grant_is_given_up_when_no_answer_comes() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    let part = slice::Range::new(100, 199);
+    state.release(at(3), "status", part, slice::Fence(5));
+    assert_eq!(releases(&state.take_effects()), 0);
+    state.settled(at(500), range, slice::Fence(5), Some(at(15_000)));
+    let effects = state.take_effects();
+    assert_eq!((releases(&effects), refences(&effects)), (0, 1));
+}
