--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -27,7 +27,7 @@
     /// Returns the settings for servers with about a dozen slots.
     fn default() -> Self {
         Self {
-            tolerance: 0.15,
+            tolerance: 0.1,
             busy: 0.5,
             rest: Duration::from_secs(3),
             max_moves: 4,
--- a/crates/catalog/tests/machine.rs
+++ b/crates/catalog/tests/machine.rs
@@ -179,8 +179,8 @@
     let one = joined(&mut machine, 2, announcement("i-1", 10, 1));
     let other = joined(&mut machine, 3, announcement("i-2", 10, 2));
     machine.apply(4, &machine::Command::Assign(vec![vacant(one)]));
-    let mut index = 5;
-    for (first, last) in [(0, 9), (100, 199), (65_000, 65_535), (150, 150)] {
+    let ranges = [(0, 9), (100, 199), (65_000, 65_535), (150, 150)];
+    for (index, (first, last)) in (5..).zip(ranges) {
         let slice = machine.tables()["status"].find(first).clone();
         let to = if slice.owner == Some(one) { other } else { one };
         let change = slice::Move {
@@ -193,7 +193,6 @@
         };
         let output = machine.apply(index, &machine::Command::Assign(vec![change]));
         assert_eq!(output, machine::Output::Assigned(1));
-        index += 1;
     }
     let mut next = 0;
     for slice in machine.tables()["status"].slices() {
--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -10,6 +10,7 @@
 
 use std::collections;
 use std::net;
+use std::sync;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
+use crate::measure;
 use crate::operator;
 use crate::root;
 
@@ -84,6 +86,17 @@
     pub replicas: Vec<net::SocketAddr>,
 }
 
+/// Where the control thread's results go.
+#[derive(Debug)]
+pub struct Outputs {
+    /// Frames for other replicas.
+    pub frames: mpsc::Sender<Outgoing>,
+    /// What the traffic thread reads.
+    pub published: watch::Sender<Published>,
+    /// Metrics.
+    pub(crate) measure: sync::Arc<measure::Measure>,
+}
+
 #[derive(Debug)]
 struct Order {
     position: position::Position,
@@ -106,8 +119,7 @@
     orders: Vec<Order>,
     heard: collections::BTreeMap<id::Replica, clock::Instant>,
     members_checked: clock::Instant,
-    outgoing: mpsc::Sender<Outgoing>,
-    shared: watch::Sender<Published>,
+    outputs: Outputs,
 }
 
 fn failed<E>(error: E) -> Failed
@@ -129,8 +141,7 @@
         disk: Disk,
         stored: stored::Stored<Bytes>,
         directory: directory::Directory,
-        outgoing: mpsc::Sender<Outgoing>,
-        shared: watch::Sender<Published>,
+        outputs: Outputs,
     ) -> Result<Self, Failed> {
         let now = clock::Instant::now();
         let driver =
@@ -148,8 +159,7 @@
             orders: Vec::new(),
             heard: collections::BTreeMap::new(),
             members_checked: now,
-            outgoing,
-            shared,
+            outputs,
         })
     }
 
@@ -223,6 +233,7 @@
                 if self.driver.replica().is_authoritative(now)
                     && let Some(leader) = &mut self.leader
                 {
+                    self.outputs.measure.renewal();
                     leader.renew(now, self.driver.machine(), key, renewal);
                 }
             }
@@ -245,7 +256,7 @@
         replicas.extend(self.directory.current().keys());
         replicas.remove(&self.operator);
         let hello = self.directory.to_hello(&self.region, members.all());
-        self.shared.send_replace(Published {
+        self.outputs.published.send_replace(Published {
             hello,
             replicas: replicas.into_iter().collect(),
         });
@@ -368,13 +379,15 @@
             };
             // The log tolerates lost messages, so a full queue loses the newest.
             if self
-                .outgoing
+                .outputs
+                .frames
                 .try_send((address, message::encode(message)))
                 .is_err()
             {
                 tracing::debug!(%to, "dropping a message to a replica, the queue is full");
             }
         }
+        self.outputs.measure.applied(outcome.applied.len());
         for applied in &outcome.applied {
             if let machine::Command::Configure(order) = &applied.command {
                 let version = order.config.version.0;
@@ -406,6 +419,11 @@
             machine::Output::Refused(refusal) => operator::Answer::Refused(refusal.clone()),
             _ => operator::Answer::Accepted,
         };
+        self.outputs.measure.order(match answer {
+            operator::Answer::Accepted => "accepted",
+            operator::Answer::Refused(_) => "refused",
+            _ => "unknown",
+        });
         answer_to(order.reply, answer);
     }
 
@@ -436,10 +454,21 @@
     /// One change at a time: a new identity learns, is promoted, and only then
     /// is an old one removed, so that no voter is missing in between.
     fn check_members(&mut self, now: clock::Instant) -> supervisor::Outcome {
-        if self.leader.is_none() || now.saturating_since(self.members_checked) < MEMBERS_PAUSE {
+        if now.saturating_since(self.members_checked) < MEMBERS_PAUSE {
             return Ok(());
         }
         self.members_checked = now;
+        let replica = self.driver.replica();
+        self.outputs.measure.set(measure::Figures {
+            leads: self.leader.is_some(),
+            term: replica.role().term.0,
+            commit: replica.commit().0,
+            nodes: self.queues.len(),
+            voters: replica.members().voters().count(),
+        });
+        if self.leader.is_none() {
+            return Ok(());
+        }
         let Some(change) = self.member_change(now) else {
             return Ok(());
         };
@@ -503,7 +532,11 @@
         let mut encoded = collections::BTreeMap::new();
         for effect in leader.take_effects() {
             let (session, bytes) = match effect {
-                leader::Effect::Send(session, message) => (session, encode(&message)),
+                leader::Effect::Send(session, message) => {
+                    let is_move = matches!(message, session::FromControl::Release { .. });
+                    self.outputs.measure.moved(usize::from(is_move));
+                    (session, encode(&message))
+                }
                 leader::Effect::State(session, sections) => {
                     let machine = self.driver.machine();
                     let bytes = encoded
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -5,6 +5,7 @@
 //! to it through a front end that implements [`operator::Frontend`].
 
 pub mod coordinator;
+mod measure;
 pub mod operator;
 pub mod root;
 pub mod traffic;
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -5,6 +5,7 @@
 
 use std::net;
 use std::path;
+use std::sync;
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 
 use crate::coordinator;
 use crate::coordinator::directory;
+use crate::measure;
 use crate::operator;
 use crate::traffic;
 
@@ -32,6 +34,8 @@
     pub data: path::PathBuf,
     /// Address for operators; it also names the replica to the others.
     pub operator: net::SocketAddr,
+    /// Address for the collector of metrics, if any.
+    pub metrics: Option<net::SocketAddr>,
     /// Port for other replicas, the same on all VMs.
     pub replica_port: u16,
     /// Port for nodes, the same on all VMs.
@@ -87,21 +91,30 @@
             operator: bind(settings.operator)?,
             replica: bind(net::SocketAddr::new(ip, settings.replica_port))?,
             session: bind(net::SocketAddr::new(ip, settings.session_port))?,
+            metrics: settings.metrics.map(bind).transpose()?,
         };
         let stop = Stop::new();
         let (events, inbox) = mpsc::channel(coordinator::QUEUE);
         let (outgoing, frames) = mpsc::channel(coordinator::QUEUE);
         let (shared, published) = watch::channel(coordinator::Published::default());
+        let measure = sync::Arc::new(measure::Measure::new().change_context(Error::Start)?);
+        let scraped = sync::Arc::clone(&measure);
         let coordinator = {
             let (settings, stop) = (settings.clone(), stop.clone());
             spawn("coordinator", stop.clone(), async move || {
-                let coordinator = open(&settings, outgoing, shared)?;
+                let outputs = coordinator::Outputs {
+                    frames: outgoing,
+                    published: shared,
+                    measure,
+                };
+                let coordinator = open(&settings, outputs)?;
                 coordinator.run(inbox, stop).await
             })?
         };
         let config = traffic::Config {
             events,
             published,
+            measure: scraped,
             replica_port: settings.replica_port,
         };
         let traffic = spawn("traffic", stop.clone(), async move || {
@@ -189,8 +202,7 @@
 /// replica that lost its disk gets a random identity and joins.
 fn open(
     settings: &Settings,
-    outgoing: mpsc::Sender<coordinator::Outgoing>,
-    shared: watch::Sender<coordinator::Published>,
+    outputs: coordinator::Outputs,
 ) -> Result<coordinator::Coordinator, Report<supervisor::Error>> {
     let failed = supervisor::Error::Child("log");
     let founds = settings.is_first_start && settings.seeds.contains(&settings.operator);
@@ -226,7 +238,7 @@
     log.election_min = coordinator::ELECTION_MIN;
     log.election_max = coordinator::ELECTION_MAX;
     log.heartbeat = coordinator::HEARTBEAT;
-    coordinator::Coordinator::new(settings, log, disk, stored, directory, outgoing, shared)
+    coordinator::Coordinator::new(settings, log, disk, stored, directory, outputs)
 }
 
 /// Returns the identity of a founder with this address.
--- a/crates/director/src/traffic.rs
+++ b/crates/director/src/traffic.rs
@@ -10,14 +10,18 @@
 use std::collections;
 use std::net;
 use std::rc;
+use std::sync;
 
 use error_stack::ResultExt;
+use sequoiayoke_http1::serve;
 use sequoiayoke_supervise::supervisor;
+use sequoiayoke_telemetry::metrics;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task;
 
 use crate::coordinator;
+use crate::measure;
 use crate::operator;
 
 /// Frames that may wait for one replica.
@@ -32,6 +36,8 @@
     pub replica: net::TcpListener,
     /// For nodes.
     pub session: net::TcpListener,
+    /// For the collector of metrics, if any.
+    pub metrics: Option<net::TcpListener>,
 }
 
 /// What traffic needs of the control thread.
@@ -41,6 +47,8 @@
     pub events: mpsc::Sender<coordinator::Event>,
     /// What the control thread publishes.
     pub published: watch::Receiver<coordinator::Published>,
+    /// Metrics.
+    pub(crate) measure: sync::Arc<measure::Measure>,
     /// Port for other replicas.
     pub replica_port: u16,
 }
@@ -67,6 +75,14 @@
     task::spawn_local(operators::run(operator, rc::Rc::clone(&config), frontend));
     task::spawn_local(replicas::accept(replica, rc::Rc::clone(&config)));
     task::spawn_local(nodes::accept(session, rc::Rc::clone(&config)));
+    if let Some(metrics) = listeners.metrics {
+        let metrics = TcpListener::from_std(metrics).change_context_lazy(failed)?;
+        let measure = sync::Arc::clone(&config.measure);
+        task::spawn_local(serve::serve(metrics, move |_| {
+            let reply = scrape(&measure);
+            async move { reply }
+        }));
+    }
     let mut published = config.published.clone();
     let mut links = collections::BTreeMap::new();
     loop {
@@ -92,6 +108,16 @@
     }
 }
 
+fn scrape(measure: &measure::Measure) -> serve::Reply {
+    match measure.render() {
+        Ok(text) => serve::Reply::new(200, metrics::Metrics::CONTENT_TYPE, text),
+        Err(report) => {
+            tracing::error!(?report, "the metrics could not be rendered");
+            serve::Reply::new(500, "text/plain", "no metrics")
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Link {
     queue: mpsc::Sender<sequoiayoke_wire::replica::Frame>,
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -12,6 +12,9 @@
 
 /// Weight of a new observation in the moving averages.
 const SMOOTHING: f64 = 0.1;
+/// Observations that count alike, before older ones begin to count less. A node
+/// that has just started learns fast how slow a cold backend server is.
+const FIRST: u32 = 10;
 /// Service time that is assumed before the first observation, in seconds.
 const INITIAL_SERVICE_S: f64 = 0.1;
 /// Shortest time after which a refused caller is asked to come back.
@@ -93,8 +96,23 @@
     running: u32,
     next: u64,
     waiting: collections::BTreeMap<(u32, Ticket), Offer>,
-    mean_s: f64,
-    classes: collections::HashMap<u64, f64>,
+    mean: Mean,
+    classes: collections::HashMap<u64, Mean>,
+}
+
+/// A moving average in seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    value_s: f64,
+    count: u32,
+}
+
+impl Mean {
+    fn add(&mut self, seconds: f64) {
+        self.count = (self.count + 1).min(FIRST);
+        let weight = SMOOTHING.max(1.0 / f64::from(self.count));
+        self.value_s += weight * (seconds - self.value_s);
+    }
 }
 
 impl Gate {
@@ -105,7 +123,10 @@
             running: 0,
             next: 0,
             waiting: collections::BTreeMap::new(),
-            mean_s: INITIAL_SERVICE_S,
+            mean: Mean {
+                value_s: INITIAL_SERVICE_S,
+                count: 0,
+            },
             classes: collections::HashMap::new(),
         }
     }
@@ -121,7 +142,7 @@
             running: self.running,
             waiting: self.waiting.len() as u32,
             slots: self.slots,
-            service_s: self.mean_s,
+            service_s: self.mean.value_s,
         }
     }
 
@@ -183,9 +204,8 @@
     /// Records how long a request of `class` ran.
     pub fn observe(&mut self, class: u64, ran: Duration) {
         let ran = ran.as_secs_f64();
-        self.mean_s += SMOOTHING * (ran - self.mean_s);
-        let mean = self.classes.entry(class).or_insert(ran);
-        *mean += SMOOTHING * (ran - *mean);
+        self.mean.add(ran);
+        self.classes.entry(class).or_default().add(ran);
     }
 
     /// Frees the slot of a request that has ended.
@@ -223,12 +243,13 @@
     /// Returns the expected time until a request starts behind `ahead` others.
     fn wait_behind(&self, ahead: usize) -> Duration {
         let busy = f64::from(self.running) + ahead as f64 + 1.0 - f64::from(self.slots);
-        Duration::from_secs_f64(busy.max(0.0) * self.mean_s / f64::from(self.slots))
+        Duration::from_secs_f64(busy.max(0.0) * self.mean.value_s / f64::from(self.slots))
     }
 
-    fn service(&self, class: u64) -> Duration {
-        let mean = self.classes.get(&class).copied();
-        Duration::from_secs_f64(mean.unwrap_or(self.mean_s))
+    /// Returns the expected time that a request of `class` runs.
+    pub fn service(&self, class: u64) -> Duration {
+        let mean = self.classes.get(&class).copied().unwrap_or(self.mean);
+        Duration::from_secs_f64(mean.value_s)
     }
 }
 
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -1,6 +1,7 @@
 //! Choice of a route, and of one of the services that share it.
 
 use std::collections;
+use std::time::Duration;
 
 use sequoiayoke_catalog::config;
 
@@ -21,6 +22,8 @@
     /// Number that stands for the route in measurements.
     pub class: u64,
     credits: Vec<f64>,
+    /// Longest patience of its callers so far.
+    patience: Duration,
 }
 
 impl Table {
@@ -40,6 +43,7 @@
         for (number, route) in config.routes.iter().enumerate() {
             let entry = Entry {
                 class: number as u64,
+                patience: Duration::ZERO,
                 credits: vec![0.0; route.shares.len()],
                 route: route.clone(),
             };
@@ -63,6 +67,13 @@
 }
 
 impl Entry {
+    /// Returns how long a caller with this patience left has waited already: the
+    /// longest patience seen is that of callers who come for the first time.
+    pub fn waited(&mut self, patience: Duration) -> Duration {
+        self.patience = self.patience.max(patience);
+        self.patience.saturating_sub(patience)
+    }
+
     /// Returns the service that takes the next request.
     pub fn next_service(&mut self) -> &str {
         let shares = &self.route.shares;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod coordinator;
 pub mod frontend;
+mod measure;
 pub mod root;
 pub mod traffic;
 pub mod view;
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -35,6 +35,8 @@
     pub announcements: net::SocketAddr,
     /// Address for other nodes.
     pub peers: net::SocketAddr,
+    /// Address for the collector of metrics, if any.
+    pub metrics: Option<net::SocketAddr>,
     /// Addresses of control replicas that may be running.
     pub replicas: Vec<net::SocketAddr>,
     /// Length of a lease.
@@ -85,6 +87,7 @@
             ready: bind(settings.ready)?,
             announcements: bind(settings.announcements)?,
             peers: bind(settings.peers)?,
+            metrics: settings.metrics.map(bind).transpose()?,
         };
         let stop = Stop::new();
         let (events, inbox) = mpsc::channel(coordinator::QUEUE);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -23,12 +23,14 @@
 use sequoiayoke_http1::serve;
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_supervise::{Stop, supervisor};
+use sequoiayoke_telemetry::metrics;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task;
 
 use crate::coordinator;
 use crate::frontend;
+use crate::measure;
 use crate::root;
 use crate::view;
 
@@ -52,6 +54,8 @@
     pub announcements: net::TcpListener,
     /// For other nodes.
     pub peers: net::TcpListener,
+    /// For the collector of metrics, if any.
+    pub metrics: Option<net::TcpListener>,
 }
 
 /// What all tasks of the traffic thread share.
@@ -66,6 +70,7 @@
     seen: cell::RefCell<collections::HashMap<id::Server, path::Seen>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
     in_flight: cell::Cell<usize>,
+    measure: measure::Measure,
     /// Asked to stop: callers are told to leave.
     stop: Stop,
     /// Takes no new requests, neither of callers nor of other nodes.
@@ -124,6 +129,7 @@
         seen: cell::RefCell::default(),
         budgets: cell::RefCell::default(),
         in_flight: cell::Cell::new(0),
+        measure: measure::Measure::new().change_context_lazy(failed)?,
         stop: stop.clone(),
         is_closed: cell::Cell::new(false),
     });
@@ -137,6 +143,14 @@
         let reply = readiness(&answer.view());
         async move { reply }
     }));
+    if let Some(metrics) = listeners.metrics {
+        let metrics = TcpListener::from_std(metrics).change_context_lazy(failed)?;
+        let scraped = rc::Rc::clone(&context);
+        task::spawn_local(serve::serve(metrics, move |_| {
+            let reply = scrape(&scraped);
+            async move { reply }
+        }));
+    }
     stop.cancelled().await;
     let start = clock::Instant::now();
     tokio::time::sleep(LINGER).await;
@@ -155,6 +169,23 @@
     }
 }
 
+fn scrape<Frontend>(context: &Context<Frontend>) -> serve::Reply {
+    let view = context.view();
+    let now = clock::Instant::now();
+    let held = view.own.as_ref().map(|own| own.held.iter());
+    let shortest = held.and_then(|held| held.map(|one| one.until).min());
+    let held = shortest.map_or(Duration::ZERO, |until| now.saturating_until(until));
+    let version = view.config.as_ref().map_or(0, |config| config.version.0);
+    let load = context.backend.load();
+    match context.measure.render(load, held, view.index, version) {
+        Ok(text) => serve::Reply::new(200, metrics::Metrics::CONTENT_TYPE, text),
+        Err(report) => {
+            tracing::error!(?report, "the metrics could not be rendered");
+            serve::Reply::new(500, "text/plain", "no metrics")
+        }
+    }
+}
+
 /// Lets the requests that have begun end before the process does.
 async fn end<Frontend>(context: &Context<Frontend>, start: clock::Instant) {
     let limit = context.settings.grace.saturating_sub(GRACE_MARGIN);
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -229,7 +229,10 @@
         };
         let mut slot = match self.enter(now, offer, open.key).await {
             Ok(slot) => slot,
-            Err(after) => return not_run(peer::Reason::Busy, after, false),
+            Err(after) => {
+                self.count_refused(open);
+                return not_run(peer::Reason::Busy, after, false);
+            }
         };
         // The view may have changed while the request waited.
         let now = clock::Instant::now();
@@ -276,6 +279,16 @@
         }
     }
 
+    /// Counts what a refused request would have taken: a full backend server
+    /// shows as busier than its slots, and its keys move.
+    fn count_refused(&self, open: &peer::Open) {
+        if let Some(key) = open.key {
+            let service = self.gate.borrow().service(open.class);
+            let mut usage = self.usage.borrow_mut();
+            usage.add(key, service.as_secs_f64());
+        }
+    }
+
     fn judge<Frontend>(
         &self,
         context: &Context<Frontend>,
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -30,6 +30,10 @@
 const LOAD_AGE: Duration = Duration::from_millis(1_500);
 /// Longest wait for a new owner of a key, as a part of the time left.
 const OWNER_WAIT_PERCENT: u32 = 60;
+/// Largest priority that is told apart.
+const MAX_PRIORITY: u32 = (1 << 15) - 1;
+/// Time by which a caller's patience is shorter when it has come back.
+const CAME_BACK: Duration = Duration::from_millis(30);
 /// Wait after a node has said that its backend server does not hold a key yet.
 const NOT_OWNER_PAUSE: Duration = Duration::from_millis(40);
 /// Weight of a new outcome in the share of failures.
@@ -73,6 +77,19 @@
     Late,
 }
 
+impl Failure {
+    /// Returns the word for metrics.
+    const fn word(&self) -> &'static str {
+        match self {
+            Self::NoId => "no-id",
+            Self::NoRoute => "no-route",
+            Self::NotRun(_) => "not-run",
+            Self::Unknown => "unknown",
+            Self::Late => "late",
+        }
+    }
+}
+
 /// A request on its way.
 struct Journey<'a> {
     id: &'a str,
@@ -108,11 +125,17 @@
     let _in_flight = InFlight::new(&context);
     let caller = context.frontend.caller(&request.head);
     let id = caller.id.unwrap_or_default();
-    let ended = match begin(&context, &request, &caller, arrived) {
-        Ok(journey) => travel(&context, journey).await,
-        Err(failure) => Err(failure),
+    let (service, ended) = match begin(&context, &request, &caller, arrived) {
+        Ok(journey) => {
+            let service = journey.service.clone();
+            (service, travel(&context, journey).await)
+        }
+        Err(failure) => (String::new(), Err(failure)),
     };
-    ended.unwrap_or_else(|failure| refuse(id, &request.head, failure, arrived))
+    let took = clock::Instant::now().saturating_since(arrived);
+    let kind = ended.as_ref().map_or_else(Failure::word, |_| "answered");
+    context.measure.ended(&service, kind, took);
+    ended.unwrap_or_else(|failure| refuse(id, &service, &request.head, failure, took))
 }
 
 /// Counts a request for as long as it lives.
@@ -152,11 +175,10 @@
     let found = routes.table.find(host, request.head.path());
     let entry = found.ok_or(Failure::NoRoute)?;
     let service = entry.next_service().to_owned();
+    let patience = caller.patience.unwrap_or(PATIENCE);
+    let waited = entry.waited(patience);
     let route = &entry.route;
     let timeout = Duration::from_millis(route.timeout_ms);
-    let patience = caller.patience.unwrap_or(PATIENCE);
-    // A caller that came back has less patience left than its route allows.
-    let waited = timeout.saturating_sub(patience);
     let target = Duration::from_millis(route.target_ms).saturating_sub(waited);
     let is_keyed = view.service(&service).is_some_and(|one| one.is_keyed);
     Ok(Journey {
@@ -164,7 +186,7 @@
         kind: route.kind,
         key: caller.key.filter(|_| is_keyed),
         service,
-        rank: rank(route),
+        rank: rank(route, waited),
         class: entry.class,
         max_attempts: route.max_attempts.max(1),
         start: arrived,
@@ -180,11 +202,14 @@
     })
 }
 
-/// Returns the rank of a route's requests: by priority, then by target. Calls
-/// between services have short targets and hold up a request elsewhere.
-fn rank(route: &config::Route) -> u32 {
+/// Returns the rank of a request: by priority, then by target, and callers that
+/// came back before those that have not waited. Calls between services have
+/// short targets and hold up a request elsewhere.
+fn rank(route: &config::Route, waited: Duration) -> u32 {
+    let priority = route.priority.min(MAX_PRIORITY);
     let target_ms = u16::try_from(route.target_ms).unwrap_or(u16::MAX);
-    (route.priority.min(u32::from(u16::MAX)) << 16) | u32::from(target_ms)
+    let is_new = waited < CAME_BACK;
+    (priority << 17) | (u32::from(target_ms) << 1) | u32::from(is_new)
 }
 
 /// Returns the request line and the fields that go to the backend server.
@@ -280,6 +305,8 @@
     was_sent: bool,
 ) -> bool {
     tracing::debug!(id = journey.id, ?reason, was_sent, "a request did not run");
+    let service = &journey.service;
+    context.measure.not_run(service, word(reason));
     if was_sent && !may_send_again(context, journey, reason) {
         return false;
     }
@@ -316,6 +343,7 @@
     let budget = budgets
         .get_mut(&journey.service)
         .is_some_and(|budget| budget.spend(now, nodes));
+    context.measure.second_sending(&journey.service, budget);
     tracing::info!(
         id = journey.id,
         service = journey.service,
@@ -327,6 +355,23 @@
     budget
 }
 
+/// Returns the word for a reason in metrics.
+const fn word(reason: peer::Reason) -> &'static str {
+    match reason {
+        peer::Reason::Busy => "busy",
+        peer::Reason::OtherInstance => "other-instance",
+        peer::Reason::Draining => "draining",
+        peer::Reason::NotOwner => "not-owner",
+        peer::Reason::Unreachable => "unreachable",
+        peer::Reason::RefusedByServer => "refused-by-server",
+        peer::Reason::Deadline => "deadline",
+        peer::Reason::Broken => "broken",
+        peer::Reason::Malformed => "malformed",
+        peer::Reason::LinkLost => "link-lost",
+        peer::Reason::Stopping => "stopping",
+    }
+}
+
 fn earn<Frontend>(context: &Context<Frontend>, service: &str) {
     let mut budgets = context.budgets.borrow_mut();
     match budgets.get_mut(service) {
@@ -559,8 +604,14 @@
     Answer { head, body }
 }
 
-fn refuse(id: &str, head: &request::Head, failure: Failure, arrived: clock::Instant) -> Answer {
-    let took_ms = clock::Instant::now().saturating_since(arrived).as_millis() as u64;
+fn refuse(
+    id: &str,
+    service: &str,
+    head: &request::Head,
+    failure: Failure,
+    took: Duration,
+) -> Answer {
+    let took_ms = took.as_millis() as u64;
     let (status, after) = match failure {
         Failure::NoId => (400, None),
         Failure::NoRoute => (404, None),
@@ -572,6 +623,7 @@
     let (method, path) = (&head.method, head.path());
     tracing::info!(
         id,
+        service,
         method,
         path,
         status,
--- a/crates/settings/src/director.rs
+++ b/crates/settings/src/director.rs
@@ -38,6 +38,9 @@
 pub struct Listen {
     /// For operators (HTTP); it also names the replica to the others.
     pub operators: net::SocketAddr,
+    /// For the collector of metrics (HTTP), if any.
+    #[serde(default)]
+    pub metrics: Option<net::SocketAddr>,
     /// Port for other replicas, the same on all VMs.
     pub replica_port: u16,
     /// Port for nodes, the same on all VMs.
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -45,6 +45,9 @@
     pub announcements: net::SocketAddr,
     /// For other nodes.
     pub peers: net::SocketAddr,
+    /// For the collector of metrics (HTTP), if any.
+    #[serde(default)]
+    pub metrics: Option<net::SocketAddr>,
 }
 
 /// Control replicas.
