--- a/crates/director/src/measure.rs
+++ b/crates/director/src/measure.rs
@@ -5,7 +5,7 @@
 
 /// Instruments; the control thread writes and the traffic thread renders.
 #[derive(Debug)]
-pub struct Measure {
+pub(crate) struct Measure {
     metrics: metrics::Metrics,
     orders: metrics::Counter,
     renewals: metrics::Counter,
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -17,13 +17,16 @@
 const FIRST: u32 = 10;
 /// Service time that is assumed before the first observation, in seconds.
 const INITIAL_SERVICE_S: f64 = 0.1;
+/// Bits of the rank of a request whose answer will be late.
+const LATE: u32 = 0b11;
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// A request that wants to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Offer {
-    /// Rank; lower ranks go first.
+    /// Rank; lower ranks go first. The two lowest bits order
+    /// requests of one kind; the gate sets both for those whose answer will be late.
     pub rank: u32,
     /// Group of requests that take a similar time.
     pub class: u64,
@@ -147,7 +150,11 @@
     }
 
     /// Decides on a request that has arrived.
-    pub fn offer(&mut self, now: clock::Instant, offer: Offer) -> Verdict {
+    pub fn offer(&mut self, now: clock::Instant, mut offer: Offer) -> Verdict {
+        // A late answer is worth less than one in time, so it must not make others late.
+        if now + self.service(offer.class) > offer.useful_until {
+            offer.rank |= LATE;
+        }
         if self.running < self.slots && self.waiting.is_empty() {
             self.running += 1;
             return Verdict::Start;
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -11,7 +11,7 @@
 
 fn offer(now: clock::Instant, rank: u32) -> admission::Offer {
     admission::Offer {
-        rank,
+        rank: rank << 2,
         class: u64::from(rank),
         useful_until: now + Duration::from_millis(500),
         deadline: now + Duration::from_millis(1_200),
@@ -200,3 +200,26 @@
         assert!(waiting.contains(&ticket) && after > Duration::ZERO);
     }
 }
+
+/// Callers that come back late: guards against a queue in which old requests, whose
+/// answers are late in any case, make every new one late too.
+#[test]
+fn a_request_that_is_late_already_goes_behind_those_in_time() {
+    let mut gate = admission::Gate::new(1);
+    for _ in 0..20 {
+        gate.observe(1, Duration::from_millis(100));
+    }
+    let now = at(0);
+    gate.offer(now, offer(now, 1));
+    let late = admission::Offer {
+        useful_until: now,
+        ..offer(now, 1)
+    };
+    let admission::Verdict::Wait(_) = gate.offer(now, late) else {
+        panic!("it can still be answered");
+    };
+    let admission::Verdict::Wait(new) = gate.offer(now, offer(now, 1)) else {
+        panic!("it can be answered in time");
+    };
+    assert_eq!(gate.finish(at(10)), [admission::Release::Start(new)]);
+}
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -31,7 +31,7 @@
 /// Longest wait for a new owner of a key, as a part of the time left.
 const OWNER_WAIT_PERCENT: u32 = 60;
 /// Largest priority that is told apart.
-const MAX_PRIORITY: u32 = (1 << 15) - 1;
+const MAX_PRIORITY: u32 = (1 << 14) - 1;
 /// Time by which a caller's patience is shorter when it has come back.
 const CAME_BACK: Duration = Duration::from_millis(30);
 /// Wait after a node has said that its backend server does not hold a key yet.
@@ -209,7 +209,7 @@
     let priority = route.priority.min(MAX_PRIORITY);
     let target_ms = u16::try_from(route.target_ms).unwrap_or(u16::MAX);
     let is_new = waited < CAME_BACK;
-    (priority << 17) | (u32::from(target_ms) << 1) | u32::from(is_new)
+    (priority << 18) | (u32::from(target_ms) << 2) | (u32::from(is_new) << 1)
 }
 
 /// Returns the request line and the fields that go to the backend server.
