--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -17,16 +17,21 @@
 const FIRST: u32 = 10;
 /// Service time that is assumed before the first observation, in seconds.
 const INITIAL_SERVICE_S: f64 = 0.1;
-/// Bits of the rank of a request whose answer will be late.
-const LATE: u32 = 0b11;
+/// Bit of the rank of a request whose answer will be late.
+const LATE: u32 = 1;
+/// Time within which a late request must end, in times that it runs.
+const LATE_SERVICES: u32 = 2;
+/// Time that a request may take beside its target. A call with a short target is
+/// a part of another request, which fails as a whole when the call is refused.
+const SHORT_WAIT: Duration = Duration::from_millis(400);
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// A request that wants to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Offer {
-    /// Rank; lower ranks go first. The two lowest bits order
-    /// requests of one kind; the gate sets both for those whose answer will be late.
+    /// Rank; lower ranks go first. The lowest bit is clear:
+    /// the gate sets it for requests whose answer will be late.
     pub rank: u32,
     /// Group of requests that take a similar time.
     pub class: u64,
@@ -178,10 +183,12 @@
         let service = self.service(offer.class);
         let end = now + self.wait_behind(ahead) + service;
         let limit = if now + service <= offer.useful_until {
-            offer.useful_until
+            offer.useful_until.max(now + SHORT_WAIT)
         } else {
-            offer.deadline
+            // A long wait of requests that are late already helps nobody.
+            now + service * LATE_SERVICES
         };
+        let limit = limit.min(offer.deadline);
         (end > limit).then(|| retry_after(end, limit))
     }
 
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -11,7 +11,7 @@
 
 fn offer(now: clock::Instant, rank: u32) -> admission::Offer {
     admission::Offer {
-        rank: rank << 2,
+        rank: rank << 1,
         class: u64::from(rank),
         useful_until: now + Duration::from_millis(500),
         deadline: now + Duration::from_millis(1_200),
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -31,9 +31,7 @@
 /// Longest wait for a new owner of a key, as a part of the time left.
 const OWNER_WAIT_PERCENT: u32 = 60;
 /// Largest priority that is told apart.
-const MAX_PRIORITY: u32 = (1 << 14) - 1;
-/// Time by which a caller's patience is shorter when it has come back.
-const CAME_BACK: Duration = Duration::from_millis(30);
+const MAX_PRIORITY: u32 = (1 << 15) - 1;
 /// Wait after a node has said that its backend server does not hold a key yet.
 const NOT_OWNER_PAUSE: Duration = Duration::from_millis(40);
 /// Weight of a new outcome in the share of failures.
@@ -186,7 +184,7 @@
         kind: route.kind,
         key: caller.key.filter(|_| is_keyed),
         service,
-        rank: rank(route, waited),
+        rank: rank(route),
         class: entry.class,
         max_attempts: route.max_attempts.max(1),
         start: arrived,
@@ -202,14 +200,12 @@
     })
 }
 
-/// Returns the rank of a request: by priority, then by target, and callers that
-/// came back before those that have not waited. Calls between services have
-/// short targets and hold up a request elsewhere.
-fn rank(route: &config::Route, waited: Duration) -> u32 {
+/// Returns the rank of a route's requests: by priority, then by target. Calls
+/// between services have short targets and hold up a request elsewhere.
+fn rank(route: &config::Route) -> u32 {
     let priority = route.priority.min(MAX_PRIORITY);
     let target_ms = u16::try_from(route.target_ms).unwrap_or(u16::MAX);
-    let is_new = waited < CAME_BACK;
-    (priority << 18) | (u32::from(target_ms) << 2) | (u32::from(is_new) << 1)
+    (priority << 17) | (u32::from(target_ms) << 1)
 }
 
 /// Returns the request line and the fields that go to the backend server.
