--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod quota;
 pub mod route;
 pub mod usage;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use error_stack::ResultExt;
-use sequoiayoke_dispatch::{budget, route};
+use sequoiayoke_dispatch::{budget, quota, route};
 use sequoiayoke_http1::serve;
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_supervise::{Stop, supervisor};
@@ -36,6 +36,11 @@
 
 /// Time between two reports of load to the control thread.
 const REPORT_PAUSE: Duration = Duration::from_millis(500);
+/// Log lines about single requests in each span: refusals, failures, late answers
+/// and second sendings. At 300 bytes a line it bounds them to 30 KB/s.
+const MAX_LINES: u32 = 100;
+/// Span of the bound on log lines.
+const LINES_SPAN: Duration = Duration::from_secs(1);
 /// Pause between two looks at the requests that have to end.
 const END_PAUSE: Duration = Duration::from_millis(20);
 /// Time that is kept of the grace period for the process to end.
@@ -70,6 +75,7 @@
     seen: cell::RefCell<collections::HashMap<id::Server, path::Seen>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
     in_flight: cell::Cell<usize>,
+    lines: cell::RefCell<quota::Quota>,
     measure: measure::Measure,
     /// Asked to stop: callers are told to leave.
     stop: Stop,
@@ -88,6 +94,11 @@
         self.shared.view.load_full()
     }
 
+    /// Returns whether there is room for a log line about a request.
+    fn may_log(&self) -> bool {
+        self.lines.borrow_mut().take(clock::Instant::now())
+    }
+
     /// Hands an event to the control thread.
     fn tell(&self, event: coordinator::Event) {
         if self.events.try_send(event).is_err() {
@@ -129,6 +140,7 @@
         seen: cell::RefCell::default(),
         budgets: cell::RefCell::default(),
         in_flight: cell::Cell::new(0),
+        lines: cell::RefCell::new(quota::Quota::new(MAX_LINES, LINES_SPAN)),
         measure: measure::Measure::new().change_context_lazy(failed)?,
         stop: stop.clone(),
         is_closed: cell::Cell::new(false),
@@ -213,6 +225,10 @@
         let now = clock::Instant::now();
         let span = now.saturating_since(reported).as_secs_f64();
         reported = now;
+        let skipped = context.lines.borrow_mut().take_skipped();
+        if skipped > 0 {
+            tracing::warn!(skipped, "log lines about requests were skipped");
+        }
         let is_keyed = context
             .view()
             .service(&context.settings.service)
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -216,7 +216,8 @@
     where
         Frontend: frontend::Frontend,
     {
-        let now = clock::Instant::now();
+        let arrived = clock::Instant::now();
+        let now = arrived;
         let deadline = now + Duration::from_millis(u64::from(open.left_ms));
         if let Err(reason) = check(&context.view(), open, now, context.settings.drain) {
             return not_run(reason, Duration::ZERO, false);
@@ -231,6 +232,22 @@
             Ok(slot) => slot,
             Err(after) => {
                 self.count_refused(open);
+                if context.may_log() {
+                    let load = self.load();
+                    tracing::info!(
+                        id = open.id,
+                        key = open.key,
+                        rank = open.rank,
+                        running = load.running,
+                        waiting = load.waiting,
+                        slots = load.slots,
+                        service_ms = (load.service_s * 1_000.0) as u64,
+                        left_ms = open.left_ms,
+                        useful_ms = open.useful_ms,
+                        retry_after_ms = after.as_millis() as u64,
+                        "the backend server is full"
+                    );
+                }
                 return not_run(peer::Reason::Busy, after, false);
             }
         };
@@ -266,7 +283,10 @@
         let limit = left + LAST_WORD;
         let ended = tokio::time::timeout(limit, exchange).await;
         match ended.unwrap_or(Err(Error::Timeout)) {
-            Ok(response) => self.judge(context, open, &response, &mut slot),
+            Ok(response) => {
+                self.log_slow(context, open, arrived, now);
+                self.judge(context, open, &response, &mut slot)
+            }
             Err(error) => {
                 tracing::info!(id = open.id, %error, "no usable answer of the backend server");
                 peer::Outcome::Unknown(match error {
@@ -289,6 +309,32 @@
         }
     }
 
+    /// Writes a line about a request whose answer is late, with what took its time.
+    fn log_slow<Frontend>(
+        &self,
+        context: &Context<Frontend>,
+        open: &peer::Open,
+        arrived: clock::Instant,
+        began: clock::Instant,
+    ) {
+        let now = clock::Instant::now();
+        let useful = Duration::from_millis(u64::from(open.useful_ms));
+        if now <= arrived + useful || !context.may_log() {
+            return;
+        }
+        let load = self.load();
+        tracing::info!(
+            id = open.id,
+            key = open.key,
+            waited_ms = began.saturating_since(arrived).as_millis() as u64,
+            ran_ms = now.saturating_since(began).as_millis() as u64,
+            running = load.running,
+            waiting = load.waiting,
+            slots = load.slots,
+            "the backend server answered late"
+        );
+    }
+
     fn judge<Frontend>(
         &self,
         context: &Context<Frontend>,
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -109,6 +109,8 @@
     may_have_run: bool,
     tried: Vec<id::Server>,
     retry_after: Duration,
+    /// Why the last sending led to no answer, and to which backend server it went.
+    last: Option<(peer::Reason, id::Server)>,
 }
 
 /// Serves a request; never fails, every outcome is an answer.
@@ -133,7 +135,10 @@
     let took = clock::Instant::now().saturating_since(arrived);
     let kind = ended.as_ref().map_or_else(Failure::word, |_| "answered");
     context.measure.ended(&service, kind, took);
-    ended.unwrap_or_else(|failure| refuse(id, &service, &request.head, failure, took))
+    ended.unwrap_or_else(|failure| {
+        let logs = context.may_log();
+        refuse(id, &service, &request.head, failure, took, logs)
+    })
 }
 
 /// Counts a request for as long as it lives.
@@ -197,6 +202,7 @@
         may_have_run: false,
         tried: Vec::new(),
         retry_after: MIN_RETRY,
+        last: None,
     })
 }
 
@@ -259,7 +265,10 @@
                 status,
                 fields,
                 body,
-            } => return Ok(answered(&journey, status, &fields, body)),
+            } => {
+                log_late(context, &journey, target.id);
+                return Ok(answered(&journey, status, &fields, body));
+            }
             peer::Outcome::NotRun {
                 reason,
                 retry_after_ms,
@@ -267,6 +276,7 @@
             } => {
                 let after = Duration::from_millis(u64::from(retry_after_ms));
                 journey.retry_after = after.max(MIN_RETRY);
+                journey.last = Some((reason, target.id));
                 journey.tried.push(target.id);
                 if was_sent {
                     journey.sent += 1;
@@ -278,6 +288,7 @@
             peer::Outcome::Unknown(reason) => {
                 journey.sent += 1;
                 journey.may_have_run = true;
+                journey.last = Some((reason, target.id));
                 journey.tried.push(target.id);
                 if !journey.kind.is_idempotent() || !may_send_again(context, &journey, reason) {
                     break;
@@ -286,6 +297,21 @@
         }
     }
     let now = clock::Instant::now();
+    if context.may_log() {
+        let (reason, server) = journey.last.unzip();
+        tracing::info!(
+            id = journey.id,
+            service = journey.service,
+            key = journey.key,
+            ?reason,
+            server = server.map(|server| server.0),
+            sent = journey.sent,
+            tried = journey.tried.len(),
+            may_have_run = journey.may_have_run,
+            view = context.shared.view.load().index,
+            "gave up on a request"
+        );
+    }
     Err(match (journey.may_have_run, now >= journey.deadline) {
         (true, true) => Failure::Late,
         (true, false) => Failure::Unknown,
@@ -293,6 +319,24 @@
     })
 }
 
+/// Writes a line about an answer that comes after its target.
+fn log_late<Frontend>(context: &Context<Frontend>, journey: &Journey<'_>, server: id::Server) {
+    let now = clock::Instant::now();
+    if now <= journey.useful_until || !context.may_log() {
+        return;
+    }
+    tracing::info!(
+        id = journey.id,
+        service = journey.service,
+        key = journey.key,
+        server = server.0,
+        sent = journey.sent + 1,
+        took_ms = now.saturating_since(journey.start).as_millis() as u64,
+        late_ms = now.saturating_since(journey.useful_until).as_millis() as u64,
+        "answered late"
+    );
+}
+
 /// Decides whether a request that did not run is offered again.
 async fn goes_on<Frontend>(
     context: &Context<Frontend>,
@@ -340,14 +384,16 @@
         .get_mut(&journey.service)
         .is_some_and(|budget| budget.spend(now, nodes));
     context.measure.second_sending(&journey.service, budget);
-    tracing::info!(
-        id = journey.id,
-        service = journey.service,
-        ?reason,
-        sent = journey.sent,
-        allowed = budget,
-        "decided on a second sending"
-    );
+    if context.may_log() {
+        tracing::info!(
+            id = journey.id,
+            service = journey.service,
+            ?reason,
+            sent = journey.sent,
+            allowed = budget,
+            "decided on a second sending"
+        );
+    }
     budget
 }
 
@@ -606,6 +652,7 @@
     head: &request::Head,
     failure: Failure,
     took: Duration,
+    logs: bool,
 ) -> Answer {
     let took_ms = took.as_millis() as u64;
     let (status, after) = match failure {
@@ -617,17 +664,19 @@
     };
     let retry_after_ms = after.map(|after| after.as_millis() as u64);
     let (method, path) = (&head.method, head.path());
-    tracing::info!(
-        id,
-        service,
-        method,
-        path,
-        status,
-        ?failure,
-        took_ms,
-        retry_after_ms,
-        "not served"
-    );
+    if logs {
+        tracing::info!(
+            id,
+            service,
+            method,
+            path,
+            status,
+            ?failure,
+            took_ms,
+            retry_after_ms,
+            "not served"
+        );
+    }
     let phrase = serve::phrase(status);
     let mut text = format!(
         "HTTP/1.1 {status} {phrase}\r\ncontent-type: text/plain\r\ncontent-length: {}\r\n",
