--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -30,6 +30,8 @@
 const LOAD_AGE: Duration = Duration::from_millis(1_500);
 /// Longest wait for a new owner of a key, as a part of the time left.
 const OWNER_WAIT_PERCENT: u32 = 60;
+/// Targets below this one are those of calls between services.
+const CALL_TARGET: Duration = Duration::from_millis(300);
 /// Largest priority that is told apart.
 const MAX_PRIORITY: u32 = (1 << 15) - 1;
 /// Wait after a node has said that its backend server does not hold a key yet.
@@ -182,7 +184,14 @@
     let waited = entry.waited(patience);
     let route = &entry.route;
     let timeout = Duration::from_millis(route.timeout_ms);
-    let target = Duration::from_millis(route.target_ms).saturating_sub(waited);
+    let target = Duration::from_millis(route.target_ms);
+    // A call is as patient as the request that needs it; it has not come back.
+    let waited = if target < CALL_TARGET {
+        Duration::ZERO
+    } else {
+        waited
+    };
+    let target = target.saturating_sub(waited);
     let is_keyed = view.service(&service).is_some_and(|one| one.is_keyed);
     Ok(Journey {
         id,
