--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,6 +1,8 @@
 //! Log output.
 
 use std::io::{self, IsTerminal as _};
+use std::sync;
+use std::time::Duration;
 
 use crate::output;
 use error_stack::{Report, ResultExt as _};
@@ -9,6 +11,11 @@
 use tracing_subscriber::layer::SubscriberExt as _;
 use tracing_subscriber::{EnvFilter, Layer as _, Registry, fmt};
 
+/// Standard output of this process, once it is used for logs.
+static OUTPUT: sync::OnceLock<output::Output> = sync::OnceLock::new();
+/// Longest wait for standard output at the end of a process.
+const FLUSH: Duration = Duration::from_millis(200);
+
 /// Logging could not be set up.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[non_exhaustive]
@@ -54,8 +61,20 @@
 /// started, or if logging was set up before.
 pub fn init_output(settings: &common::Log) -> Result<(), Report<Error>> {
     let output = output::Output::new(io::stdout()).change_context(Error::Output)?;
-    let subscriber = subscriber(settings, output, false)?;
-    tracing::subscriber::set_global_default(subscriber).change_context(Error::Repeated)
+    let subscriber = subscriber(settings, output.clone(), false)?;
+    tracing::subscriber::set_global_default(subscriber).change_context(Error::Repeated)?;
+    OUTPUT.get_or_init(|| output);
+    Ok(())
+}
+
+/// Waits until the lines that [`init_output`] sends to standard output are written.
+///
+/// A process calls it before it ends; nobody waits for long if standard output
+/// is blocked.
+pub fn flush() {
+    if let Some(output) = OUTPUT.get() {
+        output.flush(FLUSH);
+    }
 }
 
 /// Makes a subscriber that writes the lines that `settings` select to `writer`.
--- a/crates/telemetry/src/output.rs
+++ b/crates/telemetry/src/output.rs
@@ -7,16 +7,25 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
+use std::time::Duration;
 
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Lines that may wait, enough for a second of refusals on a small VM.
 const QUEUE: usize = 2_048;
 
+/// What goes through the queue.
+#[derive(Debug)]
+enum Message {
+    Line(Vec<u8>),
+    /// Asks for a sign once all lines before it are written.
+    Flush(mpsc::SyncSender<()>),
+}
+
 /// Bounded queue to a writer.
 #[derive(Clone, Debug)]
 pub struct Output {
-    lines: mpsc::SyncSender<Vec<u8>>,
+    lines: mpsc::SyncSender<Message>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -48,6 +57,14 @@
         Ok(Self { lines, dropped })
     }
 
+    /// Waits until the lines so far are written, `limit` at the most; returns
+    /// whether they are.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let (done, written) = mpsc::sync_channel(1);
+        let asked = self.lines.try_send(Message::Flush(done)).is_ok();
+        asked && written.recv_timeout(limit).is_ok()
+    }
+
     /// Returns the number of lines that were dropped and not yet reported.
     pub fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
@@ -55,16 +72,21 @@
 }
 
 /// Writes lines until the last sender has gone or the target fails.
-fn write_all<W>(mut target: W, queue: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64)
+fn write_all<W>(mut target: W, queue: &mpsc::Receiver<Message>, dropped: &AtomicU64)
 where
     W: Write,
 {
     let mut batch = Vec::new();
-    while let Ok(line) = queue.recv() {
+    let mut waiting = Vec::new();
+    while let Ok(message) = queue.recv() {
         batch.clear();
-        batch.extend_from_slice(&line);
-        while let Ok(line) = queue.try_recv() {
-            batch.extend_from_slice(&line);
+        let mut next = Some(message);
+        while let Some(message) = next {
+            match message {
+                Message::Line(line) => batch.extend_from_slice(&line),
+                Message::Flush(done) => waiting.push(done),
+            }
+            next = queue.try_recv().ok();
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
@@ -81,6 +103,10 @@
         {
             return;
         }
+        for done in waiting.drain(..) {
+            // Whoever asked may have given up.
+            let _ = done.try_send(());
+        }
     }
 }
 
@@ -105,7 +131,7 @@
 impl Drop for Line<'_> {
     fn drop(&mut self) {
         let text = std::mem::take(&mut self.text);
-        if !text.is_empty() && self.output.lines.try_send(text).is_err() {
+        if !text.is_empty() && self.output.lines.try_send(Message::Line(text)).is_err() {
             self.output.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -183,7 +183,9 @@
     let mut output = io::stdout();
     let _ = writeln!(output, "ready {}", daemon.addresses());
     let _ = output.flush();
-    daemon.wait()
+    let ended = daemon.wait();
+    log::flush();
+    ended
 }
 
 fn watch_signals(stop: Stop) -> Result<(), Report<Error>> {
