--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -19,8 +19,6 @@
     pub rest: Duration,
     /// Most moves of one service at a time.
     pub max_moves: usize,
-    /// Slices into which the keys are divided for each backend server at first.
-    pub first_slices: u32,
 }
 
 impl Default for Config {
@@ -31,7 +29,6 @@
             busy: 0.5,
             rest: Duration::from_secs(3),
             max_moves: 4,
-            first_slices: 1,
         }
     }
 }
@@ -103,7 +100,7 @@
         if held.is_empty() {
             return Vec::new();
         }
-        let fair = slice::Range::ALL.len() / held.len() as u32 / self.config.first_slices.max(1);
+        let fair = slice::Range::ALL.len() / held.len() as u32;
         let mut moves = Vec::new();
         for vacant in table.slices().iter().filter(|slice| slice.owner.is_none()) {
             for range in cut(vacant.range, fair.max(1)) {
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -11,6 +11,8 @@
 /// Part of the shared ratio that a node uses; the rest covers requests that
 /// are counted in another window than the one they were sent in.
 const RATIO_USED: f64 = 0.5;
+/// Tokens that a node keeps at most, so that a long calm does not pay for a storm.
+const MAX_EARNED: f64 = 20.0;
 /// Part of the fixed allowance that all nodes together use.
 const ALLOWANCE_USED: f64 = 0.5;
 
@@ -60,8 +62,7 @@
 
     /// Records the first sending of a request.
     pub fn earn(&mut self) {
-        let limit = 20.0;
-        self.earned = (self.earned + self.config.ratio * RATIO_USED).min(limit);
+        self.earned = (self.earned + self.config.ratio * RATIO_USED).min(MAX_EARNED);
     }
 
     /// Takes one token, where `nodes` share the allowance; returns whether there was one.
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -43,9 +43,11 @@
 const MAX_PRIORITY: u32 = (1 << 15) - 1;
 /// Wait after a node has said that its backend server does not hold a key yet.
 const NOT_OWNER_PAUSE: Duration = Duration::from_millis(40);
-/// Second sendings must leave this part of the target for the work.
+/// Shortest time before the deadline in which a request is still sent again.
 const MIN_LEFT: Duration = Duration::from_millis(30);
-/// Sendings that were not runs, after which a request is given up.
+/// Time beyond the deadline in which the other node's last word may arrive.
+const LAST_WORD: Duration = Duration::from_millis(80);
+/// Turns after which a request is given up; each is a sending or a wait.
 const MAX_TURNS: u32 = 24;
 
 /// A request on its way.
@@ -440,7 +442,7 @@
         body: journey.body.clone(),
     };
     let _outstanding = Outstanding::new(context, target.id);
-    let limit = now.saturating_until(journey.deadline) + serving_margin();
+    let limit = now.saturating_until(journey.deadline) + LAST_WORD;
     if target.announcement.node == context.settings.peers {
         return local(context, open).await;
     }
@@ -452,11 +454,6 @@
     ))
 }
 
-/// Time beyond the deadline in which the other node's last word may arrive.
-const fn serving_margin() -> Duration {
-    Duration::from_millis(80)
-}
-
 /// Runs a request at this node's own backend server. It is a task of its own,
 /// since a request that must not run twice goes on when its caller has gone.
 async fn local<Frontend>(
