--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -17,6 +17,10 @@
 const FIRST: u32 = 10;
 /// Service time that is assumed before the first observation, in seconds.
 const INITIAL_SERVICE_S: f64 = 0.1;
+/// Offers after which older ones count half.
+const SHARE_MEMORY: f64 = 60.0;
+/// Part of the mean share of admitted requests that each class gets at least.
+const FAIR_PART: f64 = 0.6;
 /// Bit of the rank of a request whose answer will be late.
 const LATE: u32 = 1;
 /// Time within which a late request must end, in times that it runs.
@@ -106,6 +110,33 @@
     waiting: collections::BTreeMap<(u32, Ticket), Offer>,
     mean: Mean,
     classes: collections::HashMap<u64, Mean>,
+    all: Share,
+    shares: collections::HashMap<u64, Share>,
+}
+
+/// How many requests were offered lately, and how many of them were admitted.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    offered: f64,
+    admitted: f64,
+}
+
+impl Share {
+    fn offer(&mut self) {
+        if self.offered >= SHARE_MEMORY {
+            self.offered /= 2.0;
+            self.admitted /= 2.0;
+        }
+        self.offered += 1.0;
+    }
+
+    /// Returns the part that was admitted; all of it before the first offer.
+    fn ratio(&self) -> f64 {
+        if self.offered < 1.0 {
+            return 1.0;
+        }
+        self.admitted / self.offered
+    }
 }
 
 /// A moving average in seconds.
@@ -136,6 +167,8 @@
                 count: 0,
             },
             classes: collections::HashMap::new(),
+            all: Share::default(),
+            shares: collections::HashMap::new(),
         }
     }
 
@@ -155,7 +188,24 @@
     }
 
     /// Decides on a request that has arrived.
-    pub fn offer(&mut self, now: clock::Instant, mut offer: Offer) -> Verdict {
+    pub fn offer(&mut self, now: clock::Instant, offer: Offer) -> Verdict {
+        let all = self.all.ratio();
+        let share = self.shares.entry(offer.class).or_default();
+        // Rank alone would leave nothing to the lowest class of a full backend server.
+        let is_starved = share.ratio() < all * FAIR_PART;
+        share.offer();
+        self.all.offer();
+        let rank = if is_starved { 0 } else { offer.rank };
+        let verdict = self.admit(now, Offer { rank, ..offer });
+        if !matches!(verdict, Verdict::Refuse(_)) {
+            self.all.admitted += 1.0;
+            let share = self.shares.entry(offer.class).or_default();
+            share.admitted += 1.0;
+        }
+        verdict
+    }
+
+    fn admit(&mut self, now: clock::Instant, mut offer: Offer) -> Verdict {
         // A late answer is worth less than one in time, so it must not make others late.
         if now + self.service(offer.class) > offer.useful_until {
             offer.rank |= LATE;
@@ -204,7 +254,11 @@
             }
         }
         for (rank, ticket, _) in &evicted {
-            self.waiting.remove(&(*rank, *ticket));
+            if let Some(offer) = self.waiting.remove(&(*rank, *ticket)) {
+                let share = self.shares.entry(offer.class).or_default();
+                share.admitted = (share.admitted - 1.0).max(0.0);
+                self.all.admitted = (self.all.admitted - 1.0).max(0.0);
+            }
         }
         let refuse = |(_, ticket, after)| Release::Refuse(ticket, after);
         evicted.into_iter().map(refuse).collect()
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -223,3 +223,55 @@
     };
     assert_eq!(gate.finish(at(10)), [admission::Release::Start(new)]);
 }
+
+/// More urgent work than slots: guards against a class that gets nothing at all.
+/// Urgent requests alone fill the backend server; the others still get a part.
+#[test]
+fn the_lowest_class_of_a_full_backend_server_is_not_starved() {
+    let mut gate = admission::Gate::new(4);
+    let work = Duration::from_millis(200);
+    for class in [1, 3] {
+        for _ in 0..20 {
+            gate.observe(class, work);
+        }
+    }
+    let mut ends: Vec<clock::Instant> = Vec::new();
+    let mut classes = std::collections::HashMap::new();
+    let mut admitted = [0_u32; 2];
+    let mut offered = [0_u32; 2];
+    for step in 0..2_000_u64 {
+        let now = at(step * 20);
+        ends.sort();
+        while ends.first().is_some_and(|end| *end <= now) {
+            ends.remove(0);
+            for release in gate.finish(now) {
+                if let admission::Release::Start(_) = release {
+                    ends.push(now + work);
+                }
+            }
+        }
+        // Every fifth request is of the lower class.
+        let low = usize::from(step % 5 == 0);
+        let rank = if low == 1 { 3 } else { 1 };
+        offered[low] += 1;
+        match gate.offer(now, offer(now, rank)) {
+            admission::Verdict::Start => {
+                ends.push(now + work);
+                admitted[low] += 1;
+            }
+            admission::Verdict::Wait(ticket) => {
+                admitted[low] += 1;
+                classes.insert(ticket, low);
+            }
+            admission::Verdict::Refuse(_) => {}
+        }
+        for release in gate.evict(now) {
+            if let admission::Release::Refuse(ticket, _) = release {
+                admitted[classes[&ticket]] -= 1;
+            }
+        }
+    }
+    let ratio = |class: usize| f64::from(admitted[class]) / f64::from(offered[class]);
+    assert!(ratio(0) < 0.9, "urgent requests fill the backend server");
+    assert!(ratio(1) > ratio(0) * 0.4, "{} of {}", ratio(1), ratio(0));
+}
