--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -20,7 +20,7 @@
 /// Offers after which older ones count half.
 const SHARE_MEMORY: f64 = 60.0;
 /// Part of the mean share of admitted requests that each class gets at least.
-const FAIR_PART: f64 = 0.6;
+const FAIR_PART: f64 = 0.4;
 /// Bit of the rank of a request whose answer will be late.
 const LATE: u32 = 1;
 /// Time within which a late request must end, in times that it runs.
