Ignore a run of the backend server that another run has replaced

The request that waited ran at the former run under a grant that it held, so the order of owners was not broken, but a paused run must not take keys back from its successor. Ruled out: a dispatch to the former run under the successor's epoch. Change: a node remembers the runs that were replaced while the present one announces itself. The tests print the processes' logs when they fail.

--- a/crates/node/src/coordinator/state.rs
+++ b/crates/node/src/coordinator/state.rs
@@ -29,6 +29,10 @@
 /// Time without an announcement after which the backend server counts as gone.
 pub const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Former runs of the backend server that are remembered; far more than start within
+/// [`ANNOUNCE_TIMEOUT`].
+const MAX_FORMER: usize = 16;
+
 /// Time that a shutdown gives idle slices to reach their next owners.
 pub const HANDOVER: Duration = Duration::from_secs(1);
 
@@ -77,6 +81,9 @@
     parts: Vec<view::Change>,
     me: Option<route::Identity>,
     backend: Option<(sync::Arc<server::Backend>, clock::Instant)>,
+    // Runs that the present one has replaced. One that was only paused announces itself
+    // again when it resumes, and must not take the keys back from its successor.
+    former: collections::VecDeque<String>,
     connected: bool,
     owned: sync::Arc<published::Owned>,
     granting: collections::BTreeSet<event::Grant>,
@@ -102,6 +109,7 @@
             parts: Vec::new(),
             me: None,
             backend: None,
+            former: collections::VecDeque::new(),
             connected: false,
             owned: sync::Arc::default(),
             granting: collections::BTreeSet::new(),
@@ -164,6 +172,18 @@
             }
             return;
         }
+        if self.former.contains(&backend.instance) {
+            tracing::warn!(
+                server = backend.name,
+                instance = backend.instance,
+                "ignoring a run of the backend server that another run has replaced"
+            );
+            return;
+        }
+        if let Some(known) = known.filter(|known| known.instance != backend.instance) {
+            self.former.truncate(MAX_FORMER - 1);
+            self.former.push_front(known.instance.clone());
+        }
         tracing::info!(
             server = backend.name,
             address = %backend.address,
@@ -190,6 +210,8 @@
             .is_some_and(|(_, seen)| now.saturating_since(*seen) >= ANNOUNCE_TIMEOUT);
         if gone {
             self.backend = None;
+            // With no successor left, a former run may serve again.
+            self.former.clear();
             self.leave("the backend server no longer announces itself");
         }
     }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -307,6 +307,7 @@
         .unwrap();
     let totals = counted["totals"].as_object().unwrap().values();
     let by_next: u64 = totals.filter_map(|one| one["started"].as_u64()).sum();
+    support::show_logs(&world);
     let ran = all.iter().filter(|one| one.epoch > epoch);
     assert_eq!(ran.count() as u64, by_next, "{waiting:?} {all:?}");
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -130,7 +130,20 @@
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    panic!("{key} is not owned by {}", world.pairs[index].server.name);
+    show_logs(world);
+    let status = world.status().await;
+    let name = &world.pairs[index].server.name;
+    panic!("{key} is not owned by {name}: {status:?}");
+}
+
+/// Prints what the replicas and nodes have logged; shown only for a test that fails.
+pub(crate) fn show_logs(world: &World) {
+    for replica in world.control.iter().flatten() {
+        println!("{}:\n{}", replica.name(), replica.log());
+    }
+    for pair in &world.pairs {
+        println!("{}:\n{}", pair.node.name(), pair.node.log());
+    }
 }
 
 /// Asserts that the epochs of each key never fall and that no epoch has two servers.
