Let a forwarded request wait for the view that its entry node had

Change: if the entry node's grant is later than the view, the request waits for the next view, 500 ms at most.

--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -39,6 +39,9 @@
 
 /// Largest body that is held whole, so that it can be sent again, in bytes.
 const HELD_BODY: u64 = 64 * 1024;
+/// Time for which a forwarded request waits for the view that its entry node had,
+/// well above the few milliseconds by which views arrive apart.
+const BEHIND_WAIT: Duration = Duration::from_millis(500);
 /// Most sendings of one request that reach a backend server.
 const MAX_ATTEMPTS: u32 = 4;
 
@@ -319,7 +322,11 @@
                 place = Some(self.wait_place()?);
             }
             let left = view.left(self.clock.now());
-            let woken = tokio::time::timeout(left, changed.changed()).await;
+            let (limit, reason) = match view.forwarded {
+                Some(_) => (left.min(BEHIND_WAIT), outcome::Reason::NotOwner),
+                None => (left, outcome::Reason::Vacant),
+            };
+            let woken = tokio::time::timeout(limit, changed.changed()).await;
             if !matches!(woken, Ok(Ok(()))) {
                 return Err(outcome::Reason::Vacant);
             }
--- a/crates/traffic/src/route.rs
+++ b/crates/traffic/src/route.rs
@@ -55,8 +55,9 @@
 /// Decides where a request goes; allocates nothing.
 ///
 /// A forwarded request is answered here or refused, never forwarded again, so
-/// that two nodes with different views cannot pass it back and forth. It is also
-/// refused if the entry node saw a later grant than this view shows.
+/// that two nodes with different views cannot pass it back and forth. If the
+/// entry node saw a grant that this view does not reach yet, the request waits
+/// for the next view: its body may be one that can be sent only once.
 ///
 /// # Examples
 ///
@@ -76,6 +77,12 @@
     let Some(table) = view.table(query.service) else {
         return Decision::Refuse(outcome::Reason::UnknownService);
     };
+    if query
+        .forwarded
+        .is_some_and(|hint| hint.0 > view.version().0)
+    {
+        return Decision::Wait;
+    }
     let (slice, range) = table.find(query.hash);
     let Some(holder) = slice.holder else {
         return elsewhere(query, Decision::Wait);
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -244,7 +244,11 @@
     for upload in uploads {
         upload.finish().await;
     }
-    waiting.await.unwrap();
+    let waited = waiting.await;
+    for pair in &pairs {
+        println!("{}:\n{}", pair.name, pair.node.log());
+    }
+    waited.unwrap();
     deployment.wait_status("empty", slices(0)).await.unwrap();
 }
 
