Check the lease once more where a request is written

Change: requests go over connections of the node's own (hyper), whose socket checks the lease in the call that writes the first bytes. Commands stay with reqwest. What is left is a suspension between that check and the system call that follows it.

--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -298,7 +298,7 @@
         let evidence = sync::Arc::clone(self.path.evidence());
         let admission = sync::Arc::new(permit::Admission::new(limits, evidence));
         self.commander = Some(rc::Rc::new(command::Commander::new(
-            client.clone(),
+            client,
             sync::Arc::clone(&backend),
             sync::Arc::clone(&self.config.token),
         )));
@@ -316,7 +316,7 @@
         });
         self.path.set_target(Some(sync::Arc::new(path::Target {
             name: backend.name.clone(),
-            server: server::Http::new(client, backend, self.config.signer.clone()),
+            server: server::Http::new(backend, self.config.connect, self.config.signer.clone()),
             admission,
         })));
     }
--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -178,8 +178,8 @@
     match failure {
         server::Failure::TimedOut => permit.timed_out(),
         server::Failure::NotSent | server::Failure::Lost => permit.failed(),
-        // The permit counts as withdrawn.
-        server::Failure::Cut => {}
+        // These say nothing about the server; the permit counts as withdrawn.
+        server::Failure::Cut | server::Failure::LeaseExpired => {}
     }
 }
 
--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -2,6 +2,7 @@
 
 pub mod announce;
 pub mod command;
+pub mod connection;
 pub mod permit;
 
 use std::future;
@@ -12,6 +13,7 @@
 
 use bytes::Bytes;
 use futures_util::{Stream, TryStreamExt};
+use http_body::Body as _;
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
@@ -69,6 +71,8 @@
 pub enum Failure {
     /// No connection was made, so nothing was sent.
     NotSent,
+    /// The lease had expired when the request was to be written, so nothing was.
+    LeaseExpired,
     /// The deadline passed after something may have been sent.
     TimedOut,
     /// The connection ended after something may have been sent.
@@ -82,6 +86,7 @@
     pub const fn outcome(self) -> outcome::Outcome {
         match self {
             Self::NotSent => outcome::Outcome::NotRun(outcome::Reason::Unreachable),
+            Self::LeaseExpired => outcome::Outcome::NotRun(outcome::Reason::LeaseExpired),
             Self::TimedOut => outcome::Outcome::Unknown(outcome::Reason::Deadline),
             Self::Lost => outcome::Outcome::Unknown(outcome::Reason::ConnectionLost),
             Self::Cut => outcome::Outcome::Unknown(outcome::Reason::Cancelled),
@@ -105,7 +110,7 @@
 /// The backend server over HTTP.
 #[derive(Clone, Debug)]
 pub struct Http {
-    client: reqwest::Client,
+    pool: connection::Pool<clock::Boot>,
     backend: sync::Arc<Backend>,
     signer: ids::Signer,
 }
@@ -115,7 +120,7 @@
 #[error("the HTTP client towards the backend server could not be made")]
 pub struct Error;
 
-/// Makes an HTTP client that sends every request at most once.
+/// Makes the HTTP client for commands, which sends every command at most once.
 ///
 /// # Errors
 ///
@@ -123,7 +128,7 @@
 pub fn client(connections: u32, connect: Duration) -> Result<reqwest::Client, Error> {
     let client = reqwest::Client::builder()
         .no_proxy()
-        // The path decides about retries; a retry in the library could run a request twice.
+        // The sender decides about retries.
         .retry(reqwest::retry::never())
         .redirect(reqwest::redirect::Policy::none())
         .connect_timeout(connect)
@@ -135,14 +140,13 @@
 }
 
 impl Http {
-    /// Makes the connection pool of a backend server.
-    pub const fn new(
-        client: reqwest::Client,
-        backend: sync::Arc<Backend>,
-        signer: ids::Signer,
-    ) -> Self {
+    /// Makes the connection pool of a backend server that takes a connection within
+    /// `connect`.
+    pub fn new(backend: sync::Arc<Backend>, connect: Duration, signer: ids::Signer) -> Self {
+        let max_idle = backend.connections as usize;
+        let pool = connection::Pool::new(clock::Boot, backend.address, connect, max_idle);
         Self {
-            client,
+            pool,
             backend,
             signer,
         }
@@ -153,15 +157,21 @@
         &self.backend
     }
 
-    fn build<B>(&self, view: &request::View<'_>, fence: Fence, body: B) -> Option<reqwest::Request>
+    fn build<B>(
+        &self,
+        view: &request::View<'_>,
+        fence: Fence,
+        left: Duration,
+        body: B,
+    ) -> Option<hyper::Request<reqwest::Body>>
     where
         B: Stream<Item = std::io::Result<Bytes>> + Send + 'static,
     {
-        let method = reqwest::Method::from_bytes(view.method.as_bytes()).ok()?;
-        let url = format!("http://{}{}", self.backend.address, view.path);
-        let left = view.left(clock::Instant::now());
-        let mut builder = self.client.request(method, url).timeout(left);
-        for (name, value) in view.headers {
+        let mut builder = hyper::Request::builder()
+            .method(view.method)
+            .uri(view.path)
+            .header("host", self.backend.address.to_string());
+        for (name, value) in view.headers.iter().filter(|(name, _)| name != "host") {
             builder = builder.header(name.as_str(), value.as_ref());
         }
         builder = builder
@@ -177,10 +187,11 @@
         if !view.scope.is_empty() {
             builder = builder.header("sequoiayoke-scope", view.scope);
         }
-        if has_body(view) {
-            builder = builder.body(reqwest::Body::wrap_stream(body));
-        }
-        builder.build().ok()
+        let body = match has_body(view) {
+            true => reqwest::Body::wrap_stream(body),
+            false => reqwest::Body::default(),
+        };
+        builder.body(body).ok()
     }
 }
 
@@ -201,19 +212,15 @@
         let cut = sync::Arc::new(atomic::AtomicBool::new(false));
         let noting = sync::Arc::clone(&cut);
         let body = body.inspect_err(move |_| noting.store(true, atomic::Ordering::Release));
-        let request = self.build(view, fence, body).ok_or(Failure::NotSent)?;
-        let response = self.client.execute(request).await.map_err(|error| {
-            if error.is_connect() {
-                Failure::NotSent
-            } else if cut.load(atomic::Ordering::Acquire) {
-                Failure::Cut
-            } else if error.is_timeout() {
-                Failure::TimedOut
-            } else {
-                Failure::Lost
-            }
+        let left = view.left(clock::Instant::now());
+        let request = self.build(view, fence, left, body);
+        let request = request.ok_or(Failure::NotSent)?;
+        let sent = self.pool.send(request, fence.lease_until, left).await;
+        let response = sent.map_err(|failure| match failure {
+            Failure::Lost if cut.load(atomic::Ordering::Acquire) => Failure::Cut,
+            failure => failure,
         })?;
-        let refused = response.status() == reqwest::StatusCode::CONFLICT
+        let refused = response.status() == hyper::StatusCode::CONFLICT
             && response.headers().contains_key("sequoiayoke-refused");
         let headers = response.headers().iter();
         let headers = headers.map(|(name, value)| {
@@ -224,8 +231,8 @@
             status: response.status().as_u16(),
             headers: headers.collect(),
             refused,
-            length: response.content_length(),
-            body: reqwest::Body::from(response),
+            length: response.body().size_hint().exact(),
+            body: response.into_body(),
         })
     }
 }
--- /dev/null
+++ b/crates/node/src/traffic/server/connection.rs
@@ -0,0 +1,271 @@
+//! Connections to the backend server that begin a request only under the lease.
+//!
+//! The node can be suspended between the check of its lease and the write of a
+//! request. A connection therefore checks the lease once more in the call that writes
+//! the first bytes: a node that resumes without its lease writes nothing, even to a
+//! backend server that checks no fencing.
+
+use std::io;
+use std::net;
+use std::pin::Pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use sequoiayoke_model::clock;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time;
+
+use super::Failure;
+
+/// The lease under which the present request of a connection may begin.
+#[derive(Debug, Default)]
+struct Lease {
+    until_us: atomic::AtomicU64,
+    is_refused: atomic::AtomicBool,
+}
+
+/// A socket that checks the lease before the first bytes of each request.
+#[derive(Debug)]
+struct Socket<C> {
+    io: TcpStream,
+    clock: C,
+    lease: sync::Arc<Lease>,
+    /// Whether the next write begins a request: nothing was written since the last read.
+    begins: bool,
+}
+
+impl<C> Socket<C>
+where
+    C: clock::Clock,
+{
+    fn check(&self) -> io::Result<()> {
+        let until = self.lease.until_us.load(atomic::Ordering::Acquire);
+        if !self.begins || self.clock.now() < clock::Instant::from_micros(until) {
+            return Ok(());
+        }
+        self.lease.is_refused.store(true, atomic::Ordering::Release);
+        Err(io::Error::new(
+            io::ErrorKind::PermissionDenied,
+            "the lease has expired",
+        ))
+    }
+}
+
+impl<C> AsyncRead for Socket<C>
+where
+    C: Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = task::ready!(Pin::new(&mut self.io).poll_read(context, buffer));
+        self.begins |= buffer.filled().len() > before;
+        task::Poll::Ready(read)
+    }
+}
+
+impl<C> AsyncWrite for Socket<C>
+where
+    C: clock::Clock + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        self.check()?;
+        let count = task::ready!(Pin::new(&mut self.io).poll_write(context, bytes))?;
+        self.begins = false;
+        task::Poll::Ready(Ok(count))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        self.check()?;
+        let count = task::ready!(Pin::new(&mut self.io).poll_write_vectored(context, parts))?;
+        self.begins = false;
+        task::Poll::Ready(Ok(count))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+}
+
+/// A connection that carries one request at a time.
+#[derive(Debug)]
+struct Connection {
+    sender: http1::SendRequest<reqwest::Body>,
+    lease: sync::Arc<Lease>,
+}
+
+/// Connections to one backend server.
+#[derive(Clone, Debug)]
+pub struct Pool<C> {
+    clock: C,
+    address: net::SocketAddr,
+    connect: Duration,
+    max_idle: usize,
+    // Locked to take or add one connection, never across an `await`.
+    idle: sync::Arc<sync::Mutex<Vec<Connection>>>,
+}
+
+impl<C> Pool<C>
+where
+    C: clock::Clock + Clone + Send + Unpin + 'static,
+{
+    /// Makes a pool without connections.
+    pub fn new(clock: C, address: net::SocketAddr, connect: Duration, max_idle: usize) -> Self {
+        Self {
+            clock,
+            address,
+            connect,
+            max_idle,
+            idle: sync::Arc::default(),
+        }
+    }
+
+    /// Sends a request that may begin until `lease_until` and must end within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no answer. [`Failure::NotSent`] and [`Failure::LeaseExpired`]
+    /// say that nothing was written.
+    pub async fn send(
+        &self,
+        request: hyper::Request<reqwest::Body>,
+        lease_until: clock::Instant,
+        limit: Duration,
+    ) -> Result<hyper::Response<reqwest::Body>, Failure> {
+        let deadline = time::Instant::now() + limit;
+        let checkout = time::timeout_at(deadline, self.checkout());
+        let mut connection = checkout.await.map_err(|_| Failure::NotSent)??;
+        let lease = sync::Arc::clone(&connection.lease);
+        let until_us = lease_until.as_micros();
+        lease.until_us.store(until_us, atomic::Ordering::Release);
+        let sent = time::timeout_at(deadline, connection.sender.send_request(request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            _ if lease.is_refused.load(atomic::Ordering::Acquire) => {
+                return Err(Failure::LeaseExpired);
+            }
+            // The request never left the queue of a connection that had ended.
+            Ok(Err(error)) if error.is_canceled() => return Err(Failure::NotSent),
+            Ok(Err(_)) => return Err(Failure::Lost),
+            Err(_) => return Err(Failure::TimedOut),
+        };
+        self.keep(connection);
+        let body = |incoming| Deadline {
+            incoming,
+            passed: Box::pin(time::sleep_until(deadline)),
+        };
+        Ok(response.map(|incoming| reqwest::Body::wrap(body(incoming))))
+    }
+
+    /// Takes the connection that was used last, or opens one.
+    async fn checkout(&self) -> Result<Connection, Failure> {
+        while let Some(connection) = self.lock().pop() {
+            if connection.sender.is_ready() {
+                return Ok(connection);
+            }
+        }
+        let opened = time::timeout(self.connect, TcpStream::connect(self.address)).await;
+        let io = opened
+            .map_err(|_| Failure::NotSent)?
+            .map_err(|_| Failure::NotSent)?;
+        io.set_nodelay(true).map_err(|_| Failure::NotSent)?;
+        let lease = sync::Arc::<Lease>::default();
+        let socket = Socket {
+            io,
+            clock: self.clock.clone(),
+            lease: sync::Arc::clone(&lease),
+            begins: true,
+        };
+        let (sender, driver) = http1::handshake(TokioIo::new(socket))
+            .await
+            .map_err(|_| Failure::NotSent)?;
+        tokio::spawn(async move {
+            if let Err(error) = driver.await {
+                tracing::debug!(%error, "a connection to the backend server has broken");
+            }
+        });
+        Ok(Connection { sender, lease })
+    }
+
+    /// Keeps the connection for another request once its answer has ended.
+    fn keep(&self, mut connection: Connection) {
+        let pool = self.clone();
+        tokio::spawn(async move {
+            if connection.sender.ready().await.is_ok() {
+                let mut idle = pool.lock();
+                if idle.len() < pool.max_idle {
+                    idle.push(connection);
+                }
+            }
+        });
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Vec<Connection>> {
+        self.idle
+            .lock()
+            .expect("no code panics while it holds the lock of the pool")
+    }
+}
+
+/// The body of an answer, which fails once its deadline has passed.
+struct Deadline {
+    incoming: Incoming,
+    passed: Pin<Box<time::Sleep>>,
+}
+
+impl http_body::Body for Deadline {
+    type Data = Bytes;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, Self::Error>>> {
+        if self.passed.as_mut().poll(context).is_ready() {
+            let error = io::Error::new(io::ErrorKind::TimedOut, "the deadline has passed");
+            return task::Poll::Ready(Some(Err(error.into())));
+        }
+        let frame = task::ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        task::Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.incoming.size_hint()
+    }
+}
