Do not judge the backend server by what a suspension of the node did

Ruled out: lost pins, moves that do not end (the leader planned none to that server). Change: the health monitor is told several times a second that the process runs. After a gap of 600 ms it starts anew and ignores timeouts of requests sent before; the gate counts those as withdrawn. A request whose time is over is not dispatched.

--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -150,11 +150,13 @@
                 Some(event) = inbox.recv() => self.handle(event),
                 _ = renewal.tick() => {
                     let now = clock::Instant::now();
+                    self.path.evidence().alive(now);
                     self.state.tick(now);
                     self.state.renew(now);
                 }
                 _ = reports.tick() => {
                     let now = clock::Instant::now();
+                    self.path.evidence().alive(now);
                     self.path.observe_silence();
                     let report = self.reporter.report(now, self.path.evidence());
                     self.state.report(report);
--- a/crates/node/src/traffic/evidence.rs
+++ b/crates/node/src/traffic/evidence.rs
@@ -51,9 +51,20 @@
         lock(&self.load).record(now, service, start, hash);
     }
 
-    /// Takes what happened to a request at the backend server.
-    pub fn observed(&self, now: clock::Instant, sample: health::Sample) {
-        lock(&self.health).observe(now, sample);
+    /// Records that the process runs, which tells a suspension from a silent server.
+    pub fn alive(&self, now: clock::Instant) {
+        lock(&self.health).alive(now);
+    }
+
+    /// Takes what happened to a request at the backend server, and when it was sent;
+    /// returns whether it says anything about the server.
+    pub fn observed(
+        &self,
+        now: clock::Instant,
+        sent: clock::Instant,
+        sample: health::Sample,
+    ) -> bool {
+        lock(&self.health).observe(now, sent, sample)
     }
 
     /// Takes what the health endpoint said.
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -177,7 +177,9 @@
         let target = self.target.load();
         if target.as_ref().is_some_and(|one| one.admission.is_silent()) {
             let now = self.clock.now();
-            self.evidence.observed(now, health::Sample::Silent);
+            if !self.evidence.observed(now, now, health::Sample::Silent) {
+                tracing::debug!("a silent backend server is not judged just after a suspension");
+            }
         }
     }
 
@@ -328,7 +330,7 @@
             };
             let woken = tokio::time::timeout(limit, changed.changed()).await;
             if !matches!(woken, Ok(Ok(()))) {
-                return Err(outcome::Reason::Vacant);
+                return Err(reason);
             }
         }
     }
--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -50,6 +50,11 @@
             end(run, window::End::NotRun);
             return answer::Answer::not_run(outcome::Reason::Unreachable);
         }
+        // A request that has no time left would look like a server that does not answer.
+        if view.left(self.clock.now()).is_zero() {
+            end(run, window::End::NotRun);
+            return answer::Answer::not_run(outcome::Reason::Deadline);
+        }
         let response = target.server.dispatch(view, fence, body).await;
         let response = match response {
             Ok(response) if response.refused => {
--- a/crates/node/src/traffic/server/permit.rs
+++ b/crates/node/src/traffic/server/permit.rs
@@ -66,9 +66,13 @@
     fn drop(&mut self) {
         let now = clock::Instant::now();
         let latency = now.saturating_since(self.since);
-        let (key, finish) = (self.key, self.finish);
+        let (key, mut finish) = (self.key, self.finish);
         if let Some(sample) = sample(finish, latency) {
-            self.admission.evidence.observed(now, sample);
+            let evidence = &self.admission.evidence;
+            if !evidence.observed(now, self.since, sample) {
+                // The node was suspended meanwhile; the gate must not blame the server.
+                finish = gate::Finish::Withdrawn;
+            }
         }
         self.admission
             .turn(|gate| gate.finished(now, key, latency, finish));
--- a/crates/traffic/src/health.rs
+++ b/crates/traffic/src/health.rs
@@ -41,6 +41,12 @@
 /// Share of a failure that a slow response counts as. Slow responses alone, even
 /// with a bad endpoint, stay below `FAILING_ENTER`.
 const SLOW_FAILURE: f64 = 0.4;
+/// Gap between two calls of [`Monitor::alive`] after which the monitor's own process
+/// counts as suspended; several times the pause between two calls.
+const SUSPENDED: Duration = Duration::from_millis(600);
+/// Time after a suspension in which a request that is overdue says nothing, since
+/// it may have been overdue only because nobody read its answer.
+const RESUMED: Duration = Duration::from_secs(1);
 /// Time constant of the mean latency. It is long, so that a server that becomes slow
 /// is compared with what it was before.
 const LATENCY_FADE: Duration = Duration::from_secs(30);
@@ -115,7 +121,7 @@
 /// let mut monitor = health::Monitor::new(now);
 /// monitor.probed(now, health::Probe::Healthy);
 /// for _ in 0..3 {
-///     monitor.observe(now, health::Sample::TimedOut);
+///     monitor.observe(now, now, health::Sample::TimedOut);
 /// }
 /// assert_eq!(monitor.report(now).state, health::State::Failing);
 /// ```
@@ -131,6 +137,8 @@
     // Since when the score has allowed a better state.
     better_since: Option<clock::Instant>,
     started: clock::Instant,
+    alive: clock::Instant,
+    resumed: Option<clock::Instant>,
 }
 
 impl Monitor {
@@ -145,11 +153,37 @@
             state: State::Healthy,
             better_since: None,
             started: now,
+            alive: now,
+            resumed: None,
         }
     }
 
-    /// Takes what happened to one request.
-    pub fn observe(&mut self, now: clock::Instant, sample: Sample) {
+    /// Records that the process runs; call it several times per second.
+    ///
+    /// After a suspension of the process, what it saw before and the timeouts of
+    /// requests that were on their way say nothing about the backend server.
+    pub fn alive(&mut self, now: clock::Instant) {
+        if now.saturating_since(self.alive) >= SUSPENDED {
+            *self = Self {
+                resumed: Some(now),
+                ..Self::new(now)
+            };
+        }
+        self.alive = now;
+    }
+
+    /// Takes what happened to one request that was sent at `sent`; returns whether it
+    /// says anything about the backend server.
+    pub fn observe(&mut self, now: clock::Instant, sent: clock::Instant, sample: Sample) -> bool {
+        self.alive(now);
+        let may_be_stale = |resumed: clock::Instant| match sample {
+            Sample::Answered(_) => false,
+            Sample::TimedOut | Sample::Failed => sent <= resumed,
+            Sample::Silent => now.saturating_since(resumed) < RESUMED,
+        };
+        if self.resumed.is_some_and(may_be_stale) {
+            return false;
+        }
         let elapsed = now.saturating_since(self.sampled.unwrap_or(self.started));
         self.fade(elapsed);
         self.total += 1.0;
@@ -163,6 +197,7 @@
             }
         };
         self.sampled = Some(now);
+        true
     }
 
     /// Takes what the health endpoint said.
--- a/crates/traffic/tests/scenario.rs
+++ b/crates/traffic/tests/scenario.rs
@@ -94,13 +94,25 @@
         latency.map(health::Sample::Answered).into_iter().collect();
     samples.extend(timeout.then_some(health::Sample::TimedOut));
     samples.extend(silent.then_some(health::Sample::Silent));
+    // A suspended monitor is not called; otherwise it is, several times a second.
+    let suspended = arg(case, "suspended").map_or(Duration::ZERO, Duration::from_millis);
+    let sent = state.now;
+    state.now = state.now + suspended;
     for _ in 0..arg(case, "count").unwrap_or(1) {
-        state.now = state.now + span;
+        let end = state.now + span;
+        while state.now < end {
+            state.now = state.now + span.min(Duration::from_millis(100));
+            state.monitor.alive(state.now);
+        }
+        let sent = match suspended.is_zero() {
+            true => state.now,
+            false => sent,
+        };
         if let Some(probe) = probe {
             state.monitor.probed(state.now, probe);
         }
         for sample in &samples {
-            state.monitor.observe(state.now, *sample);
+            state.monitor.observe(state.now, sent, *sample);
         }
         state.monitor.report(state.now);
     }
