Let a round of moves grow with the number of backend servers

Keys that are busy from the start kept their first owners full for 12 s. Change: a round may have a move for every two backend servers, and only those that took part in a move wait (1.6 s). The test with 5, 24 and 96 servers fails with the old bound.

--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -17,8 +17,9 @@
     pub busy: f64,
     /// Time for which a range that has moved stays where it is.
     pub rest: Duration,
-    /// Most moves of one service at a time.
-    pub max_moves: usize,
+    /// Moves that a round may have however few backend servers there are; with more
+    /// of them it may have one for every two.
+    pub min_round: usize,
 }
 
 impl Default for Config {
@@ -28,7 +29,7 @@
             tolerance: 0.1,
             busy: 0.5,
             rest: Duration::from_secs(3),
-            max_moves: 4,
+            min_round: 4,
         }
     }
 }
@@ -46,6 +47,9 @@
     pub pace: f64,
     /// Load of its keys.
     pub parts: Vec<usage::Part>,
+    /// Whether a move to or from it is under way, or so recent that its load is
+    /// still reported as it was before.
+    pub is_settling: bool,
 }
 
 impl Owner {
@@ -181,7 +185,10 @@
         }
     }
 
-    /// Moves parts from the busiest to the least busy server.
+    /// Moves parts from the busiest to the least busy of the servers whose load is known.
+    ///
+    /// A round grows with the number of servers, so that many of them level out as
+    /// fast as a few.
     fn level(
         &mut self,
         now: clock::Instant,
@@ -190,14 +197,16 @@
         loads: &mut collections::BTreeMap<id::Server, f64>,
         moves: &mut Vec<Move>,
     ) {
-        while moves.len() < self.config.max_moves {
-            let Some(busiest) = owners.iter().max_by(|one, other| {
+        let known: Vec<_> = owners.iter().filter(|owner| !owner.is_settling).collect();
+        let max_moves = self.config.min_round.max(known.len() / 2);
+        while moves.len() < max_moves {
+            let Some(busiest) = known.iter().max_by(|one, other| {
                 let (one, other) = (loads[&one.id], loads[&other.id]);
                 one.total_cmp(&other)
             }) else {
                 return;
             };
-            let Some(to) = least(owners, loads, busiest.id) else {
+            let Some(to) = least(known.iter().copied(), loads, busiest.id) else {
                 return;
             };
             let (high, low) = (loads[&busiest.id], loads[&to]);
@@ -246,13 +255,16 @@
     }
 }
 
-fn least(
-    owners: &[Owner],
+fn least<'a, I>(
+    owners: I,
     loads: &collections::BTreeMap<id::Server, f64>,
     except: id::Server,
-) -> Option<id::Server> {
+) -> Option<id::Server>
+where
+    I: IntoIterator<Item = &'a Owner>,
+{
     owners
-        .iter()
+        .into_iter()
         .filter(|owner| owner.is_open && owner.id != except)
         .min_by(|one, other| loads[&one.id].total_cmp(&loads[&other.id]))
         .map(|owner| owner.id)
--- a/crates/balance/tests/planner.rs
+++ b/crates/balance/tests/planner.rs
@@ -12,6 +12,7 @@
         is_open: true,
         pace: 1.0,
         parts,
+        is_settling: false,
     }
 }
 
@@ -130,3 +131,64 @@
     assert_eq!(held(&table, 1), 0);
     assert!(held(&table, 0) > 25_000 && held(&table, 2) > 25_000);
 }
+
+/// Returns the highest utilisation among the owners after `rounds` rounds, half a second
+/// apart, in which moves take effect at once but load is reported 1.5 s late.
+fn level_out(servers: u32, rounds: u64) -> f64 {
+    let mut planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let bare: Vec<_> = (0..servers).map(|one| owner(one, Vec::new())).collect();
+    let moves = planner.fill(&table, &bare);
+    apply(&mut table, &moves, 1);
+    // The first quarter of the keys has three quarters of the load.
+    let mean = 6.0 * f64::from(servers) / 65_536.0;
+    let load = |key: u16| if key < 16_384 { mean * 3.0 } else { mean / 3.0 };
+    let parts = |table: &slice::Table, number: u32| {
+        let own = table.slices().iter();
+        let own = own.filter(|slice| slice.owner == Some(id::Server(number)));
+        let parts = own.flat_map(|slice| {
+            let keys: Vec<_> = (slice.range.first..=slice.range.last).collect();
+            let cut = keys.chunks(keys.len().div_ceil(8));
+            let cut: Vec<_> = cut
+                .map(|keys| {
+                    let sum = keys.iter().map(|key| load(*key)).sum();
+                    part(keys[0], keys[keys.len() - 1], sum)
+                })
+                .collect();
+            cut
+        });
+        parts.collect::<Vec<_>>()
+    };
+    let mut settles: std::collections::HashMap<u32, u64> = std::collections::HashMap::new();
+    for round in 0..rounds {
+        let now = clock::Instant::from_micros(round * 500_000);
+        let owners: Vec<_> = (0..servers)
+            .map(|number| planner::Owner {
+                is_settling: settles.get(&number).is_some_and(|until| round < *until),
+                ..owner(number, parts(&table, number))
+            })
+            .collect();
+        let moves = planner.balance(now, &table, &owners);
+        apply(&mut table, &moves, round + 2);
+        for one in &moves {
+            for server in [one.from, Some(one.to)].into_iter().flatten() {
+                settles.insert(server.0, round + 3);
+            }
+        }
+    }
+    let loads = (0..servers).map(|number| {
+        let sum: f64 = parts(&table, number).iter().map(|part| part.load).sum();
+        sum / 12.0
+    });
+    loads.fold(0.0, f64::max)
+}
+
+/// A skewed start: guards against a service of many backend servers whose busy ones keep
+/// too much for longer than those of a small one, because only a few keys move at a time.
+#[test]
+fn many_servers_level_out_as_fast_as_a_few() {
+    for servers in [5, 24, 96] {
+        let highest = level_out(servers, 12);
+        assert!(highest < 0.75, "{servers} servers: {highest}");
+    }
+}
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -99,7 +99,8 @@
     joined: collections::BTreeMap<String, clock::Instant>,
     vacant: collections::BTreeMap<String, clock::Instant>,
     assigned: Option<clock::Instant>,
-    moved: collections::BTreeMap<String, clock::Instant>,
+    /// When each backend server last took part in a move.
+    moved: collections::BTreeMap<id::Server, clock::Instant>,
     planned: clock::Instant,
     proposals: Vec<machine::Command>,
     effects: Vec<Effect>,
@@ -301,7 +302,7 @@
         let planned = self.pending.iter_mut().find(|pending| {
             pending.service == released.service && pending.change.range == released.range
         });
-        let owners = owners(machine, &released.service, &self.reports);
+        let owners = owners(machine, &released.service, &self.reports, |_| false);
         let open = |id: id::Server| owners.iter().any(|one| one.id == id && one.is_open);
         let to = match planned {
             Some(pending) => {
@@ -382,6 +383,7 @@
     fn forget_absent(&mut self, machine: &machine::Machine) {
         let servers = machine.servers();
         self.reports.retain(|id, _| servers.contains_key(id));
+        self.moved.retain(|id, _| servers.contains_key(id));
         self.leaves.retain(|id, _| servers.contains_key(id));
     }
 
@@ -396,11 +398,15 @@
 }
 
 /// Returns the backend servers of a service as the planner sees them.
-fn owners(
+fn owners<F>(
     machine: &machine::Machine,
     service: &str,
     reports: &collections::BTreeMap<id::Server, Report>,
-) -> Vec<planner::Owner> {
+    is_settling: F,
+) -> Vec<planner::Owner>
+where
+    F: Fn(id::Server) -> bool,
+{
     let servers = machine.servers().values();
     let own: Vec<_> = servers
         .filter(|server| server.announcement.service == service)
@@ -417,6 +423,7 @@
                 is_open: !server.announcement.is_draining,
                 pace: report.map_or(1.0, |one| one.service_s.max(0.001) / mean),
                 parts: report.map_or_else(Vec::new, |one| one.parts.clone()),
+                is_settling: is_settling(server.id),
             }
         })
         .collect()
--- a/crates/director/src/coordinator/leader/plan.rs
+++ b/crates/director/src/coordinator/leader/plan.rs
@@ -43,7 +43,17 @@
         service: &str,
         table: &slice::Table,
     ) {
-        let owners = owners(machine, service, &self.reports);
+        for change in self.pending.iter().map(|pending| &pending.change) {
+            for server in change.from.into_iter().chain([change.to]) {
+                self.moved.insert(server, now);
+            }
+        }
+        let moved = &self.moved;
+        let is_settling = |server| {
+            let at = moved.get(&server);
+            at.is_some_and(|at| now.saturating_since(*at) < SETTLE)
+        };
+        let owners = owners(machine, service, &self.reports, is_settling);
         if !owners.iter().any(|owner| owner.is_open) {
             return;
         }
@@ -84,29 +94,16 @@
             return;
         }
         self.vacant.remove(service);
-        let waits = self
-            .pending
-            .iter()
-            .any(|pending| pending.service == service);
-        let settles = self
-            .moved
-            .get(service)
-            .is_some_and(|at| now.saturating_since(*at) < SETTLE);
-        if waits {
-            self.moved.insert(service.to_owned(), now);
-            return;
-        }
-        let is_closing = owners.iter().any(|owner| {
-            let mut slices = table.slices().iter();
-            !owner.is_open && slices.any(|slice| slice.owner == Some(owner.id))
-        });
-        if settles && !is_closing {
-            return;
-        }
         for change in planner.balance(now, table, &owners) {
             let Some(from) = change.from else {
                 continue;
             };
+            let is_asked = self.pending.iter().any(|pending| {
+                pending.service == service && pending.change.range.overlaps(change.range)
+            });
+            if is_asked {
+                continue;
+            }
             let instance = machine
                 .servers()
                 .get(&from)
