Let a body whose answer is late in any case wait for nobody

A body that could not arrive in time was admitted up to its deadline of 8 s, and the ones in time waited behind it on a link of 5.8 Mbit/s. Change: such a body is fetched only if the link is almost free.

--- a/crates/dispatch/src/transfer.rs
+++ b/crates/dispatch/src/transfer.rs
@@ -15,6 +15,8 @@
 const INITIAL_BYTE_S: f64 = 8e-9;
 /// Weight of a new observation in the time for a byte.
 const SMOOTHING: f64 = 0.2;
+/// Time within which a late body must arrive, in times that it takes alone.
+const LATE_TRANSFERS: u32 = 2;
 /// Body that tells enough about the rate, in bytes; a shorter one shows the delay.
 const MIN_OBSERVED: u32 = 16 * 1024;
 
@@ -59,15 +61,23 @@
         Duration::from_secs_f64((self.ahead + u64::from(bytes)) as f64 * self.byte_s)
     }
 
-    /// Returns the time after which to come back with a body that would arrive after
-    /// `limit`.
+    /// Returns the time after which to come back with a body that would arrive too late:
+    /// after `useful_until` or, if it cannot arrive by then even alone, behind others.
+    ///
+    /// A body whose answer is late in any case must not make those behind it late too.
     pub fn refusal(
         &self,
         now: clock::Instant,
-        limit: clock::Instant,
+        useful_until: clock::Instant,
+        deadline: clock::Instant,
         bytes: u32,
     ) -> Option<Duration> {
-        let arrival = now + self.expected(bytes);
+        let alone = Duration::from_secs_f64(f64::from(bytes) * self.byte_s);
+        let limit = match now + alone <= useful_until {
+            true => useful_until,
+            false => now + alone * LATE_TRANSFERS,
+        };
+        let (arrival, limit) = (now + self.expected(bytes), limit.min(deadline));
         (arrival > limit).then(|| arrival.saturating_since(limit))
     }
 
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -361,21 +361,23 @@
 #[test]
 fn a_body_that_would_arrive_late_is_refused_before_its_transfer() {
     let mut link = transfer::Link::new();
-    let limit = at(600);
-    assert_eq!(link.refusal(at(0), limit, 60_000), None);
+    let refusal =
+        |link: &transfer::Link, useful_ms| link.refusal(at(0), at(useful_ms), at(8_000), 60_000);
+    assert_eq!(refusal(&link, 600), None);
     // A link of 6 Mbit/s takes 80 ms for each body.
     for _ in 0..10 {
         link.begin(60_000);
         link.end(60_000, Some(Duration::from_millis(160)), 2);
     }
     let mut admitted = 0;
-    while link.refusal(at(0), limit, 60_000).is_none() {
+    while refusal(&link, 600).is_none() {
         link.begin(60_000);
         admitted += 1;
     }
     assert!((6..=9).contains(&admitted), "{admitted}");
-    let after = link
-        .refusal(at(0), limit, 60_000)
-        .expect("the link is full");
+    let after = refusal(&link, 600).expect("the link is full");
     assert!(after < Duration::from_millis(200), "{after:?}");
+    // One that is late already waits for nobody, however much time it has left.
+    assert!(refusal(&link, 0).is_some());
+    assert_eq!(refusal(&transfer::Link::new(), 0), None);
 }
--- a/crates/gateway/src/traffic/backend/bodies.rs
+++ b/crates/gateway/src/traffic/backend/bodies.rs
@@ -67,14 +67,10 @@
         let pull = pull.ok_or(Refusal::Missing)?;
         let now = clock::Instant::now();
         let service = self.gate.borrow().service(offer.class);
-        let latest = match now + service <= offer.useful_until {
-            true => offer.useful_until,
-            false => offer.deadline,
-        };
         let link = &self.transfers.link;
         let refusal = self.gate.borrow().refusal(now, offer).or_else(|| {
             let link = link.borrow();
-            link.refusal(now + service, latest, length)
+            link.refusal(now + service, offer.useful_until, offer.deadline, length)
         });
         if let Some(after) = refusal {
             return Err(Refusal::Busy(after));
