Hand the keys of a stopping node over before it stops

A node is away for its drain and its start, and the keys of the backend server beside it had no reachable owner meanwhile. Change: a node that says it stops gives its keys away like a leaving backend server; one without a session gets none, as it would look like the least loaded. Tests: director/tests/leader.rs, balance/tests/planner.rs; both fail before.

--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -8,6 +8,10 @@
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 
+/// Backend servers that the keys of a leaving one are spread over at most: each run of
+/// keys costs commands at both ends.
+const MAX_HEIRS: usize = 12;
+
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
@@ -41,8 +45,10 @@
     pub id: id::Server,
     /// Requests that it runs at the same time.
     pub slots: f64,
-    /// Whether it may be given keys; one that may not gives its keys away.
+    /// Whether it may be given keys.
     pub is_open: bool,
+    /// Whether it gives all its keys away, because it or its node is about to stop.
+    pub is_leaving: bool,
     /// Relative time that it takes for a request; 1 is the mean.
     pub pace: f64,
     /// Load of its keys.
@@ -138,7 +144,7 @@
             .iter()
             .map(|owner| (owner.id, owner.load()))
             .collect();
-        for owner in owners.iter().filter(|owner| !owner.is_open) {
+        for owner in owners.iter().filter(|owner| owner.is_leaving) {
             self.empty(table, owner, owners, &mut loads, &mut moves);
         }
         if moves.is_empty() {
@@ -166,7 +172,7 @@
             return;
         }
         let keys: u32 = own.iter().map(|slice| slice.range.len()).sum();
-        let width = (keys / open as u32).max(1);
+        let width = (keys / open.min(MAX_HEIRS) as u32).max(1);
         for slice in own {
             for range in cut(slice.range, width) {
                 let Some(to) = least(owners, loads, owner.id) else {
--- a/crates/balance/tests/planner.rs
+++ b/crates/balance/tests/planner.rs
@@ -10,6 +10,7 @@
         id: id::Server(number),
         slots: 12.0,
         is_open: true,
+        is_leaving: false,
         pace: 1.0,
         parts,
         is_settling: false,
@@ -124,7 +125,7 @@
     let mut owners: Vec<_> = (0..3).map(|number| owner(number, Vec::new())).collect();
     let moves = planner.fill(&table, &owners);
     apply(&mut table, &moves, 1);
-    owners[1].is_open = false;
+    (owners[1].is_open, owners[1].is_leaving) = (false, true);
     let now = clock::Instant::from_micros(0);
     let moves = planner.balance(now, &table, &owners);
     apply(&mut table, &moves, 2);
@@ -192,3 +193,26 @@
         assert!(highest < 0.75, "{servers} servers: {highest}");
     }
 }
+
+/// Guards against keys that go to a backend server whose node is away for a restart:
+/// without load it looks like the best one.
+#[test]
+fn an_absent_owner_keeps_its_keys_and_gets_none() {
+    let mut planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let bare: Vec<_> = (0..3).map(|number| owner(number, Vec::new())).collect();
+    let moves = planner.fill(&table, &bare);
+    apply(&mut table, &moves, 1);
+    let number = |slice: usize| table.slices()[slice].owner.expect("owned").0;
+    let owners = [
+        owner(number(0), vec![part(0, 100, 6.0), part(101, 200, 4.0)]),
+        owner(number(1), vec![part(30_000, 31_000, 2.0)]),
+        planner::Owner {
+            is_open: false,
+            ..owner(number(2), Vec::new())
+        },
+    ];
+    let moves = planner.balance(clock::Instant::from_micros(0), &table, &owners);
+    assert_eq!(moves.len(), 1, "{moves:?}");
+    assert_eq!(moves[0].to, owners[1].id);
+}
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -70,7 +70,15 @@
 struct Node {
     server: Option<server::Instance>,
     due: Sections,
-    is_leaving: bool,
+}
+
+/// Why the node of a backend server can take no keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Absence {
+    /// It is about to stop, and can still release keys.
+    Stops,
+    /// It has no session.
+    Away,
 }
 
 #[derive(Debug)]
@@ -99,6 +107,8 @@
     joined: collections::BTreeMap<String, clock::Instant>,
     vacant: collections::BTreeMap<String, clock::Instant>,
     assigned: Option<clock::Instant>,
+    /// Backend servers whose nodes have said that they stop, or have no session since.
+    absent: collections::BTreeMap<server::Instance, Absence>,
     /// When each backend server last took part in a move.
     moved: collections::BTreeMap<id::Server, clock::Instant>,
     planned: clock::Instant,
@@ -126,6 +136,7 @@
             joined: collections::BTreeMap::new(),
             vacant: collections::BTreeMap::new(),
             assigned: None,
+            absent: collections::BTreeMap::new(),
             moved: collections::BTreeMap::new(),
             planned: now,
             proposals: Vec::new(),
@@ -141,13 +152,15 @@
         Some(self.nodes.insert(Node {
             server: None,
             due: Sections::ALL,
-            is_leaving: false,
         }))
     }
 
     /// Removes a connection; the lease goes on until it lapses.
     pub fn node_down(&mut self, session: Session) {
-        self.nodes.remove(session);
+        let node = self.nodes.remove(session);
+        if let Some(instance) = node.and_then(|node| node.server) {
+            self.absent.insert(instance, Absence::Away);
+        }
     }
 
     /// Takes the commands to propose.
@@ -177,12 +190,26 @@
         let Some(node) = self.nodes.get_mut(session) else {
             return;
         };
-        node.is_leaving = renewal.is_leaving;
         let instance = renewal.server.as_ref().map(|one| &one.instance);
         if node.server.as_ref() != instance {
             node.server = instance.cloned();
             self.end_former(session, instance);
         }
+        match instance {
+            Some(instance) if renewal.is_leaving => {
+                if self.absent.get(instance) != Some(&Absence::Stops) {
+                    tracing::info!(
+                        instance = instance.name,
+                        "a node stops; its keys are handed over"
+                    );
+                }
+                self.absent.insert(instance.clone(), Absence::Stops);
+            }
+            Some(instance) => {
+                self.absent.remove(instance);
+            }
+            None => {}
+        }
         if let Some(ended) = renewal.ended.as_ref().and_then(|one| machine.find(one)) {
             self.leave(now, ended, "the backend server has ended");
         }
@@ -299,10 +326,10 @@
         if slice.owner != Some(from.id) || slice.fence != released.fence {
             return;
         }
+        let owners = self.owners(now, machine, &released.service);
         let planned = self.pending.iter_mut().find(|pending| {
             pending.service == released.service && pending.change.range == released.range
         });
-        let owners = owners(machine, &released.service, &self.reports, |_| false);
         let open = |id: id::Server| owners.iter().any(|one| one.id == id && one.is_open);
         let to = match planned {
             Some(pending) => {
@@ -384,9 +411,44 @@
         let servers = machine.servers();
         self.reports.retain(|id, _| servers.contains_key(id));
         self.moved.retain(|id, _| servers.contains_key(id));
+        self.absent
+            .retain(|instance, _| machine.find(instance).is_some());
         self.leaves.retain(|id, _| servers.contains_key(id));
     }
 
+    /// Returns the backend servers of a service as the planner sees them.
+    fn owners(
+        &self,
+        now: clock::Instant,
+        machine: &machine::Machine,
+        service: &str,
+    ) -> Vec<planner::Owner> {
+        let servers = machine.servers().values();
+        let own: Vec<_> = servers
+            .filter(|server| server.announcement.service == service)
+            .collect();
+        let times = own.iter().filter_map(|server| self.reports.get(&server.id));
+        let times: Vec<f64> = times.map(|report| report.service_s.max(0.001)).collect();
+        let mean = times.iter().sum::<f64>() / times.len().max(1) as f64;
+        own.into_iter()
+            .map(|server| {
+                let report = self.reports.get(&server.id);
+                let absence = self.absent.get(&server.announcement.instance);
+                let is_draining = server.announcement.is_draining;
+                let moved = self.moved.get(&server.id);
+                planner::Owner {
+                    id: server.id,
+                    slots: f64::from(server.announcement.slots),
+                    is_open: !is_draining && absence.is_none(),
+                    is_leaving: is_draining || absence == Some(&Absence::Stops),
+                    pace: report.map_or(1.0, |one| one.service_s.max(0.001) / mean),
+                    parts: report.map_or_else(Vec::new, |one| one.parts.clone()),
+                    is_settling: moved.is_some_and(|at| now.saturating_since(*at) < SETTLE),
+                }
+            })
+            .collect()
+    }
+
     fn mark<F>(&mut self, change: F)
     where
         F: Fn(&mut Sections),
@@ -396,35 +458,3 @@
         }
     }
 }
-
-/// Returns the backend servers of a service as the planner sees them.
-fn owners<F>(
-    machine: &machine::Machine,
-    service: &str,
-    reports: &collections::BTreeMap<id::Server, Report>,
-    is_settling: F,
-) -> Vec<planner::Owner>
-where
-    F: Fn(id::Server) -> bool,
-{
-    let servers = machine.servers().values();
-    let own: Vec<_> = servers
-        .filter(|server| server.announcement.service == service)
-        .collect();
-    let times = own.iter().filter_map(|server| reports.get(&server.id));
-    let times: Vec<f64> = times.map(|report| report.service_s.max(0.001)).collect();
-    let mean = times.iter().sum::<f64>() / times.len().max(1) as f64;
-    own.into_iter()
-        .map(|server| {
-            let report = reports.get(&server.id);
-            planner::Owner {
-                id: server.id,
-                slots: f64::from(server.announcement.slots),
-                is_open: !server.announcement.is_draining,
-                pace: report.map_or(1.0, |one| one.service_s.max(0.001) / mean),
-                parts: report.map_or_else(Vec::new, |one| one.parts.clone()),
-                is_settling: is_settling(server.id),
-            }
-        })
-        .collect()
-}
--- a/crates/director/src/coordinator/leader/plan.rs
+++ b/crates/director/src/coordinator/leader/plan.rs
@@ -4,7 +4,7 @@
 use sequoiayoke_link::session;
 use sequoiayoke_model::clock;
 
-use super::{Effect, GATHER, GATHER_MAX, Leader, PLAN_PAUSE, Pending, RETRY, SETTLE, owners};
+use super::{Effect, GATHER, GATHER_MAX, Leader, PLAN_PAUSE, Pending, RETRY};
 
 impl Leader {
     /// Lets leases lapse and plans moves.
@@ -48,12 +48,7 @@
                 self.moved.insert(server, now);
             }
         }
-        let moved = &self.moved;
-        let is_settling = |server| {
-            let at = moved.get(&server);
-            at.is_some_and(|at| now.saturating_since(*at) < SETTLE)
-        };
-        let owners = owners(machine, service, &self.reports, is_settling);
+        let owners = self.owners(now, machine, service);
         if !owners.iter().any(|owner| owner.is_open) {
             return;
         }
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -218,3 +218,58 @@
     });
     assert!(acknowledged);
 }
+
+/// Guards against keys without a reachable owner while the node beside it restarts: the
+/// node says that it stops, and its keys are released to others before it does.
+#[test]
+fn a_stopping_node_hands_its_keys_over_and_gets_none_until_it_is_back() {
+    let (mut world, nodes, servers) = pair();
+    let first = world.owner(0).expect("owned");
+    let stopping = usize::from(world.machine.servers()[&first].announcement == servers[1]);
+    world.effects();
+    let stops = session::Renewal {
+        is_leaving: true,
+        ..renewal(50, &servers[stopping])
+    };
+    world.renew(at(2_100), nodes[stopping], stops);
+    world.leader.tick(at(2_400), &world.machine);
+    let asked = world
+        .effects()
+        .into_iter()
+        .filter_map(|effect| match effect {
+            leader::Effect::Send(node, session::FromControl::Release { range, fence, .. }) => {
+                Some((node, range, fence))
+            }
+            _ => None,
+        });
+    let asked: Vec<_> = asked.collect();
+    assert!(asked.iter().all(|(node, ..)| *node == nodes[stopping]));
+    let keys: u32 = asked.iter().map(|(_, range, _)| range.len()).sum();
+    assert!(keys > 30_000, "{asked:?}");
+    let mut released = session::Renewal {
+        is_leaving: true,
+        ..renewal(51, &servers[stopping])
+    };
+    for (_, range, fence) in asked {
+        released.released.push(session::Released {
+            service: "status".to_owned(),
+            range,
+            fence,
+            handover: None,
+        });
+    }
+    world.renew(at(2_500), nodes[stopping], released);
+    world.commit(at(2_500));
+    assert!(world.owner(0).is_some_and(|owner| owner != first));
+    // Away, without load, it would look like the best target.
+    world.leader.node_down(nodes[stopping]);
+    let mut busy = renewal(60, &servers[1 - stopping]);
+    busy.parts = vec![sequoiayoke_dispatch::usage::Part {
+        range: slice::Range::new(0, 100),
+        load: 3.9,
+    }];
+    world.renew(at(6_000), nodes[1 - stopping], busy);
+    world.effects();
+    world.leader.tick(at(6_300), &world.machine);
+    assert_eq!(world.effects(), []);
+}
