Keep the keys of a leaving backend server until its grants have run out

Its node took the refused connection for its end, the leader vacated its keys, and another one got key 2849 while the first still held it, since a release had got no answer. Ruled out: grants of a restarted node (that node did not restart before). Change: if the backend server is leaving and holds keys, its end counts only once the lease under which it was granted them has run out. Test in gateway/tests/state.rs fails before.

--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -128,6 +128,10 @@
     renewed: Option<clock::Instant>,
     grants: Vec<Grant>,
     releases: Vec<Release>,
+    /// The run that was asked for last, while none has announced itself.
+    identified: Option<server::Instance>,
+    /// When the grants of a backend server that takes no connection have run out.
+    closes: Option<clock::Instant>,
     /// Grants that the backend server has not answered.
     open: Vec<(slice::Range, slice::Fence)>,
     uncertain: Vec<Uncertain>,
@@ -156,6 +160,8 @@
             grants: Vec::new(),
             releases: Vec::new(),
             open: Vec::new(),
+            identified: None,
+            closes: None,
             uncertain: Vec::new(),
             refences: Vec::new(),
             parts: Vec::new(),
@@ -271,7 +277,10 @@
         true
     }
 
-    /// Takes the news that a run of the backend server has ended.
+    /// Takes the news that a run of the backend server takes no connection.
+    ///
+    /// One that was leaving may have closed its port with work still running, so its keys
+    /// stay with it until its grants have run out. Any other has ended.
     pub fn ended(&mut self, now: clock::Instant, instance: &server::Instance) {
         let own = self.own.as_ref();
         if own.is_none_or(|own| own.announcement.instance != *instance) {
@@ -305,6 +314,24 @@
     /// Renews at once over a new connection.
     pub fn connected(&mut self, now: clock::Instant) {
         self.renew(now);
+        };
+        let holds = !self.grants.is_empty() || !self.releases.is_empty();
+        if own.draining_since.is_some() && holds {
+            // No grant outlasts the lease, also one whose release got no answer.
+            let until = match self.closes {
+                Some(until) => until,
+                None => {
+                    tracing::info!(
+                        instance = instance.name,
+                        "a leaving backend server takes no connection; its grants run out"
+                    );
+                    now + self.lease.left(now)
+                }
+            };
+            self.closes = Some(until);
+            if now < until {
+                return;
+            }
     }
 
     /// Records that the node is about to stop.
@@ -321,6 +348,7 @@
         let released = self.releases.iter().filter_map(|release| {
             Some(session::Released {
                 service: release.service.clone(),
+        self.closes = None;
                 range: release.range,
                 fence: release.fence,
                 handover: release.handover.clone()?,
@@ -418,3 +446,12 @@
         }
     }
 }
+        if self.closes.is_some() {
+            let own = self
+                .own
+                .as_ref()
+                .map(|own| own.announcement.instance.clone());
+            if let Some(instance) = own {
+                self.ended(now, &instance);
+            }
+        }
--- a/crates/gateway/src/coordinator/state/grants.rs
+++ b/crates/gateway/src/coordinator/state/grants.rs
@@ -89,7 +89,7 @@
 
     /// Sends grants that are due.
     pub(super) fn grant(&mut self, now: clock::Instant) {
-        let Some(own) = &self.own else {
+        let Some(own) = self.own.as_ref().filter(|_| self.closes.is_none()) else {
             return;
         };
         let left = self.lease.left(now) * HOLD_PERCENT / 100;
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -270,3 +270,63 @@
     let effects = state.take_effects();
     assert_eq!((releases(&effects), refences(&effects)), (0, 1));
 }
+
+/// Guards against a node that has restarted and serves nothing until its backend server
+/// happens to announce itself again, and against one that takes an unheard run's keys.
+#[test]
+fn a_restarted_node_asks_for_the_run_that_the_leader_knows() {
+    for is_keyed in [false, true] {
+        let mut state = State::new(Config {
+            lease: LEASE,
+            backend: ([127, 0, 0, 1], 1).into(),
+            max_hold: Duration::from_secs(10),
+        });
+        let service = config::Service {
+            name: "status".to_owned(),
+            health_path: "/health".to_owned(),
+            max_connections: 10,
+            is_keyed,
+            warm_up_ms: 0,
+        };
+        let known = session::State {
+            config: Some(config::Config {
+                version: config::Version(1),
+                services: vec![service],
+                ..config::Config::default()
+            }),
+            ..learned(5, &[])
+        };
+        state.learned(at(0), known.clone());
+        state.learned(at(1), known);
+        let effects = state.take_effects().into_iter();
+        let asked = effects.filter(|effect| matches!(effect, Effect::Identify(_)));
+        assert_eq!(asked.count(), usize::from(!is_keyed));
+    }
+}
+
+/// Guards against a second owner beside a leaving backend server that has closed its port
+/// and still works: what it held may go elsewhere only once its grants have run out.
+#[test]
+fn the_keys_of_a_leaving_backend_server_wait_for_its_grants() {
+    let mut state = owner();
+    let (range, _) = grants(&state.take_effects())[0];
+    state.granted(range, slice::Fence(5), at(6_600));
+    state.settled(at(2), range, slice::Fence(5), None);
+    assert!(state.leaving(at(100), "i-1"));
+    // Its release gets no answer.
+    state.release(at(200), "status", slice::Range::ALL, slice::Fence(5));
+    let run = announcement("i-1", 10).instance;
+    let stated = |state: &mut State| {
+        let effects = state.take_effects().into_iter();
+        let ended = effects.filter_map(|effect| match effect {
+            Effect::Renew(renewal) => Some(renewal.ended.is_some()),
+            _ => None,
+        });
+        ended.last()
+    };
+    state.ended(at(300), &run);
+    state.tick(at(6_900));
+    assert_eq!(stated(&mut state), Some(false));
+    state.tick(at(7_100));
+    assert_eq!(stated(&mut state), Some(true));
+}
