Ask the backend server who it is when a node restarts

Change: it asks the address for the run that the leader knows there. Only for services without keys: a run that has started again under its name holds none, and only its announcement says so.

--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -7,6 +7,7 @@
 mod grants;
 mod releases;
 
+use std::net;
 use std::sync;
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
     pub lease: Duration,
     /// Longest grant that a backend server takes.
     pub max_hold: Duration,
+    /// Address of the backend server.
+    pub backend: net::SocketAddr,
 }
 
 /// What the coordinator has to do.
@@ -44,6 +47,8 @@
 pub enum Effect {
     /// Sends a renewal to the leader.
     Renew(session::Renewal),
+    /// Finds out whether this run, which the leader knows, is still there.
+    Identify(server::Announcement),
     /// Sends a grant to the backend server.
     Grant {
         /// The run that is meant.
@@ -123,15 +128,15 @@
     view: view::View,
     own: Option<Own>,
     ended: Option<server::Instance>,
+    /// The run that was asked for last, while none has announced itself.
+    identified: Option<server::Instance>,
+    /// When the grants of a backend server that takes no connection have run out.
+    closes: Option<clock::Instant>,
     lease: holder::Holder,
     sequence: u64,
     renewed: Option<clock::Instant>,
     grants: Vec<Grant>,
     releases: Vec<Release>,
-    /// The run that was asked for last, while none has announced itself.
-    identified: Option<server::Instance>,
-    /// When the grants of a backend server that takes no connection have run out.
-    closes: Option<clock::Instant>,
     /// Grants that the backend server has not answered.
     open: Vec<(slice::Range, slice::Fence)>,
     uncertain: Vec<Uncertain>,
@@ -155,13 +160,13 @@
             view: view::View::default(),
             own: None,
             ended: None,
+            identified: None,
+            closes: None,
             sequence: 0,
             renewed: None,
             grants: Vec::new(),
             releases: Vec::new(),
             open: Vec::new(),
-            identified: None,
-            closes: None,
             uncertain: Vec::new(),
             refences: Vec::new(),
             parts: Vec::new(),
@@ -260,6 +265,30 @@
         true
     }
 
+    /// Asks the backend server whether it is the run that the leader knows at its
+    /// address, so that a node that has restarted need not wait for an announcement.
+    ///
+    /// Only for services without keys: a run that has started again under its name holds
+    /// no keys, and only its announcement tells that it has.
+    fn identify(&mut self) {
+        if self.own.is_some() {
+            return;
+        }
+        let mut servers = self.view.servers.values();
+        let known = servers.find(|one| one.announcement.address == self.config.backend);
+        let Some(known) = known.map(|one| &one.announcement) else {
+            return;
+        };
+        let service = self.view.service(&known.service);
+        let is_keyed = service.is_none_or(|service| service.is_keyed);
+        let run = Some(&known.instance);
+        if is_keyed || self.ended.as_ref() == run || self.identified.as_ref() == run {
+            return;
+        }
+        self.identified = Some(known.instance.clone());
+        self.effects.push(Effect::Identify(known.clone()));
+    }
+
     /// Takes the news that the backend server leaves; returns whether it is the one.
     pub fn leaving(&mut self, now: clock::Instant, name: &str) -> bool {
         let Some(own) = &mut self.own else {
@@ -283,8 +312,26 @@
     /// stay with it until its grants have run out. Any other has ended.
     pub fn ended(&mut self, now: clock::Instant, instance: &server::Instance) {
         let own = self.own.as_ref();
-        if own.is_none_or(|own| own.announcement.instance != *instance) {
+        let Some(own) = own.filter(|own| own.announcement.instance == *instance) else {
             return;
+        };
+        let holds = !self.grants.is_empty() || !self.releases.is_empty();
+        if own.draining_since.is_some() && holds {
+            // No grant outlasts the lease, also one whose release got no answer.
+            let until = match self.closes {
+                Some(until) => until,
+                None => {
+                    tracing::info!(
+                        instance = instance.name,
+                        "a leaving backend server takes no connection; its grants run out"
+                    );
+                    now + self.lease.left(now)
+                }
+            };
+            self.closes = Some(until);
+            if now < until {
+                return;
+            }
         }
         tracing::warn!(instance = instance.name, "the backend server has ended");
         self.ended = Some(instance.clone());
@@ -301,6 +348,7 @@
         self.uncertain.clear();
         self.refences.clear();
         self.parts.clear();
+        self.closes = None;
         self.lease.dropped();
         self.is_changed = true;
     }
@@ -314,24 +362,6 @@
     /// Renews at once over a new connection.
     pub fn connected(&mut self, now: clock::Instant) {
         self.renew(now);
-        };
-        let holds = !self.grants.is_empty() || !self.releases.is_empty();
-        if own.draining_since.is_some() && holds {
-            // No grant outlasts the lease, also one whose release got no answer.
-            let until = match self.closes {
-                Some(until) => until,
-                None => {
-                    tracing::info!(
-                        instance = instance.name,
-                        "a leaving backend server takes no connection; its grants run out"
-                    );
-                    now + self.lease.left(now)
-                }
-            };
-            self.closes = Some(until);
-            if now < until {
-                return;
-            }
     }
 
     /// Records that the node is about to stop.
@@ -348,7 +378,6 @@
         let released = self.releases.iter().filter_map(|release| {
             Some(session::Released {
                 service: release.service.clone(),
-        self.closes = None;
                 range: release.range,
                 fence: release.fence,
                 handover: release.handover.clone()?,
@@ -399,6 +428,7 @@
             if before != self.own_id() {
                 self.renew(now);
             }
+            self.identify();
         }
         if let Some(tables) = state.tables {
             self.view.tables = sync::Arc::new(tables);
@@ -424,6 +454,15 @@
         {
             self.renew(now);
         }
+        if self.closes.is_some() {
+            let own = self
+                .own
+                .as_ref()
+                .map(|own| own.announcement.instance.clone());
+            if let Some(instance) = own {
+                self.ended(now, &instance);
+            }
+        }
         self.grant(now);
         self.ask_releases(now);
     }
@@ -446,12 +485,3 @@
         }
     }
 }
-        if self.closes.is_some() {
-            let own = self
-                .own
-                .as_ref()
-                .map(|own| own.announcement.instance.clone());
-            if let Some(instance) = own {
-                self.ended(now, &instance);
-            }
-        }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -119,6 +119,9 @@
     /// Reads what a response says about itself.
     fn verdict<'a>(&self, response: &'a response::Response) -> Verdict<'a>;
 
+    /// Reads the name of the run that has answered a question for its health.
+    fn identity<'a>(&self, response: &'a response::Response) -> Option<&'a str>;
+
     /// Writes a command to a backend server.
     fn order(&self, command: &Command<'_>) -> Order;
 
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -93,6 +93,7 @@
         let (events, inbox) = mpsc::channel(coordinator::QUEUE);
         let (commands, orders) = mpsc::channel(coordinator::QUEUE);
         let config = coordinator::state::Config {
+            backend: settings.backend,
             lease: settings.lease,
             max_hold: settings.max_hold,
         };
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -43,6 +43,8 @@
 /// Longest time without use after which a connection still carries a request
 /// that must not run twice: the backend server may have forgotten it.
 const IDLE_UNSAFE: Duration = Duration::from_secs(3);
+/// Time in which a backend server says who it is; later its announcement has come.
+const IDENTIFY: Duration = Duration::from_millis(500);
 /// Connections that are kept without use.
 const MAX_IDLE: usize = 32;
 /// Time beyond the deadline in which the backend server's own last word may arrive.
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -7,10 +7,11 @@
 use sequoiayoke_http1::response;
 use sequoiayoke_model::clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::oneshot;
 
 use super::{
-    Backend, Connection, Context, Error, IDLE, IDLE_PERCENT, IDLE_UNSAFE, LIMITS, MAX_IDLE,
-    MAX_STRAY, connect, finish, timeout,
+    Backend, Connection, Context, Error, IDENTIFY, IDLE, IDLE_PERCENT, IDLE_UNSAFE, LIMITS,
+    MAX_IDLE, MAX_STRAY, connect, finish, timeout,
 };
 use crate::coordinator;
 use crate::frontend;
@@ -117,6 +118,24 @@
         order: &frontend::Order,
         limit: Duration,
     ) -> Result<response::Response, Error>
+    where
+        Frontend: frontend::Frontend,
+    {
+        let body = [order.media_type.as_bytes(), &order.body];
+        self.ask(context, instance, "POST", order.path, body, limit)
+            .await
+    }
+
+    /// Sends a request of the node's own, with a media type and a body.
+    async fn ask<Frontend>(
+        &self,
+        context: &Context<Frontend>,
+        instance: &server::Instance,
+        method: &str,
+        path: &str,
+        [media_type, body]: [&[u8]; 2],
+        limit: Duration,
+    ) -> Result<response::Response, Error>
     where
         Frontend: frontend::Frontend,
     {
@@ -126,20 +145,63 @@
                 context.tell(coordinator::Event::Ended(instance.clone()));
             }
         })?;
-        let mut request = format!(
-            "POST {} HTTP/1.1\r\nhost: {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n\r\n",
-            order.path,
-            self.address,
-            order.media_type,
-            order.body.len()
-        )
-        .into_bytes();
-        request.extend_from_slice(&order.body);
+        let mut request = format!("{method} {path} HTTP/1.1\r\nhost: {}\r\n", self.address);
+        if !body.is_empty() {
+            let length = body.len();
+            request.push_str(&format!("content-length: {length}\r\ncontent-type: "));
+        }
+        let mut request = request.into_bytes();
+        if !body.is_empty() {
+            request.extend_from_slice(media_type);
+            request.extend_from_slice(b"\r\n");
+        }
+        request.extend_from_slice(b"\r\n");
+        request.extend_from_slice(body);
         let exchange = self.exchange(&context.frontend, connection, request, "");
         let ended = tokio::time::timeout(limit, exchange).await;
         ended.unwrap_or(Err(Error::Timeout))
     }
 
+    /// Takes the run that the leader knows for present if it answers under its name.
+    pub(in crate::traffic) async fn identify<Frontend>(
+        &self,
+        context: &Context<Frontend>,
+        known: server::Announcement,
+    ) where
+        Frontend: frontend::Frontend,
+    {
+        let view = context.view();
+        let Some(service) = view.service(&known.service) else {
+            return;
+        };
+        let path = &service.health_path;
+        let instance = &known.instance;
+        let asked = self.ask(context, instance, "GET", path, [&[], &[]], IDENTIFY);
+        match asked.await {
+            Ok(response) if context.frontend.identity(&response) == Some(&instance.name) => {
+                tracing::info!(
+                    instance = instance.name,
+                    "the backend server is the run that the leader knows"
+                );
+                self.set_slots(known.slots);
+                let (reply, _) = oneshot::channel();
+                context.tell(coordinator::Event::Announced {
+                    announcement: known,
+                    sequence: 0,
+                    reply,
+                });
+            }
+            Ok(response) => {
+                let (instance, status) = (&instance.name, response.status);
+                tracing::info!(instance, status, "another run is at the address");
+            }
+            Err(error) => {
+                let instance = &instance.name;
+                tracing::info!(instance, %error, "the backend server does not say who it is");
+            }
+        }
+    }
+
     /// Finds out whether a backend server that is silent has ended.
     pub(in crate::traffic) async fn probe<Frontend>(
         &self,
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -184,6 +184,10 @@
         coordinator::Command::Replicas(addresses) => {
             replicas.known = addresses.into_iter().take(MAX_REPLICAS).collect();
         }
+        coordinator::Command::Effect(state::Effect::Identify(known)) => {
+            let context = rc::Rc::clone(context);
+            task::spawn_local(async move { context.backend.identify(&context, known).await });
+        }
         coordinator::Command::Probe(announcement) => {
             let context = rc::Rc::clone(context);
             task::spawn_local(async move { context.backend.probe(&context, &announcement).await });
@@ -202,7 +206,7 @@
 {
     match effect {
         // A renewal without a session is worth nothing: the next session begins with one.
-        state::Effect::Renew(_) => {}
+        state::Effect::Renew(_) | state::Effect::Identify(_) => {}
         state::Effect::Grant {
             instance,
             range,
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sequoiayoke_catalog::{server, slice};
+use sequoiayoke_catalog::{config, server, slice};
 use sequoiayoke_gateway::coordinator::state::{Config, Effect, State};
 use sequoiayoke_link::session;
 use sequoiayoke_model::{clock, id};
@@ -66,6 +66,7 @@
 fn owner() -> State {
     let mut state = State::new(Config {
         lease: LEASE,
+        backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
     });
     assert!(state.announced(at(0), announcement("i-1", 10), 1));
