Explain a request from its id: sequoiayoke logs why

Reads the processes' JSON lines, prints what they say of a request and of the beliefs it rested on, and names the cause. Golden sessions of a refusal, a failure that may have run and a late answer. A refusal because bodies fill the link has a line of its own now.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -101,6 +101,9 @@
     /// Check settings files without starting anything.
     #[command(subcommand)]
     Settings(Settings),
+    /// Explain what happened to a request, from the processes' logs.
+    #[command(subcommand)]
+    Logs(Logs),
     /// Print a completion script for a shell.
     #[command(
         after_help = "Example:\n  sequoiayoke completion bash > ~/.local/share/bash-completion/completions/sequoiayoke"
@@ -183,6 +186,23 @@
     },
 }
 
+/// Commands on logs.
+#[derive(Clone, Debug, clap::Subcommand)]
+pub enum Logs {
+    /// Print the story of a request, across processes, and its cause.
+    #[command(
+        after_help = "The files hold JSON lines of gateways and directors, one process each or         several with its name before each line.\n\nExample:\n  \
+        sequoiayoke logs why 9c41d07be2a35f68 logs/*.log"
+    )]
+    Why {
+        /// Id of the request.
+        id: String,
+        /// Logs of the processes.
+        #[arg(required = true)]
+        files: Vec<path::PathBuf>,
+    },
+}
+
 /// Program that reads a settings file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Role {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod command;
 pub mod exit;
 pub mod failure;
+pub mod story;
 
 mod difference;
 mod run;
--- a/crates/cli/src/run/mod.rs
+++ b/crates/cli/src/run/mod.rs
@@ -2,6 +2,7 @@
 
 mod drain;
 mod explain;
+mod logs;
 mod settings;
 mod status;
 mod ticket;
@@ -30,6 +31,7 @@
         command::Command::Explain(key) => explain::run(&mut connect(common, notices)?, key).await,
         command::Command::Drain(server) => drain::run(&mut connect(common, notices)?, server).await,
         command::Command::Settings(command) => settings::run(command),
+        command::Command::Logs(command) => logs::run(command),
         command::Command::Completion { shell } => Ok(completion(*shell)),
     }
 }
--- a/crates/cli/tests/sessions/main.rs
+++ b/crates/cli/tests/sessions/main.rs
@@ -236,3 +236,50 @@
     let script = session.transcript();
     assert!(script.contains("_sequoiayoke()") && script.ends_with("exit 0\n\n"));
 }
+
+/// Lines as gateways and a director write them, with the process before each line.
+const REFUSED: &str = r#"entry {"timestamp":"2026-10-09T09:28:12.100000Z","level":"INFO","message":"configuration in force","version":25,"index":1656}
+owner {"timestamp":"2026-10-09T09:28:12.596000Z","level":"INFO","message":"the backend server is full","id":"e41be054c043ff7f","rank":132272,"running":9,"waiting":25,"slots":9,"service_ms":152,"left_ms":2890,"useful_ms":550,"patience_ms":2890,"retry_after_ms":50}
+entry {"timestamp":"2026-10-09T09:28:12.597000Z","level":"INFO","message":"gave up on a request","id":"e41be054c043ff7f","service":"desk","reason":"busy","server":52,"sent":0,"tried":1,"full":2,"may_have_run":false,"view":1656}
+entry {"timestamp":"2026-10-09T09:28:12.597100Z","level":"INFO","message":"not served","id":"e41be054c043ff7f","service":"desk","method":"POST","status":503,"failure":"NotRun(60ms)","took_ms":17,"retry_after_ms":60}
+elsewhere {"timestamp":"2026-10-09T09:28:12.300000Z","level":"INFO","message":"the connection to a node ended","address":"10.0.0.9:7000"}
+"#;
+const BROKEN: &str = r#"ready callers=127.0.0.1:1
+{"timestamp":"2026-10-09T09:28:14.000000Z","level":"WARN","message":"the backend server has ended","instance":"i-28"}
+{"timestamp":"2026-10-09T09:28:13.995000Z","level":"INFO","message":"no usable answer of the backend server","id":"28be01a383d4b9a9","error":"the connection broke off: Connection reset by peer"}
+{"timestamp":"2026-10-09T09:28:13.996000Z","level":"INFO","message":"gave up on a request","id":"28be01a383d4b9a9","service":"desk","reason":"broken","server":9,"sent":1,"may_have_run":true,"view":84}
+{"timestamp":"2026-10-09T09:28:14.000100Z","level":"INFO","message":"not served","id":"28be01a383d4b9a9","method":"POST","status":502,"failure":"Unknown","took_ms":5}
+"#;
+const LATE: &str = r#"owner {"timestamp":"2026-10-09T09:28:15.500000Z","level":"INFO","message":"the backend server answered late","id":"2f2607f1055ac3ba","key":62743,"waited_ms":314,"ran_ms":282,"running":12,"waiting":11,"slots":12}
+core-1 {"timestamp":"2026-10-09T09:28:13.000000Z","level":"INFO","message":"moving keys","service":"status","first":62000,"last":62742,"from":2,"to":3}
+entry {"timestamp":"2026-10-09T09:28:15.502000Z","level":"INFO","message":"answered late","id":"2f2607f1055ac3ba","service":"status","key":62743,"server":2,"sent":1,"took_ms":601,"late_ms":120}
+"#;
+
+/// Guards against an engineer who has an id and logs and cannot tell the cause: a
+/// refusal by a full service, a failure that may have run, and a late answer.
+#[tokio::test]
+async fn why_requests_failed() {
+    let mut session = session::Session::new(&[]);
+    session.file("refused.log", REFUSED);
+    session.file("node-7.log", BROKEN);
+    session.file("late.log", LATE);
+    session
+        .run("logs why e41be054c043ff7f files/refused.log files/late.log")
+        .await;
+    session
+        .run("logs why 28be01a383d4b9a9 files/node-7.log")
+        .await;
+    session
+        .run("logs why 2f2607f1055ac3ba files/late.log files/refused.log")
+        .await;
+    session
+        .run("logs why 2f2607f1055ac3ba files/late.log --output json")
+        .await;
+    session
+        .run("logs why 0000000000000000 files/late.log")
+        .await;
+    session
+        .run("logs why 2f2607f1055ac3ba files/none.log")
+        .await;
+    insta::assert_snapshot!(session.transcript());
+}
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -163,7 +163,20 @@
         };
         let body = match self.body(open, pull, &offer).await {
             Ok(body) => body,
-            Err(bodies::Refusal::Busy(after)) => return self.refuse(context, open, after),
+            Err(bodies::Refusal::Full(after)) => return self.refuse(context, open, after),
+            Err(bodies::Refusal::LinkFull(after)) => {
+                if context.may_log() {
+                    tracing::info!(
+                        id = open.id,
+                        body = ?open.body,
+                        left_ms = open.left_ms,
+                        useful_ms = open.useful_ms,
+                        retry_after_ms = after.as_millis() as u64,
+                        "bodies fill the link to the node"
+                    );
+                }
+                return not_run(peer::Reason::Busy, after, false);
+            }
             Err(bodies::Refusal::Missing) => {
                 tracing::info!(id = open.id, "the body of a request has not arrived");
                 return not_run(peer::Reason::Deadline, Duration::ZERO, false);
--- a/crates/gateway/src/traffic/backend/bodies.rs
+++ b/crates/gateway/src/traffic/backend/bodies.rs
@@ -45,8 +45,10 @@
 
 /// Why a request has no body.
 pub(super) enum Refusal {
-    /// It would arrive too late, or the request would be refused after it.
-    Busy(Duration),
+    /// The request would be refused after it.
+    Full(Duration),
+    /// It would arrive too late.
+    LinkFull(Duration),
     /// It has not arrived in time, or the connection has ended.
     Missing,
 }
@@ -68,12 +70,15 @@
         let now = clock::Instant::now();
         let service = self.gate.borrow().service(offer.class);
         let link = &self.transfers.link;
-        let refusal = self.gate.borrow().refusal(now, offer).or_else(|| {
-            let link = link.borrow();
-            link.refusal(now + service, offer.useful_until, offer.deadline, length)
-        });
-        if let Some(after) = refusal {
-            return Err(Refusal::Busy(after));
+        if let Some(after) = self.gate.borrow().refusal(now, offer) {
+            return Err(Refusal::Full(after));
+        }
+        let (useful_until, deadline) = (offer.useful_until, offer.deadline);
+        let late = link
+            .borrow()
+            .refusal(now + service, useful_until, deadline, length);
+        if let Some(after) = late {
+            return Err(Refusal::LinkFull(after));
         }
         link.borrow_mut().begin(length);
         let mut transfer = Transfer {
