Count the bodies on their way to a backend server when choosing one for a body

Change: the node of a backend server reports the wait for bodies with each answer, and the choice adds the expected transfer to the cost. The load test fails before.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::admission;
+use crate::{admission, transfer};
 
 /// Time that a request to another failure domain costs, in seconds: the way there and
 /// back, and what the bytes between domains are charged.
@@ -28,6 +28,8 @@
 pub struct Candidate {
     /// How busy it was when it last said so.
     pub load: admission::Load,
+    /// Bodies on their way to it when it last said so.
+    pub link: transfer::Load,
     /// Time since then.
     pub age: Duration,
     /// Requests sent to it from here since then that have not ended.
@@ -47,11 +49,12 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use sequoiayoke_dispatch::{admission, choice};
+    /// use sequoiayoke_dispatch::{admission, choice, transfer};
     ///
     /// let load = admission::Load { running: 2, waiting: 0, slots: 4, service_s: 0.1 };
     /// let near = choice::Candidate {
     ///     load,
+    ///     link: transfer::Load::default(),
     ///     age: Duration::ZERO,
     ///     outstanding: 0,
     ///     is_near: true,
@@ -73,7 +76,11 @@
         } else {
             CROSS_DOMAIN_S + body_bytes as f64 / 1_024.0 * CROSS_DOMAIN_PER_KIB_S
         };
-        let answered = self.load.service_s + wait + queue + distance;
+        let transfer = match body_bytes {
+            0 => 0.0,
+            bytes => self.link.expected(bytes).as_secs_f64() * trust,
+        };
+        let answered = self.load.service_s + wait + queue + distance + transfer;
         answered / (1.0 - self.failing.clamp(0.0, 0.9))
     }
 
--- a/crates/dispatch/src/transfer.rs
+++ b/crates/dispatch/src/transfer.rs
@@ -20,6 +20,35 @@
 /// Body that tells enough about the rate, in bytes; a shorter one shows the delay.
 const MIN_OBSERVED: u32 = 16 * 1024;
 
+/// What a VM says about bodies on their way to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Time until those that were asked for are there.
+    pub wait: Duration,
+    /// Time for a kibibyte.
+    pub kib: Duration,
+}
+
+impl Load {
+    /// Returns the expected time until a body of `bytes` that is offered now is there.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sequoiayoke_dispatch::transfer;
+    ///
+    /// let load = transfer::Load {
+    ///     wait: Duration::from_millis(80),
+    ///     kib: Duration::from_millis(1),
+    /// };
+    /// assert_eq!(load.expected(10 * 1024), Duration::from_millis(90));
+    /// ```
+    pub fn expected(&self, bytes: usize) -> Duration {
+        self.wait + self.kib.mul_f64(bytes as f64 / 1_024.0)
+    }
+}
+
 /// Transfers to one VM.
 ///
 /// # Examples
@@ -56,6 +85,14 @@
         }
     }
 
+    /// Returns what other nodes are told.
+    pub fn load(&self) -> Load {
+        Load {
+            wait: self.expected(0),
+            kib: Duration::from_secs_f64(1_024.0 * self.byte_s),
+        }
+    }
+
     /// Returns the expected time until a body of `bytes` that is asked for now is there.
     pub fn expected(&self, bytes: u32) -> Duration {
         Duration::from_secs_f64((self.ahead + u64::from(bytes)) as f64 * self.byte_s)
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -132,6 +132,7 @@
     };
     let good = choice::Candidate {
         load,
+        link: transfer::Load::default(),
         age: Duration::ZERO,
         outstanding: 2,
         is_near: false,
@@ -310,6 +311,7 @@
                     service_s: 0.1,
                     ..*load
                 },
+                link: transfer::Load::default(),
                 age: Duration::from_millis(ms - at),
                 outstanding: 0,
                 is_near: server % 3 == node % 3,
@@ -381,3 +383,33 @@
     assert!(refusal(&link, 0).is_some());
     assert_eq!(refusal(&transfer::Link::new(), 0), None);
 }
+
+/// Uploads from a failure domain with few backend servers: guards against bodies that all
+/// press on the links of that domain while others have room.
+#[test]
+fn an_upload_goes_elsewhere_when_the_links_nearby_are_full() {
+    let near = choice::Candidate {
+        load: admission::Load {
+            running: 1,
+            waiting: 0,
+            slots: 9,
+            service_s: 0.2,
+        },
+        link: transfer::Load {
+            wait: Duration::from_millis(600),
+            kib: Duration::from_millis(1),
+        },
+        age: Duration::ZERO,
+        outstanding: 1,
+        is_near: true,
+        failing: 0.0,
+    };
+    let far = choice::Candidate {
+        link: transfer::Load::default(),
+        is_near: false,
+        ..near
+    };
+    assert_eq!(choice::best(&[near, far], 60_000, 0), Some(1));
+    // A request without a body does not care.
+    assert_eq!(choice::best(&[near, far], 0, 0), Some(0));
+}
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -130,6 +130,11 @@
         self.gate.borrow().load()
     }
 
+    /// Returns what other nodes are told about the load.
+    pub(super) fn report(&self) -> peer::Load {
+        peer::Load::new(self.load(), self.transfers.load())
+    }
+
     /// Returns the load of the last `span` seconds by keys, and the mean time of a request.
     pub(super) fn take_usage(&self, span: f64) -> (Vec<usage::Part>, f64) {
         let mut usage = self.usage.borrow_mut();
--- a/crates/gateway/src/traffic/backend/bodies.rs
+++ b/crates/gateway/src/traffic/backend/bodies.rs
@@ -28,6 +28,13 @@
     }
 }
 
+impl Transfers {
+    /// Returns what other nodes are told about the link.
+    pub(super) fn load(&self) -> transfer::Load {
+        self.link.borrow().load()
+    }
+}
+
 /// A body that waits for its transfer or is on its way; it counts until it is dropped.
 struct Transfer<'a> {
     link: &'a cell::RefCell<transfer::Link>,
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -503,5 +503,5 @@
         Ok(Some(outcome)) => outcome,
         Ok(None) | Err(_) => peer::Outcome::Unknown(peer::Reason::Broken),
     };
-    (outcome, context.backend.load().into())
+    (outcome, context.backend.report())
 }
--- a/crates/gateway/src/traffic/path/target.rs
+++ b/crates/gateway/src/traffic/path/target.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use sequoiayoke_catalog::server;
-use sequoiayoke_dispatch::{admission, choice};
+use sequoiayoke_dispatch::{admission, choice, transfer};
 use sequoiayoke_link::peer;
 use sequoiayoke_model::{clock, id};
 
@@ -25,6 +25,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(in crate::traffic) struct Seen {
     load: admission::Load,
+    link: transfer::Load,
     at: clock::Instant,
     outstanding: u32,
     down_until: clock::Instant,
@@ -89,8 +90,13 @@
                 };
                 (load, NEVER)
             };
+            let link = match own == Some(server.id) {
+                true => transfer::Load::default(),
+                false => known.link,
+            };
             choice::Candidate {
                 load,
+                link,
                 age,
                 outstanding: known.outstanding,
                 is_near: server.announcement.domain == context.settings.domain,
@@ -154,7 +160,7 @@
     }
     let seen = all.entry(target.id).or_default();
     if load.slots > 0 {
-        (seen.load, seen.at) = (load.into(), now);
+        (seen.load, seen.link, seen.at) = (load.into(), load.into(), now);
     }
     let failed = match outcome {
         peer::Outcome::Answered { status, .. } => *status >= 500,
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -91,7 +91,7 @@
                     let outcome = run(&open, Some(&pull), cancelled, &context).await;
                     cancels.borrow_mut().remove(&open.stream);
                     if let Some(outcome) = outcome {
-                        let load = context.backend.load().into();
+                        let load = context.backend.report();
                         let stream = open.stream;
                         let reply = peer::ToEntry::Reply {
                             stream,
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -1,8 +1,10 @@
 //! Messages between the node of a caller and the node of a backend server.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use sequoiayoke_catalog::{server, slice};
-use sequoiayoke_dispatch::admission;
+use sequoiayoke_dispatch::{admission, transfer};
 use serde::{Deserialize, Serialize};
 
 /// A request for the backend server beside the receiving node.
@@ -112,15 +114,34 @@
     pub slots: u32,
     /// Mean time that a request runs, in microseconds.
     pub service_us: u32,
+    /// Time until the bodies on their way to it are there, in microseconds.
+    pub link_wait_us: u32,
+    /// Time for a kibibyte on its link, in microseconds.
+    pub link_kib_us: u32,
 }
 
-impl From<admission::Load> for Load {
-    fn from(load: admission::Load) -> Self {
+impl Load {
+    /// Makes a report.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_dispatch::{admission, transfer};
+    /// use sequoiayoke_link::peer;
+    ///
+    /// let link = transfer::Link::new().load();
+    /// let load = peer::Load::new(admission::Load::default(), link);
+    /// assert_eq!(load.link_wait_us, 0);
+    /// ```
+    pub fn new(load: admission::Load, link: transfer::Load) -> Self {
+        let micros = |span: Duration| u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
         Self {
             running: load.running,
             waiting: load.waiting,
             slots: load.slots,
             service_us: (load.service_s * 1e6) as u32,
+            link_wait_us: micros(link.wait),
+            link_kib_us: micros(link.kib),
         }
     }
 }
@@ -136,6 +157,15 @@
     }
 }
 
+impl From<Load> for transfer::Load {
+    fn from(load: Load) -> Self {
+        Self {
+            wait: Duration::from_micros(u64::from(load.link_wait_us)),
+            kib: Duration::from_micros(u64::from(load.link_kib_us)),
+        }
+    }
+}
+
 /// A message to the node of a backend server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToServer {
