Put calls before starved classes, and admit by the spread of the time that requests run

There, paydesk's starved class (rank 0) goes before the calls of queueboard, whose requests hold their slots, fail, and come back with more calls; and queueboard admits by a mean of 526 ms with as much spread, so half are late. Change: a starved class goes before other requests only; the last one admitted must end in time with its mean and its mean distance from it. Both load tests fail before.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -21,6 +21,9 @@
 const SHARE_MEMORY: f64 = 60.0;
 /// Part of the mean share of admitted requests that each class gets at least.
 const FAIR_PART: f64 = 0.4;
+/// Lowest rank of a request that is not a call between services. Calls go first, also
+/// before starved classes: a call that waits holds a slot of another backend server.
+pub const FIRST_REQUEST: u32 = 1 << 31;
 /// Bit of the rank of a request whose answer will be late.
 const LATE: u32 = 1;
 /// Time within which a late request must end, in times that it runs.
@@ -143,10 +146,11 @@
     }
 }
 
-/// A moving average in seconds.
+/// A moving average in seconds, and the mean distance from it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean {
     value_s: f64,
+    spread_s: f64,
     count: u32,
 }
 
@@ -154,7 +158,12 @@
     fn add(&mut self, seconds: f64) {
         self.count = (self.count + 1).min(FIRST);
         let weight = SMOOTHING.max(1.0 / f64::from(self.count));
+        let distance = (seconds - self.value_s).abs();
         self.value_s += weight * (seconds - self.value_s);
+        // The first observation is its own mean.
+        if self.count > 1 {
+            self.spread_s += weight * (distance - self.spread_s);
+        }
     }
 }
 
@@ -168,6 +177,7 @@
             waiting: collections::BTreeMap::new(),
             mean: Mean {
                 value_s: INITIAL_SERVICE_S,
+                spread_s: 0.0,
                 count: 0,
             },
             classes: collections::HashMap::new(),
@@ -204,7 +214,10 @@
         let is_starved = share.ratio() < all * FAIR_PART;
         share.offer();
         self.all.offer();
-        let rank = if is_starved { 0 } else { offer.rank };
+        let rank = match is_starved {
+            true => offer.rank.min(FIRST_REQUEST),
+            false => offer.rank,
+        };
         let verdict = self.admit(now, Offer { rank, ..offer });
         if !matches!(verdict, Verdict::Refuse(_)) {
             self.all.admitted += 1.0;
@@ -262,8 +275,10 @@
     /// requests would make every later one late too.
     fn is_hopeless(&self, now: clock::Instant, offer: &Offer, ahead: usize) -> Option<Duration> {
         let service = self.service(offer.class);
-        let end = now + self.wait_behind(ahead) + service;
+        let mut end = now + self.wait_behind(ahead) + service;
         let limit = if now + service <= offer.useful_until {
+            // With the mean alone, half of those that are admitted last would be late.
+            end = end + self.spread(offer.class);
             offer.useful_until.max(now + SHORT_WAIT)
         } else {
             // A long wait of requests that are late already helps nobody.
@@ -345,6 +360,12 @@
         Duration::from_secs_f64(busy.max(0.0) * self.mean.value_s / f64::from(self.slots))
     }
 
+    /// Returns the mean distance from the expected time that a request of `class` runs.
+    fn spread(&self, class: u64) -> Duration {
+        let mean = self.classes.get(&class).copied().unwrap_or(self.mean);
+        Duration::from_secs_f64(mean.spread_s)
+    }
+
     /// Returns the expected time that a request of `class` runs.
     pub fn service(&self, class: u64) -> Duration {
         let mean = self.classes.get(&class).copied().unwrap_or(self.mean);
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -11,7 +11,7 @@
 
 fn offer(now: clock::Instant, rank: u32) -> admission::Offer {
     admission::Offer {
-        rank: rank << 1,
+        rank: admission::FIRST_REQUEST | (rank << 1),
         class: u64::from(rank),
         useful_until: now + Duration::from_millis(500),
         deadline: now + Duration::from_millis(1_200),
@@ -413,3 +413,58 @@
     // A request without a body does not care.
     assert_eq!(choice::best(&[near, far], 0, 0), Some(0));
 }
+
+/// Calls behind a class that gets less than its share: guards against a backend server
+/// whose starved class holds up the calls of other services, which hold their slots
+/// meanwhile and fail, and whose callers come back with more calls.
+#[test]
+fn a_starved_class_goes_before_requests_but_not_before_calls() {
+    let mut gate = admission::Gate::new(1);
+    for class in [1, 2] {
+        gate.observe(class, Duration::from_millis(50));
+    }
+    let now = at(0);
+    gate.offer(now, offer(now, 1));
+    // The class is refused until it counts as starved.
+    let hopeless = admission::Offer {
+        useful_until: at(1),
+        deadline: at(1),
+        ..offer(now, 3)
+    };
+    for _ in 0..50 {
+        gate.offer(now, hopeless);
+        gate.offer(now, offer(now, 1));
+    }
+    let wait = |gate: &mut admission::Gate, offer| match gate.offer(now, offer) {
+        admission::Verdict::Wait(ticket) => ticket,
+        other => panic!("{other:?}"),
+    };
+    let starved = wait(&mut gate, offer(now, 3));
+    let call = admission::Offer {
+        rank: 2,
+        class: 9,
+        ..offer(now, 1)
+    };
+    let call = wait(&mut gate, call);
+    assert_eq!(gate.finish(at(10)), [admission::Release::Start(call)]);
+    assert_eq!(gate.finish(at(20)), [admission::Release::Start(starved)]);
+}
+
+/// Work whose time varies: guards against a queue that admits by the mean, so that half of
+/// those admitted last end late.
+#[test]
+fn a_request_is_admitted_if_it_ends_in_time_with_some_certainty() {
+    let waiting = |works: [u64; 2]| {
+        let mut gate = admission::Gate::new(4);
+        for work in works.iter().cycle().take(60) {
+            gate.observe(1, Duration::from_millis(*work));
+        }
+        let now = at(0);
+        for _ in 0..100 {
+            gate.offer(now, offer(now, 1));
+        }
+        gate.load().waiting
+    };
+    let (steady, varying) = (waiting([200, 200]), waiting([80, 320]));
+    assert!(varying + 2 <= steady, "{varying} and {steady} wait");
+}
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use sequoiayoke_catalog::{config, server, slice};
-use sequoiayoke_dispatch::{budget, route};
+use sequoiayoke_dispatch::{admission, budget, route};
 use sequoiayoke_http1::request;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::{clock, id};
@@ -40,7 +40,7 @@
 /// Targets below this one are those of calls between services.
 const CALL_TARGET: Duration = Duration::from_millis(300);
 /// Largest priority that is told apart.
-const MAX_PRIORITY: u32 = (1 << 15) - 1;
+const MAX_PRIORITY: u32 = (1 << 14) - 1;
 /// Wait after a node has said that its backend server does not hold a key yet.
 const NOT_OWNER_PAUSE: Duration = Duration::from_millis(40);
 /// Shortest time before the deadline in which a request is still sent again.
@@ -165,7 +165,7 @@
         kind: route.kind,
         key: caller.key.filter(|_| is_keyed),
         service,
-        rank: rank(route),
+        rank: rank(route, is_call),
         class: entry.class,
         max_attempts: route.max_attempts.max(1),
         is_call,
@@ -184,12 +184,15 @@
     })
 }
 
-/// Returns the rank of a route's requests: by priority, then by target. Calls
-/// between services have short targets and hold up a request elsewhere.
-fn rank(route: &config::Route) -> u32 {
+/// Returns the rank of a route's requests: calls first, then by priority and by target.
+fn rank(route: &config::Route, is_call: bool) -> u32 {
+    let kind = match is_call {
+        true => 0,
+        false => admission::FIRST_REQUEST,
+    };
     let priority = route.priority.min(MAX_PRIORITY);
     let target_ms = u16::try_from(route.target_ms).unwrap_or(u16::MAX);
-    (priority << 17) | (u32::from(target_ms) << 1)
+    kind | (priority << 17) | (u32::from(target_ms) << 1)
 }
 
 /// Returns the request line and the fields that go to the backend server.
