Let bodies give way to other traffic on a link

Change: time beyond that of an idle link is left to others before the next part is asked for, and a refused body comes back once the bodies ahead are there.

--- a/crates/dispatch/src/transfer.rs
+++ b/crates/dispatch/src/transfer.rs
@@ -17,6 +17,14 @@
 const SMOOTHING: f64 = 0.2;
 /// Time within which a late body must arrive, in times that it takes alone.
 const LATE_TRANSFERS: u32 = 2;
+/// Growth of the shortest time for a part with each further one, so that a link that has
+/// become slower is noticed within some hundred parts.
+const PART_FADE: f64 = 1.005;
+/// Times for a part, in those of an idle link, that are no sign of other traffic: the
+/// other transfers to the node take turns with it.
+const PART_SLACK: f64 = MAX_RUNNING as f64;
+/// Longest pause between two parts.
+const MAX_PAUSE: Duration = Duration::from_millis(250);
 /// Body that tells enough about the rate, in bytes; a shorter one shows the delay.
 const MIN_OBSERVED: u32 = 16 * 1024;
 
@@ -68,6 +76,8 @@
     ahead: u64,
     /// Time for a byte, in seconds, of all transfers together.
     byte_s: f64,
+    /// Shortest time for a whole part lately, in seconds: that of an idle link.
+    part_s: f64,
 }
 
 impl Default for Link {
@@ -82,6 +92,7 @@
         Self {
             ahead: 0,
             byte_s: INITIAL_BYTE_S,
+            part_s: f64::INFINITY,
         }
     }
 
@@ -115,7 +126,23 @@
             false => now + alone * LATE_TRANSFERS,
         };
         let (arrival, limit) = (now + self.expected(bytes), limit.min(deadline));
-        (arrival > limit).then(|| arrival.saturating_since(limit))
+        // An earlier attempt would press on the link again before it has room.
+        (arrival > limit).then(|| {
+            let excess = arrival.saturating_since(limit);
+            excess.max(self.expected(0))
+        })
+    }
+
+    /// Takes the time from asking for a whole part to its arrival; returns the pause
+    /// before the next one is asked for.
+    ///
+    /// Bodies give way: the time beyond that of an idle link was spent behind other
+    /// traffic, to which the link is left for as long.
+    pub fn part(&mut self, took: Duration) -> Duration {
+        let took_s = took.as_secs_f64();
+        self.part_s = (self.part_s * PART_FADE).min(took_s);
+        let excess = took_s - self.part_s * PART_SLACK;
+        Duration::from_secs_f64(excess.clamp(0.0, MAX_PAUSE.as_secs_f64()))
     }
 
     /// Records that a body of `bytes` waits for its transfer.
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -130,6 +130,11 @@
         self.gate.borrow().load()
     }
 
+    /// Takes the time for a part of a body; returns the pause before the next one.
+    pub(super) fn part_came(&self, took: Duration) -> Duration {
+        self.transfers.part(took)
+    }
+
     /// Returns what other nodes are told about the load.
     pub(super) fn report(&self) -> peer::Load {
         peer::Load::new(self.load(), self.transfers.load())
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -105,8 +105,17 @@
                 });
             }
             peer::ToServer::Part { stream, bytes } => {
-                if bodies.take(stream, &bytes)? {
-                    outbox.push(&peer::ToEntry::Pull(stream));
+                if let Some(took) = bodies.take(stream, &bytes)? {
+                    let pause = context.backend.part_came(took);
+                    if pause.is_zero() {
+                        bodies.ask(stream, outbox);
+                    } else {
+                        let (outbox, bodies) = (rc::Rc::clone(outbox), rc::Rc::clone(bodies));
+                        task::spawn_local(async move {
+                            tokio::time::sleep(pause).await;
+                            bodies.ask(stream, &outbox);
+                        });
+                    }
                 }
             }
             peer::ToServer::Cancel(stream) => {
--- a/crates/gateway/src/traffic/serving/bodies.rs
+++ b/crates/gateway/src/traffic/serving/bodies.rs
@@ -4,9 +4,11 @@
 use std::collections;
 use std::io;
 use std::rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use sequoiayoke_link::peer;
+use sequoiayoke_model::clock;
 use tokio::sync::oneshot;
 
 use crate::traffic::peers;
@@ -21,20 +23,22 @@
 struct Arriving {
     bytes: BytesMut,
     length: usize,
+    /// When the next part was asked for.
+    asked: clock::Instant,
     done: oneshot::Sender<Bytes>,
 }
 
 impl Bodies {
-    /// Takes a part of a body; returns whether the next one is to be asked for.
+    /// Takes a part of a body; returns the time that it took, if there is a next one.
     ///
     /// # Errors
     ///
     /// Fails if the body becomes longer than it was said to be.
-    pub(super) fn take(&self, stream: u64, part: &[u8]) -> io::Result<bool> {
+    pub(super) fn take(&self, stream: u64, part: &[u8]) -> io::Result<Option<Duration>> {
         let mut all = self.arriving.borrow_mut();
         // The request may have been given up since it asked for its body.
         let Some(arriving) = all.get_mut(&stream) else {
-            return Ok(false);
+            return Ok(None);
         };
         arriving.bytes.extend_from_slice(part);
         if arriving.bytes.len() > arriving.length {
@@ -42,14 +46,23 @@
             return Err(io::Error::new(io::ErrorKind::InvalidData, text));
         }
         if arriving.bytes.len() < arriving.length {
-            return Ok(true);
+            let took = clock::Instant::now().saturating_since(arriving.asked);
+            return Ok(Some(took));
         }
         if let Some(whole) = all.remove(&stream)
             && whole.done.send(whole.bytes.freeze()).is_err()
         {
             tracing::trace!(stream, "a body for a request that has gone");
         }
-        Ok(false)
+        Ok(None)
+    }
+
+    /// Asks for the next part, unless the body was given up meanwhile.
+    pub(super) fn ask(&self, stream: u64, outbox: &peers::Outbox) {
+        if let Some(arriving) = self.arriving.borrow_mut().get_mut(&stream) {
+            arriving.asked = clock::Instant::now();
+            outbox.push(&peer::ToEntry::Pull(stream));
+        }
     }
 
     /// Gives up all bodies, since the connection has ended.
@@ -85,6 +98,7 @@
         let arriving = Arriving {
             bytes: BytesMut::new(),
             length: length as usize,
+            asked: clock::Instant::now(),
             done,
         };
         self.bodies
