--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sequoiayoke_dispatch::{admission, budget, choice, transfer, usage};
+use sequoiayoke_dispatch::{admission, budget, choice, probe, transfer, usage};
 use sequoiayoke_model::clock;
 
 fn at(ms: u64) -> clock::Instant {
@@ -482,3 +482,24 @@
     assert!(pause > ms(180) && pause < ms(220), "{pause:?}");
     assert_eq!(link.part(ms(30)), ms(0));
 }
+
+/// A full service: guards against messages that ask for slots where there are none, and
+/// against a node that never asks again.
+#[test]
+fn a_full_service_is_not_asked_around_in() {
+    let mut probes = probe::Probes::new();
+    let mut sent = 0;
+    for _ in 0..1_000 {
+        if probes.is_worth_it() {
+            sent += 1;
+            probes.ended(false);
+        }
+    }
+    assert!((100..200).contains(&sent), "{sent} of 1,000");
+    for _ in 0..100 {
+        if probes.is_worth_it() {
+            probes.ended(true);
+        }
+    }
+    assert!((0..20).all(|_| probes.is_worth_it()));
+}
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use error_stack::ResultExt;
-use sequoiayoke_dispatch::{budget, quota, route};
+use sequoiayoke_dispatch::{budget, probe, quota, route};
 use sequoiayoke_http1::serve;
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_supervise::{Stop, supervisor};
@@ -74,6 +74,7 @@
     peers: peers::Peers,
     seen: cell::RefCell<collections::HashMap<id::Server, path::Seen>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
+    probes: cell::RefCell<collections::HashMap<String, probe::Probes>>,
     in_flight: cell::Cell<usize>,
     lines: cell::RefCell<quota::Quota>,
     measure: measure::Measure,
@@ -139,6 +140,7 @@
         peers: peers::Peers::default(),
         seen: cell::RefCell::default(),
         budgets: cell::RefCell::default(),
+        probes: cell::RefCell::default(),
         in_flight: cell::Cell::new(0),
         lines: cell::RefCell::new(quota::Quota::new(MAX_LINES, LINES_SPAN)),
         measure: measure::Measure::new().change_context_lazy(failed)?,
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use sequoiayoke_catalog::{config, server, slice};
-use sequoiayoke_dispatch::{admission, budget, route};
+use sequoiayoke_dispatch::{admission, budget, probe, route};
 use sequoiayoke_http1::request;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::{clock, id};
@@ -78,6 +78,8 @@
     /// Whether a sending may have led to a run.
     may_have_run: bool,
     tried: Vec<id::Server>,
+    /// Backend servers that it may ask for a free slot before it waits at one.
+    probes: u32,
     /// Backend servers that had no free slot, in the order in which they were asked.
     full: Vec<id::Server>,
     retry_after: Duration,
@@ -160,11 +162,11 @@
     let waited = if is_call { Duration::ZERO } else { waited };
     let target = target.saturating_sub(waited);
     let is_keyed = view.service(&service).is_some_and(|one| one.is_keyed);
+    let key = caller.key.filter(|_| is_keyed);
     Ok(Journey {
         id,
         kind: route.kind,
-        key: caller.key.filter(|_| is_keyed),
-        service,
+        key,
         rank: rank(route, is_call),
         class: entry.class,
         max_attempts: route.max_attempts.max(1),
@@ -178,7 +180,12 @@
         sent: 0,
         may_have_run: false,
         tried: Vec::new(),
+        probes: match key.is_none() && is_probing(context, &service) {
+            true => MAX_PROBES,
+            false => 0,
+        },
         full: Vec::new(),
+        service,
         retry_after: MIN_RETRY,
         last: None,
     })
@@ -257,6 +264,11 @@
         };
         let (outcome, load) = send(context, &journey, &target, now, patience).await;
         record(context, &target, &outcome, load);
+        if !is_last {
+            let mut all = context.probes.borrow_mut();
+            let probes = all.entry(journey.service.clone()).or_default();
+            probes.ended(!is_full(&outcome));
+        }
         match outcome {
             peer::Outcome::Answered {
                 status,
@@ -416,6 +428,25 @@
     }
 }
 
+/// Decides whether a request asks around for a free slot.
+fn is_probing<Frontend>(context: &Context<Frontend>, service: &str) -> bool {
+    let mut probes = context.probes.borrow_mut();
+    probes
+        .get_mut(service)
+        .is_none_or(probe::Probes::is_worth_it)
+}
+
+/// Returns whether a backend server had no slot in time.
+const fn is_full(outcome: &peer::Outcome) -> bool {
+    matches!(
+        outcome,
+        peer::Outcome::NotRun {
+            reason: peer::Reason::Busy,
+            ..
+        }
+    )
+}
+
 fn earn<Frontend>(context: &Context<Frontend>, service: &str) {
     let mut budgets = context.budgets.borrow_mut();
     match budgets.get_mut(service) {
--- a/crates/gateway/src/traffic/path/target.rs
+++ b/crates/gateway/src/traffic/path/target.rs
@@ -9,7 +9,7 @@
 use sequoiayoke_link::peer;
 use sequoiayoke_model::{clock, id};
 
-use super::{DOWN, Journey, MAX_PROBES};
+use super::{DOWN, Journey};
 use crate::traffic::Context;
 use crate::view;
 
@@ -72,7 +72,7 @@
         .collect();
     let fresh = |server: &&server::Server| !journey.full.contains(&server.id);
     let unasked: Vec<_> = open.iter().copied().filter(fresh).collect();
-    let is_last = journey.full.len() >= MAX_PROBES as usize || unasked.len() <= 1;
+    let is_last = journey.full.len() >= journey.probes as usize || unasked.len() <= 1;
     let open = if is_last { open } else { unasked };
     let candidates: Vec<_> = open
         .iter()
