--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -1,7 +1,7 @@
 //! One process of a deployment.
 
 use std::fs;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
@@ -53,21 +53,35 @@
     ) -> Result<Self, Error> {
         let failed = |error| Error::Io("start a process", error);
         let output = fs::OpenOptions::new().create(true).append(true).open(&log);
+        let output = output.map_err(failed)?;
+        let mut copy = output.try_clone().map_err(failed)?;
         let mut child = Command::new(program)
             .args(arguments)
             .envs(environment.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(output.map_err(failed)?)
+            .stderr(output)
             .spawn()
             .map_err(failed)?;
         let lines = child.stdout.take().map(BufReader::new);
         let (sender, receiver) = mpsc::channel();
-        // Reads on, so that the process never blocks on a full pipe.
+        // Reads on, so that the process never blocks on a full pipe. What follows the first
+        // line is log.
         thread::spawn(move || {
-            for line in lines.into_iter().flat_map(BufRead::lines) {
-                let Ok(line) = line else { return };
-                let _ = sender.send(line);
+            let mut lines = lines
+                .into_iter()
+                .flat_map(BufRead::lines)
+                .map_while(Result::ok);
+            // The starter may have given up waiting.
+            if let Some(first) = lines.next()
+                && sender.send(first).is_err()
+            {
+                return;
+            }
+            for line in lines {
+                if writeln!(copy, "{line}").is_err() {
+                    return;
+                }
             }
         });
         match receiver.recv_timeout(READY) {
