Put changed settings into force without a new start

Cause: settings were read at the start only; SIGHUP was logged (docs/platform.md, not built). Change: on SIGHUP, or when the file has changed without one (looked at every 2 s), a daemon reads its settings again.

--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -63,6 +63,8 @@
     NodeFrame(leader::Session, session::FromNode),
     /// The connection of a node has ended.
     NodeDown(leader::Session),
+    /// The settings name these replicas now.
+    Seeds(Vec<net::SocketAddr>),
     /// An operator asks.
     Operator(operator::Call, oneshot::Sender<operator::Answer>),
 }
@@ -236,6 +238,13 @@
                     leader.node_down(key);
                 }
             }
+            Event::Seeds(seeds) => {
+                if self.seeds != seeds {
+                    tracing::info!(?seeds, "changed settings are in force");
+                    self.seeds = seeds;
+                    self.announce();
+                }
+            }
             Event::Operator(call, reply) => self.operator(now, call, reply),
         }
         Ok(())
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -67,10 +67,24 @@
     Child(&'static str),
 }
 
+/// Puts changed settings into force.
+#[derive(Clone, Debug)]
+pub struct Reloader(mpsc::Sender<coordinator::Event>);
+
+impl Reloader {
+    /// Connects to these replicas from now on, besides the members of the group.
+    pub fn reload(&self, seeds: Vec<net::SocketAddr>) {
+        if self.0.try_send(coordinator::Event::Seeds(seeds)).is_err() {
+            tracing::warn!("the control thread takes no changed settings");
+        }
+    }
+}
+
 /// A running control replica.
 #[derive(Debug)]
 pub struct Director {
     stop: Stop,
+    reloader: Reloader,
     coordinator: thread::JoinHandle<supervisor::Outcome>,
     traffic: thread::JoinHandle<supervisor::Outcome>,
 }
@@ -111,6 +125,7 @@
                 coordinator.run(inbox, stop).await
             })?
         };
+        let reloader = Reloader(events.clone());
         let config = traffic::Config {
             events,
             published,
@@ -122,6 +137,7 @@
         })?;
         Ok(Self {
             stop,
+            reloader,
             coordinator,
             traffic,
         })
@@ -132,6 +148,11 @@
         &self.stop
     }
 
+    /// Returns what puts changed settings into force.
+    pub const fn reloader(&self) -> &Reloader {
+        &self.reloader
+    }
+
     /// Waits until the replica has ended.
     ///
     /// # Errors
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Changes the bounds; what was earned or spent so far still counts.
+    pub const fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Records the first sending of a request.
     pub fn earn(&mut self) {
         self.earned = (self.earned + self.config.ratio * RATIO_USED).min(MAX_EARNED);
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -11,7 +11,7 @@
 use sequoiayoke_dispatch::budget;
 use sequoiayoke_supervise::{Stop, supervisor};
 use tokio::runtime;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::coordinator;
 use crate::frontend;
@@ -65,10 +65,45 @@
     Child(&'static str),
 }
 
+/// Settings that take effect without a new start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reload {
+    /// Addresses of control replicas for sessions.
+    pub replicas: Vec<net::SocketAddr>,
+    /// Bounds on second sendings.
+    pub budget: budget::Config,
+}
+
+impl Reload {
+    /// Takes them out of the settings of a start.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            replicas: settings.replicas.clone(),
+            budget: settings.budget,
+        }
+    }
+}
+
+/// Puts changed settings into force.
+#[derive(Clone, Debug)]
+pub struct Reloader(watch::Sender<Reload>);
+
+impl Reloader {
+    /// Puts `reload` into force.
+    pub fn reload(&self, reload: Reload) {
+        self.0.send_if_modified(|present| {
+            let is_changed = *present != reload;
+            *present = reload;
+            is_changed
+        });
+    }
+}
+
 /// A running node.
 #[derive(Debug)]
 pub struct Gateway {
     stop: Stop,
+    reloader: Reloader,
     traffic: thread::JoinHandle<supervisor::Outcome>,
 }
 
@@ -103,11 +138,32 @@
         spawn("coordinator", async move || {
             coordinator.run(inbox, until).await
         })?;
-        let until = stop.clone();
+        let (reload, reloads) = watch::channel(Reload::new(&settings));
+        let signals = traffic::Signals {
+            stop: stop.clone(),
+            reloads,
+        };
         let traffic = spawn("traffic", async move || {
-            traffic::run(settings, listeners, shared, events, orders, frontend, until).await
+            traffic::run(
+                settings,
+                listeners,
+                shared,
+                (events, orders),
+                frontend,
+                signals,
+            )
+            .await
         })?;
-        Ok(Self { stop, traffic })
+        Ok(Self {
+            stop,
+            reloader: Reloader(reload),
+            traffic,
+        })
+    }
+
+    /// Returns what puts changed settings into force.
+    pub const fn reloader(&self) -> &Reloader {
+        &self.reloader
     }
 
     /// Returns the token that asks the node to end.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -25,7 +25,7 @@
 use sequoiayoke_supervise::{Stop, supervisor};
 use sequoiayoke_telemetry::metrics;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task;
 
 use crate::coordinator;
@@ -63,6 +63,15 @@
     pub metrics: Option<net::TcpListener>,
 }
 
+/// What reaches the node from outside while it runs.
+#[derive(Debug)]
+pub struct Signals {
+    /// Asks it to end.
+    pub stop: Stop,
+    /// Settings that may change.
+    pub reloads: watch::Receiver<root::Reload>,
+}
+
 /// What all tasks of the traffic thread share.
 pub(crate) struct Context<Frontend> {
     settings: root::Settings,
@@ -78,6 +87,8 @@
     in_flight: cell::Cell<usize>,
     lines: cell::RefCell<quota::Quota>,
     measure: measure::Measure,
+    /// Settings that may change while the node runs.
+    reloads: watch::Receiver<root::Reload>,
     /// Asked to stop: callers are told to leave.
     stop: Stop,
     /// Takes no new requests, neither of callers nor of other nodes.
@@ -117,15 +128,18 @@
     settings: root::Settings,
     listeners: Listeners,
     shared: coordinator::Shared,
-    events: mpsc::Sender<coordinator::Event>,
-    orders: mpsc::Receiver<coordinator::Command>,
+    (events, orders): (
+        mpsc::Sender<coordinator::Event>,
+        mpsc::Receiver<coordinator::Command>,
+    ),
     frontend: Frontend,
-    stop: Stop,
+    signals: Signals,
 ) -> supervisor::Outcome
 where
     Frontend: frontend::Frontend,
 {
     let failed = || supervisor::Error::Child("listener");
+    let Signals { stop, reloads } = signals;
     let callers = TcpListener::from_std(listeners.callers).change_context_lazy(failed)?;
     let ready = TcpListener::from_std(listeners.ready).change_context_lazy(failed)?;
     let announced = TcpListener::from_std(listeners.announcements).change_context_lazy(failed)?;
@@ -144,6 +158,7 @@
         in_flight: cell::Cell::new(0),
         lines: cell::RefCell::new(quota::Quota::new(MAX_LINES, LINES_SPAN)),
         measure: measure::Measure::new().change_context_lazy(failed)?,
+        reloads,
         stop: stop.clone(),
         is_closed: cell::Cell::new(false),
     });
@@ -151,6 +166,7 @@
     task::spawn_local(announcements::run(announced, rc::Rc::clone(&context)));
     task::spawn_local(session::run(orders, rc::Rc::clone(&context)));
     task::spawn_local(report(rc::Rc::clone(&context)));
+    task::spawn_local(reload(rc::Rc::clone(&context)));
     let accepting = task::spawn_local(callers::accept(callers, rc::Rc::clone(&context)));
     let answer = rc::Rc::clone(&context);
     task::spawn_local(serve::serve(ready, move |_| {
@@ -216,6 +232,20 @@
     }
 }
 
+/// Puts changed settings into force.
+async fn reload<Frontend>(context: rc::Rc<Context<Frontend>>) {
+    let mut reloads = context.reloads.clone();
+    while reloads.changed().await.is_ok() {
+        let (replicas, budget) = {
+            let present = reloads.borrow_and_update();
+            (present.replicas.clone(), present.budget)
+        };
+        tracing::info!(?replicas, ?budget, "changed settings are in force");
+        let mut budgets = context.budgets.borrow_mut();
+        budgets.values_mut().for_each(|one| one.set_config(budget));
+    }
+}
+
 /// Reports load to the control thread.
 async fn report<Frontend>(context: rc::Rc<Context<Frontend>>)
 where
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -452,7 +452,7 @@
     match budgets.get_mut(service) {
         Some(budget) => budget.earn(),
         None => {
-            let budget = budget::Budget::new(context.settings.budget);
+            let budget = budget::Budget::new(context.reloads.borrow().budget);
             budgets.insert(service.to_owned(), budget);
         }
     }
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -80,7 +80,7 @@
 ) where
     Frontend: frontend::Frontend,
 {
-    let seeds = context.settings.replicas.clone();
+    let seeds = context.reloads.borrow().replicas.clone();
     let mut replicas = Replicas {
         next: usize::from(context.settings.peers.port()) + seeds.len(),
         seeds,
@@ -89,9 +89,13 @@
         last: None,
     };
     loop {
+        replicas
+            .seeds
+            .clone_from(&context.reloads.borrow().replicas);
         let Some(address) = replicas.next() else {
             tracing::error!("the settings name no control replica");
-            return;
+            idle(&mut orders, &mut replicas, &context).await;
+            continue;
         };
         match one_session(address, &mut replicas, &mut orders, &context).await {
             Ok(()) => {}
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -319,11 +319,11 @@
     let run = announcement("i-1", 10).instance;
     let stated = |state: &mut State| {
         let effects = state.take_effects().into_iter();
-        let ended = effects.filter_map(|effect| match effect {
+        let mut ended = effects.filter_map(|effect| match effect {
             Effect::Renew(renewal) => Some(renewal.ended.is_some()),
             _ => None,
         });
-        ended.last()
+        ended.next_back()
     };
     state.ended(at(300), &run);
     state.tick(at(6_900));
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,10 +1,12 @@
 //! What the daemons' binaries share: arguments, settings, logs, signals.
 
+use std::fs;
 use std::io;
 use std::io::{IsTerminal, Write};
 use std::path;
 use std::process;
 use std::thread;
+use std::time::{Duration, SystemTime};
 
 use clap::Parser;
 use error_stack::{Report, ResultExt};
@@ -13,13 +15,19 @@
 use sequoiayoke_telemetry::log;
 use tokio::runtime;
 use tokio::signal::unix;
+use tokio::time;
 
 /// Exit status after malformed settings, as the command line has it.
 const EXIT_SETTINGS: u8 = 2;
+/// Pause between two looks at the settings file, which may change without a signal.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
 
 /// Arguments of a daemon.
 #[derive(Debug, Parser)]
-#[command(version, about = "A sequoiayoke daemon. SIGTERM drains and ends it.")]
+#[command(
+    version,
+    about = "A sequoiayoke daemon. SIGTERM drains and ends it, SIGHUP reads the settings again."
+)]
 struct Arguments {
     /// Settings file, in JSON with comments.
     #[arg(long, value_name = "FILE")]
@@ -70,6 +78,9 @@
     /// Returns the token that asks it to end.
     fn stop(&self) -> Stop;
 
+    /// Returns what puts changed settings into force, as far as that needs no new start.
+    fn reloader(&self) -> impl Fn(&Self::Settings) + Send + 'static;
+
     /// Waits for its end.
     ///
     /// # Errors
@@ -104,6 +115,10 @@
         self.0.stop().clone()
     }
 
+    fn reloader(&self) -> impl Fn(&Self::Settings) + Send + 'static {
+        |_: &Self::Settings| tracing::info!("settings take effect at the next start")
+    }
+
     fn wait(self) -> Result<(), Report<Error>> {
         self.0.wait().change_context(Error::Run)
     }
@@ -137,6 +152,10 @@
         self.0.stop().clone()
     }
 
+    fn reloader(&self) -> impl Fn(&Self::Settings) + Send + 'static {
+        |_: &Self::Settings| tracing::info!("settings take effect at the next start")
+    }
+
     fn wait(self) -> Result<(), Report<Error>> {
         self.0.wait().change_context(Error::Run)
     }
@@ -178,7 +197,7 @@
     let settings: D::Settings = sequoiayoke_settings::load(file).change_context(Error::Settings)?;
     D::init_log(&settings).change_context(Error::Settings)?;
     let daemon = D::start(&settings)?;
-    watch_signals(daemon.stop())?;
+    watch_signals(daemon.stop(), reload::<D>(file, daemon.reloader()))?;
     // Scripts and tests wait for this line, and read the ports from it.
     let mut output = io::stdout();
     let _ = writeln!(output, "ready {}", daemon.addresses());
@@ -188,7 +207,55 @@
     ended
 }
 
-fn watch_signals(stop: Stop) -> Result<(), Report<Error>> {
+/// Returns what reads the settings again and puts them into force.
+fn reload<D>(
+    file: &path::Path,
+    apply: impl Fn(&D::Settings) + Send + 'static,
+) -> impl FnMut(Cause) + Send + 'static
+where
+    D: Daemon,
+{
+    let file = file.to_owned();
+    let mut seen = modified(&file);
+    move |cause| {
+        let now = modified(&file);
+        if cause == Cause::Time && now == seen {
+            return;
+        }
+        seen = now;
+        match sequoiayoke_settings::load::<D::Settings, _>(&file) {
+            Ok(settings) => {
+                tracing::info!(?cause, "the settings were read again");
+                apply(&settings);
+            }
+            Err(report) => {
+                tracing::error!(?cause, %report, "the changed settings cannot be used; the former ones stay in force");
+            }
+        }
+    }
+}
+
+/// Why settings are read again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// SIGHUP has come.
+    Signal,
+    /// It is time to look whether the file has changed.
+    Time,
+}
+
+fn modified(file: &path::Path) -> Option<SystemTime> {
+    let metadata = fs::metadata(file);
+    metadata
+        .and_then(|metadata| metadata.modified())
+        .inspect_err(|error| tracing::warn!(%error, "cannot look at the settings file"))
+        .ok()
+}
+
+fn watch_signals<Reload>(stop: Stop, mut reload: Reload) -> Result<(), Report<Error>>
+where
+    Reload: FnMut(Cause) + Send + 'static,
+{
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -204,7 +271,8 @@
                 tokio::select! {
                     _ = terminate.recv() => return,
                     _ = interrupt.recv() => return,
-                    _ = hangup.recv() => tracing::info!("SIGHUP: settings take effect at the next start"),
+                    _ = hangup.recv() => reload(Cause::Signal),
+                    () = time::sleep(SETTINGS_PAUSE) => reload(Cause::Time),
                 }
             }
         });
