--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -214,4 +214,8 @@
     Standin,
     /// The load tool.
     Load,
+    /// A node of a deployment that forms by itself.
+    Gateway,
+    /// A control replica of such a deployment.
+    Director,
 }
--- a/crates/cli/src/run/settings.rs
+++ b/crates/cli/src/run/settings.rs
@@ -4,7 +4,9 @@
 use std::path;
 
 use error_stack::Report;
-use sequoiayoke_settings::{self as settings, check, control, load, node, standin};
+use sequoiayoke_settings::{
+    self as settings, check, control, director, gateway, load, node, standin,
+};
 
 use crate::{answer, command, exit, failure};
 
@@ -15,6 +17,8 @@
         command::Role::Node => valid::<node::Node>("node", file),
         command::Role::Standin => valid::<standin::Standin>("standin", file),
         command::Role::Load => valid::<load::Load>("load", file),
+        command::Role::Gateway => valid::<gateway::Gateway>("gateway", file),
+        command::Role::Director => valid::<director::Director>("director", file),
     }
 }
 
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns the second sendings that requests have earned and that are not spent.
+    pub const fn earned(&self) -> f64 {
+        self.earned
+    }
+
     /// Changes the bounds; what was earned or spent so far still counts.
     pub const fn set_config(&mut self, config: Config) {
         self.config = config;
--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use sequoiayoke_dispatch::admission;
+use sequoiayoke_dispatch::{admission, transfer};
 use sequoiayoke_telemetry::{label, metrics};
 
 /// Instruments; they belong to the traffic thread.
@@ -21,6 +21,9 @@
     slots: metrics::Gauge,
     service: metrics::Gauge,
     lease: metrics::Gauge,
+    earned: metrics::Gauge,
+    bodies: metrics::Gauge,
+    skipped: metrics::Counter,
     index: metrics::Gauge,
     version: metrics::Gauge,
     labels: cell::RefCell<collections::HashMap<(String, &'static str), label::Set>>,
@@ -56,6 +59,18 @@
                 "held_seconds",
                 "Time for which all keys of the backend server are still held.",
             ),
+            earned: metrics.gauge(
+                "second_sendings_earned",
+                "Second sendings that requests have earned, by service.",
+            ),
+            bodies: metrics.gauge(
+                "bodies_wait_seconds",
+                "Time until the bodies on their way to the backend server are there.",
+            ),
+            skipped: metrics.counter(
+                "log_lines_skipped",
+                "Lines about requests beyond the bound on them.",
+            ),
             index: metrics.gauge(
                 "view_index",
                 "Log index of the view that requests are routed by.",
@@ -93,10 +108,20 @@
         self.with_labels(service, kind, |labels| self.second.add(1, labels));
     }
 
+    pub(crate) fn skipped(&self, lines: u64) {
+        self.skipped.add(lines, &label::Set::empty());
+    }
+
+    pub(crate) fn earned(&self, service: &str, earned: f64) {
+        let labels = label::Set::new([label::Label::Service(service)]);
+        self.earned.set(earned, &labels);
+    }
+
     /// Returns the metrics as text, with the present load and view.
     pub(crate) fn render(
         &self,
         load: admission::Load,
+        link: transfer::Load,
         held: Duration,
         index: u64,
         version: u64,
@@ -107,6 +132,7 @@
         self.slots.set(f64::from(load.slots), &none);
         self.service.set(load.service_s, &none);
         self.lease.set(held.as_secs_f64(), &none);
+        self.bodies.set(link.wait.as_secs_f64(), &none);
         self.index.set(index as f64, &none);
         self.version.set(version as f64, &none);
         self.metrics.render()
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -206,8 +206,14 @@
     let shortest = held.and_then(|held| held.map(|one| one.until).min());
     let held = shortest.map_or(Duration::ZERO, |until| now.saturating_until(until));
     let version = view.config.as_ref().map_or(0, |config| config.version.0);
-    let load = context.backend.load();
-    match context.measure.render(load, held, view.index, version) {
+    for (service, budget) in context.budgets.borrow().iter() {
+        context.measure.earned(service, budget.earned());
+    }
+    let (load, link) = (context.backend.load(), context.backend.link());
+    match context
+        .measure
+        .render(load, link, held, view.index, version)
+    {
         Ok(text) => serve::Reply::new(200, metrics::Metrics::CONTENT_TYPE, text),
         Err(report) => {
             tracing::error!(?report, "the metrics could not be rendered");
@@ -259,6 +265,7 @@
         reported = now;
         let skipped = context.lines.borrow_mut().take_skipped();
         if skipped > 0 {
+            context.measure.skipped(skipped);
             tracing::warn!(skipped, "log lines about requests were skipped");
         }
         let is_keyed = context
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use sequoiayoke_dispatch::{admission, usage};
+use sequoiayoke_dispatch::{admission, transfer, usage};
 use sequoiayoke_http1::response;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::clock;
@@ -130,6 +130,11 @@
         self.gate.borrow().load()
     }
 
+    /// Returns the load of the link by bodies.
+    pub(super) fn link(&self) -> transfer::Load {
+        self.transfers.load()
+    }
+
     /// Takes the time for a part of a body; returns the pause before the next one.
     pub(super) fn part_came(&self, took: Duration) -> Duration {
         self.transfers.part(took)
@@ -137,7 +142,7 @@
 
     /// Returns what other nodes are told about the load.
     pub(super) fn report(&self) -> peer::Load {
-        peer::Load::new(self.load(), self.transfers.load())
+        peer::Load::new(self.load(), self.link())
     }
 
     /// Returns the load of the last `span` seconds by keys, and the mean time of a request.
--- a/crates/settings/src/director.rs
+++ b/crates/settings/src/director.rs
@@ -4,7 +4,7 @@
 use std::path;
 use std::time::Duration;
 
-use crate::{check, common, span};
+use crate::{check, common, field, span};
 
 /// Settings of a control replica.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -47,6 +47,95 @@
     pub session_port: u16,
 }
 
+impl Director {
+    /// Descriptions of all settings, by section.
+    pub const SECTIONS: &[(&'static str, &'static [field::Field])] = &[
+        (
+            "",
+            &[
+                field::Field::new(
+                    "name",
+                    "name",
+                    "required",
+                    "1 to 64 characters",
+                    "Name of the VM.",
+                ),
+                field::Field::new(
+                    "region",
+                    "name",
+                    "required",
+                    "1 to 64 characters",
+                    "Region of the VM.",
+                ),
+                field::Field::new(
+                    "data",
+                    "path",
+                    "required",
+                    "path",
+                    "Directory of the replica's state.",
+                ),
+                field::Field::new(
+                    "listen.operators",
+                    "address",
+                    "required",
+                    "IP:port",
+                    "For operators (HTTP); it also names the replica to the others.",
+                ),
+                field::Field::new(
+                    "listen.metrics",
+                    "address",
+                    "none",
+                    "IP:port",
+                    "For the collector of metrics (HTTP).",
+                ),
+                field::Field::new(
+                    "listen.replica_port",
+                    "port",
+                    "required",
+                    "0 to 65535",
+                    "Port for other replicas, the same on all VMs.",
+                ),
+                field::Field::new(
+                    "listen.session_port",
+                    "port",
+                    "required",
+                    "not `listen.replica_port`",
+                    "Port for nodes, the same on all VMs.",
+                ),
+                field::Field::new(
+                    "replicas",
+                    "list of addresses",
+                    "required",
+                    "IP:port",
+                    "Addresses for operators of replicas that may be running. Takes effect while running.",
+                ),
+                field::Field::new(
+                    "first_start",
+                    "true or false",
+                    "required",
+                    "true or false",
+                    "Whether the whole deployment starts for the first time, with empty disks.",
+                ),
+                field::Field::new(
+                    "inodes_change",
+                    "true or false",
+                    "false",
+                    "true or false",
+                    "Whether the volume of `data` numbers its files anew at each start.",
+                ),
+                field::Field::new(
+                    "lease",
+                    "time",
+                    "required",
+                    "at least 1s",
+                    "Length of the lease of a backend server.",
+                ),
+            ],
+        ),
+        ("log", common::Log::FIELDS),
+    ];
+}
+
 impl check::Check for Director {
     fn check(&self, problems: &mut check::Problems) {
         problems.name("name", &self.name);
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::time::Duration;
 
-use crate::{check, common, span};
+use crate::{check, common, field, span};
 
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -82,6 +82,137 @@
     pub window: span::Span,
 }
 
+impl Gateway {
+    /// Descriptions of all settings, by section.
+    pub const SECTIONS: &[(&'static str, &'static [field::Field])] = &[
+        (
+            "",
+            &[
+                field::Field::new(
+                    "failure_domain",
+                    "name",
+                    "required",
+                    "text",
+                    "Failure domain of this VM.",
+                ),
+                field::Field::new(
+                    "service",
+                    "name",
+                    "required",
+                    "text",
+                    "Service of the backend server on this VM.",
+                ),
+                field::Field::new(
+                    "backend",
+                    "address",
+                    "required",
+                    "IP:port",
+                    "Address of the backend server.",
+                ),
+                field::Field::new(
+                    "listen.callers",
+                    "address",
+                    "required",
+                    "IP:port",
+                    "For callers (HTTP).",
+                ),
+                field::Field::new(
+                    "listen.ready",
+                    "address",
+                    "required",
+                    "IP:port",
+                    "For questions about readiness (HTTP).",
+                ),
+                field::Field::new(
+                    "listen.announcements",
+                    "address",
+                    "required",
+                    "IP:port",
+                    "For announcements of the backend server (HTTP).",
+                ),
+                field::Field::new(
+                    "listen.peers",
+                    "address",
+                    "required",
+                    "IP:port",
+                    "For other nodes.",
+                ),
+                field::Field::new(
+                    "listen.metrics",
+                    "address",
+                    "none",
+                    "IP:port",
+                    "For the collector of metrics (HTTP).",
+                ),
+                field::Field::new(
+                    "control.replicas",
+                    "list of addresses",
+                    "required",
+                    "at least 1",
+                    "Addresses for operators of control replicas that may be running. Takes effect while running.",
+                ),
+                field::Field::new(
+                    "control.session_port",
+                    "port",
+                    "required",
+                    "0 to 65535",
+                    "Port of control replicas for nodes, the same on all VMs.",
+                ),
+                field::Field::new(
+                    "lease.length",
+                    "time",
+                    "required",
+                    "at least 1s",
+                    "Length of the lease of a backend server.",
+                ),
+                field::Field::new(
+                    "lease.max_hold",
+                    "time",
+                    "required",
+                    "time",
+                    "Longest grant that a backend server takes.",
+                ),
+                field::Field::new(
+                    "retries.ratio",
+                    "part",
+                    "required",
+                    "0 to 1",
+                    "Second sendings for each request, of all nodes together. Takes effect while running.",
+                ),
+                field::Field::new(
+                    "retries.allowance",
+                    "sendings",
+                    "required",
+                    "at least 0",
+                    "Second sendings in a window beyond the ratio. Takes effect while running.",
+                ),
+                field::Field::new(
+                    "retries.window",
+                    "time",
+                    "required",
+                    "above 0",
+                    "The window. Takes effect while running.",
+                ),
+                field::Field::new(
+                    "drain",
+                    "time",
+                    "required",
+                    "time",
+                    "Time after the announcement of its leave for which a backend server may get requests.",
+                ),
+                field::Field::new(
+                    "grace",
+                    "time",
+                    "required",
+                    "time",
+                    "Time between SIGTERM and the end of the process.",
+                ),
+            ],
+        ),
+        ("log", common::Log::FIELDS),
+    ];
+}
+
 impl check::Check for Gateway {
     fn check(&self, problems: &mut check::Problems) {
         problems.require(
--- a/crates/settings/tests/page.rs
+++ b/crates/settings/tests/page.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeSet;
 use std::path;
 
-use sequoiayoke_settings::{self as settings, check, control, field, load, node, standin};
+use sequoiayoke_settings::{
+    self as settings, check, control, director, field, gateway, load, node, standin,
+};
 
 const PAGE: &str = include_str!("../../../docs/settings.md");
 
@@ -14,6 +16,8 @@
 const ROLES: &[(&str, Sections)] = &[
     ("control", control::Control::SECTIONS),
     ("node", node::Node::SECTIONS),
+    ("gateway", gateway::Gateway::SECTIONS),
+    ("director", director::Director::SECTIONS),
     ("standin", standin::Standin::SECTIONS),
     ("load", load::Load::SECTIONS),
 ];
@@ -94,6 +98,8 @@
 fn every_field_is_described() {
     covered::<control::Control>("control", include_str!("documents/control.jsonc"));
     covered::<node::Node>("node", include_str!("documents/node.jsonc"));
+    covered::<gateway::Gateway>("gateway", include_str!("documents/gateway.jsonc"));
+    covered::<director::Director>("director", include_str!("documents/director.jsonc"));
     covered::<standin::Standin>("standin", include_str!("documents/standin.jsonc"));
     covered::<load::Load>("load", include_str!("documents/load.jsonc"));
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -200,8 +200,10 @@
     watch_signals(daemon.stop(), reload::<D>(file, daemon.reloader()))?;
     // Scripts and tests wait for this line, and read the ports from it.
     let mut output = io::stdout();
-    let _ = writeln!(output, "ready {}", daemon.addresses());
+    let (version, addresses) = (env!("CARGO_PKG_VERSION"), daemon.addresses());
+    let _ = writeln!(output, "ready {addresses}");
     let _ = output.flush();
+    tracing::info!(version, settings = %file.display(), addresses, "started");
     let ended = daemon.wait();
     log::flush();
     ended
