--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -5,6 +5,7 @@
 //! have led to a run.
 
 mod answer;
+mod retry;
 mod target;
 
 use std::rc;
@@ -12,7 +13,7 @@
 
 use bytes::Bytes;
 use sequoiayoke_catalog::{config, server, slice};
-use sequoiayoke_dispatch::{admission, budget, probe, route};
+use sequoiayoke_dispatch::{admission, route};
 use sequoiayoke_http1::request;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::{clock, id};
@@ -25,6 +26,7 @@
 pub(super) use target::Seen;
 
 use answer::{Failure, answered, refuse};
+use retry::{earn, goes_on, is_full, is_probing, may_send_again, word};
 use target::{Outstanding, choose, record};
 
 /// Time for which a caller waits if it does not say.
@@ -41,10 +43,6 @@
 const CALL_TARGET: Duration = Duration::from_millis(300);
 /// Largest priority that is told apart.
 const MAX_PRIORITY: u32 = (1 << 14) - 1;
-/// Wait after a node has said that its backend server does not hold a key yet.
-const NOT_OWNER_PAUSE: Duration = Duration::from_millis(40);
-/// Shortest time before the deadline in which a request is still sent again.
-const MIN_LEFT: Duration = Duration::from_millis(30);
 /// Time beyond the deadline in which the other node's last word may arrive.
 const LAST_WORD: Duration = Duration::from_millis(80);
 /// Full backend servers that a request without a key asks before it waits at one.
@@ -352,112 +350,6 @@
     );
 }
 
-/// Decides whether a request that did not run is offered again.
-async fn goes_on<Frontend>(
-    context: &Context<Frontend>,
-    journey: &mut Journey<'_>,
-    reason: peer::Reason,
-    was_sent: bool,
-) -> bool {
-    tracing::debug!(id = journey.id, ?reason, was_sent, "a request did not run");
-    let service = &journey.service;
-    context.measure.not_run(service, word(reason));
-    if was_sent && !may_send_again(context, journey, reason) {
-        return false;
-    }
-    match reason {
-        // The owner of a key is full, or the least busy of the backend servers.
-        peer::Reason::Busy | peer::Reason::Deadline => false,
-        peer::Reason::NotOwner => {
-            journey.tried.clear();
-            tokio::time::sleep(NOT_OWNER_PAUSE).await;
-            true
-        }
-        _ if journey.key.is_some() => {
-            journey.tried.clear();
-            tokio::time::sleep(NOT_OWNER_PAUSE).await;
-            true
-        }
-        _ => true,
-    }
-}
-
-/// Decides whether a request may be sent to a backend server once more.
-fn may_send_again<Frontend>(
-    context: &Context<Frontend>,
-    journey: &Journey<'_>,
-    reason: peer::Reason,
-) -> bool {
-    let now = clock::Instant::now();
-    if journey.sent >= journey.max_attempts || now + MIN_LEFT >= journey.deadline {
-        return false;
-    }
-    let nodes = context.view().servers.len();
-    let mut budgets = context.budgets.borrow_mut();
-    let budget = budgets
-        .get_mut(&journey.service)
-        .is_some_and(|budget| budget.spend(now, nodes));
-    context.measure.second_sending(&journey.service, budget);
-    if context.may_log() {
-        tracing::info!(
-            id = journey.id,
-            service = journey.service,
-            ?reason,
-            sent = journey.sent,
-            allowed = budget,
-            "decided on a second sending"
-        );
-    }
-    budget
-}
-
-/// Returns the word for a reason in metrics.
-const fn word(reason: peer::Reason) -> &'static str {
-    match reason {
-        peer::Reason::Busy => "busy",
-        peer::Reason::OtherInstance => "other-instance",
-        peer::Reason::Draining => "draining",
-        peer::Reason::NotOwner => "not-owner",
-        peer::Reason::Unreachable => "unreachable",
-        peer::Reason::RefusedByServer => "refused-by-server",
-        peer::Reason::Deadline => "deadline",
-        peer::Reason::Broken => "broken",
-        peer::Reason::Malformed => "malformed",
-        peer::Reason::LinkLost => "link-lost",
-        peer::Reason::Stopping => "stopping",
-    }
-}
-
-/// Decides whether a request asks around for a free slot.
-fn is_probing<Frontend>(context: &Context<Frontend>, service: &str) -> bool {
-    let mut probes = context.probes.borrow_mut();
-    probes
-        .get_mut(service)
-        .is_none_or(probe::Probes::is_worth_it)
-}
-
-/// Returns whether a backend server had no slot in time.
-const fn is_full(outcome: &peer::Outcome) -> bool {
-    matches!(
-        outcome,
-        peer::Outcome::NotRun {
-            reason: peer::Reason::Busy,
-            ..
-        }
-    )
-}
-
-fn earn<Frontend>(context: &Context<Frontend>, service: &str) {
-    let mut budgets = context.budgets.borrow_mut();
-    match budgets.get_mut(service) {
-        Some(budget) => budget.earn(),
-        None => {
-            let budget = budget::Budget::new(context.reloads.borrow().budget);
-            budgets.insert(service.to_owned(), budget);
-        }
-    }
-}
-
 /// Waits for a view in which the request has somewhere to go; returns whether
 /// it is worth another look.
 async fn wait_for_owner<Frontend>(
--- a/crates/node/src/traffic/server/connection.rs
+++ b/crates/node/src/traffic/server/connection.rs
@@ -239,6 +239,17 @@
     }
 }
 
+/// Why the body of an answer broke off.
+#[derive(Debug, thiserror::Error)]
+enum Broken {
+    /// Its deadline has passed.
+    #[error("the deadline has passed")]
+    Deadline,
+    /// The connection has broken.
+    #[error("the connection has broken: {0}")]
+    Connection(#[from] hyper::Error),
+}
+
 /// The body of an answer, which fails once its deadline has passed.
 struct Deadline {
     incoming: Incoming,
@@ -247,15 +258,14 @@
 
 impl http_body::Body for Deadline {
     type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Error = Broken;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<http_body::Frame<Bytes>, Self::Error>>> {
         if self.passed.as_mut().poll(context).is_ready() {
-            let error = io::Error::new(io::ErrorKind::TimedOut, "the deadline has passed");
-            return task::Poll::Ready(Some(Err(error.into())));
+            return task::Poll::Ready(Some(Err(Broken::Deadline)));
         }
         let frame = task::ready!(Pin::new(&mut self.incoming).poll_frame(context));
         task::Poll::Ready(frame.map(|frame| frame.map_err(Into::into)))
--- a/platform/tests/pages.rs
+++ b/tests/pages.rs
@@ -3,8 +3,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-const LOGS: &str = include_str!("../../docs/logs.md");
-const METRICS: &str = include_str!("../../docs/metrics.md");
+const LOGS: &str = include_str!("../docs/logs.md");
+const METRICS: &str = include_str!("../docs/metrics.md");
 
 fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
     for entry in fs::read_dir(folder).expect("a folder of sources") {
@@ -19,7 +19,7 @@
 
 /// Returns the sources of gateways and directors.
 fn texts() -> Vec<String> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let mut found = vec![root.join("src/daemon.rs")];
     for name in ["gateway", "director", "replication"] {
         sources(&root.join("crates").join(name).join("src"), &mut found);
