Move keys away from a backend server that fails, and level out in one round

Ruled out: hot keys (no key among the refused stands out), leases, the number of servers. Change: nodes report the share of requests that fail; an outlier (half, where the median is a fifth or less, a third of the service at most) gives its keys away until the share has faded. Vacant neighbours get one owner, a part moves with up to eight of its slices, and a round may have a move for each server. Four tests, all fail before.

--- a/crates/balance/src/planner.rs
+++ b/crates/balance/src/planner.rs
@@ -12,6 +12,9 @@
 /// keys costs commands at both ends.
 const MAX_HEIRS: usize = 12;
 
+/// Slices that one part of the load moves in at most.
+const MAX_SLICES: usize = 8;
+
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
@@ -22,7 +25,8 @@
     /// Time for which a range that has moved stays where it is.
     pub rest: Duration,
     /// Moves that a round may have however few backend servers there are; with more
-    /// of them it may have one for every two.
+    /// of them it may have one for each, so that one that took over most keys of a service
+    /// gives them all away at once.
     pub min_round: usize,
 }
 
@@ -47,7 +51,8 @@
     pub slots: f64,
     /// Whether it may be given keys.
     pub is_open: bool,
-    /// Whether it gives all its keys away, because it or its node is about to stop.
+    /// Whether it gives all its keys away, because it fails, or it or its node is about
+    /// to stop.
     pub is_leaving: bool,
     /// Relative time that it takes for a request; 1 is the mean.
     pub pace: f64,
@@ -95,35 +100,57 @@
 
     /// Returns owners for all vacant slices.
     ///
-    /// Vacant keys go in runs of equal width to the open servers that hold the
-    /// fewest keys, the least loaded first.
+    /// Vacant keys go in order to the open servers that hold the fewest keys, each up to
+    /// an equal part of all keys. Neighbours then have one owner and become one slice,
+    /// however small the pieces were before.
     pub fn fill(&self, table: &slice::Table, owners: &[Owner]) -> Vec<Move> {
-        let mut held: Vec<(f64, id::Server)> = owners
+        let keys_of = |id: Option<id::Server>| -> f64 {
+            let own = table.slices().iter().filter(|slice| slice.owner == id);
+            f64::from(own.map(|slice| slice.range.len()).sum::<u32>())
+        };
+        let mut open: Vec<_> = owners
             .iter()
             .filter(|owner| owner.is_open)
-            .map(|owner| {
-                let own = table.slices().iter().filter(|s| s.owner == Some(owner.id));
-                let keys: u32 = own.map(|slice| slice.range.len()).sum();
-                (f64::from(keys) * owner.pace, owner.id)
-            })
+            .map(|owner| (keys_of(Some(owner.id)) * owner.pace, owner))
             .collect();
-        if held.is_empty() {
+        if open.is_empty() {
             return Vec::new();
         }
-        let fair = slice::Range::ALL.len() / held.len() as u32;
+        let held: f64 = open.iter().map(|(held, _)| held).sum();
+        let fair = (held + keys_of(None)) / open.len() as f64;
+        open.sort_by(|(one, _), (other, _)| other.total_cmp(one));
         let mut moves = Vec::new();
+        // The one that holds the fewest is last; it is full once it has its part.
+        let room = |(held, owner): &(f64, &Owner)| (fair - held) / owner.pace.max(0.01);
+        let Some(mut present) = open.pop() else {
+            return Vec::new();
+        };
+        let mut left = room(&present);
         for vacant in table.slices().iter().filter(|slice| slice.owner.is_none()) {
-            for range in cut(vacant.range, fair.max(1)) {
-                held.sort_by(|one, other| one.0.total_cmp(&other.0));
-                let (keys, to) = &mut held[0];
-                let pace = owners.iter().find(|one| one.id == *to);
-                *keys += f64::from(range.len()) * pace.map_or(1.0, |one| one.pace);
+            let mut first = u32::from(vacant.range.first);
+            let last = u32::from(vacant.range.last);
+            while first <= last {
+                if left < 1.0
+                    && let Some(next) = open.pop()
+                {
+                    present = next;
+                    left = room(&present);
+                    continue;
+                }
+                // The last server takes what rounding has left.
+                let width = match open.is_empty() {
+                    true => last - first + 1,
+                    false => (left as u32).clamp(1, last - first + 1),
+                };
+                let end = first + width - 1;
                 moves.push(Move {
-                    range,
+                    range: slice::Range::new(first as slice::Key, end as slice::Key),
                     from: None,
                     fence: vacant.fence,
-                    to: *to,
+                    to: present.1.id,
                 });
+                left -= f64::from(width);
+                first = end + 1;
             }
         }
         moves
@@ -204,8 +231,9 @@
         moves: &mut Vec<Move>,
     ) {
         let known: Vec<_> = owners.iter().filter(|owner| !owner.is_settling).collect();
-        let max_moves = self.config.min_round.max(known.len() / 2);
-        while moves.len() < max_moves {
+        let max_moves = self.config.min_round.max(known.len());
+        let mut parts = 0;
+        while parts < max_moves {
             let Some(busiest) = known.iter().max_by(|one, other| {
                 let (one, other) = (loads[&one.id], loads[&other.id]);
                 one.total_cmp(&other)
@@ -232,26 +260,29 @@
             let Some(part) = part else {
                 return;
             };
-            let Some(slice) = table
+            // A part may lie in several slices; what is left of it moves in a later round.
+            let own = table
                 .slices()
                 .iter()
-                .find(|slice| slice.owner == Some(busiest.id) && slice.range.overlaps(part.range))
-            else {
+                .filter(|slice| slice.owner == Some(busiest.id))
+                .filter(|slice| slice.range.overlaps(part.range));
+            let planned = moves.len();
+            moves.extend(own.take(MAX_SLICES).map(|slice| Move {
+                range: slice::Range::new(
+                    part.range.first.max(slice.range.first),
+                    part.range.last.min(slice.range.last),
+                ),
+                from: Some(busiest.id),
+                fence: slice.fence,
+                to,
+            }));
+            if moves.len() == planned {
                 return;
-            };
-            let range = slice::Range::new(
-                part.range.first.max(slice.range.first),
-                part.range.last.min(slice.range.last),
-            );
+            }
             *loads.entry(busiest.id).or_default() -= part.load / slots;
             *loads.entry(to).or_default() += part.load / slots * change;
             self.moved.push((part.range, now));
-            moves.push(Move {
-                range,
-                from: Some(busiest.id),
-                fence: slice.fence,
-                to,
-            });
+            parts += 1;
         }
     }
 
--- a/crates/balance/tests/planner.rs
+++ b/crates/balance/tests/planner.rs
@@ -216,3 +216,77 @@
     assert_eq!(moves.len(), 1, "{moves:?}");
     assert_eq!(moves[0].to, owners[1].id);
 }
+
+/// A backend server that was the first one back and got most keys: guards against one that
+/// stays full for many rounds while the others, back a moment later, have nothing to do.
+#[test]
+fn one_that_has_most_of_the_load_gives_it_away_in_one_round() {
+    let mut planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let first = [owner(0, Vec::new())];
+    let moves = planner.fill(&table, &first);
+    apply(&mut table, &moves, 1);
+    // 24 servers with 12 slots each could run this load at half of their slots.
+    let parts = (0..24).map(|run| part(run * 2_000, run * 2_000 + 1_999, 6.0));
+    let mut owners = vec![owner(0, parts.collect())];
+    owners.extend((1..24).map(|number| owner(number, Vec::new())));
+    let moves = planner.balance(clock::Instant::from_micros(0), &table, &owners);
+    assert!(moves.len() >= 22, "{} moves", moves.len());
+}
+
+/// A service that has lost all owners at once, with its keys in hundreds of pieces: guards
+/// against owners of pieces from everywhere, of which a move reaches only one at a time.
+#[test]
+fn vacant_pieces_that_are_neighbours_get_one_owner() {
+    let mut table = slice::Table::new();
+    let former: Vec<_> = (0..24).map(|number| owner(number, Vec::new())).collect();
+    for piece in 0..600_u16 {
+        let one = planner::Move {
+            range: slice::Range::new(piece * 100, piece * 100 + 99),
+            from: None,
+            fence: slice::Fence(0),
+            to: former[usize::from(piece * 7 % 24)].id,
+        };
+        apply(&mut table, &[one], u64::from(piece) + 1);
+    }
+    for server in &former {
+        table.vacate(server.id);
+    }
+    let owners: Vec<_> = (100..124).map(|number| owner(number, Vec::new())).collect();
+    let moves = planner::Planner::default().fill(&table, &owners);
+    apply(&mut table, &moves, 1_000);
+    assert!(
+        table.slices().len() <= 30,
+        "{} slices",
+        table.slices().len()
+    );
+    for server in &owners {
+        let share = held(&table, server.id.0);
+        assert!((2_600..=2_850).contains(&share), "{share}");
+    }
+}
+
+/// A part of the load that lies in several slices: guards against a move of one of them
+/// that counts as a move of all.
+#[test]
+fn a_part_in_several_slices_moves_whole() {
+    let mut planner = planner::Planner::default();
+    let mut table = slice::Table::new();
+    let both = [owner(0, Vec::new()), owner(1, Vec::new())];
+    for piece in 0..8_u16 {
+        let one = planner::Move {
+            range: slice::Range::new(piece * 100, piece * 100 + 99),
+            from: None,
+            fence: slice::Fence(0),
+            to: both[usize::from(piece % 2)].id,
+        };
+        apply(&mut table, &[one], u64::from(piece) + 1);
+    }
+    let owners = [
+        owner(0, vec![part(0, 599, 5.0), part(600, 699, 4.0)]),
+        owner(1, Vec::new()),
+    ];
+    let moves = planner.balance(clock::Instant::from_micros(0), &table, &owners);
+    let moved: u32 = moves.iter().map(|one| one.range.len()).sum();
+    assert_eq!(moved, 300, "{moves:?}");
+}
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -10,7 +10,7 @@
 use std::collections;
 use std::time::Duration;
 
-use sequoiayoke_balance::planner;
+use sequoiayoke_balance::{failing, planner};
 use sequoiayoke_catalog::{machine, server, slice};
 use sequoiayoke_dispatch::usage;
 use sequoiayoke_lease::registry;
@@ -85,6 +85,7 @@
 struct Report {
     parts: Vec<usage::Part>,
     service_s: f64,
+    failing: f64,
 }
 
 #[derive(Debug)]
@@ -109,6 +110,8 @@
     assigned: Option<clock::Instant>,
     /// Backend servers whose nodes have said that they stop, or have no session since.
     absent: collections::BTreeMap<server::Instance, Absence>,
+    /// Backend servers that fail while the others of their service do not.
+    failing: collections::BTreeSet<id::Server>,
     /// When each backend server last took part in a move.
     moved: collections::BTreeMap<id::Server, clock::Instant>,
     planned: clock::Instant,
@@ -137,6 +140,7 @@
             vacant: collections::BTreeMap::new(),
             assigned: None,
             absent: collections::BTreeMap::new(),
+            failing: collections::BTreeSet::new(),
             moved: collections::BTreeMap::new(),
             planned: now,
             proposals: Vec::new(),
@@ -239,6 +243,7 @@
         let report = Report {
             parts: renewal.parts,
             service_s: renewal.service_s,
+            failing: renewal.failing,
         };
         self.reports.insert(known.id, report);
         for refence in renewal.refences {
@@ -411,11 +416,37 @@
         let servers = machine.servers();
         self.reports.retain(|id, _| servers.contains_key(id));
         self.moved.retain(|id, _| servers.contains_key(id));
+        self.failing.retain(|id| servers.contains_key(id));
         self.absent
             .retain(|instance, _| machine.find(instance).is_some());
         self.leaves.retain(|id, _| servers.contains_key(id));
     }
 
+    /// Judges which backend servers of a service fail while the others do not.
+    fn judge(&mut self, machine: &machine::Machine, service: &str) {
+        let servers = machine.servers().values();
+        let own = servers.filter(|server| server.announcement.service == service);
+        let own: Vec<_> = own.map(|server| server.id).collect();
+        let share = |id: &id::Server| self.reports.get(id).map_or(0.0, |one| one.failing);
+        let shares: Vec<_> = own.iter().map(share).collect();
+        let outliers = failing::outliers(&shares);
+        for ((server, share), is_outlier) in own.into_iter().zip(shares).zip(outliers) {
+            let is_changed = match is_outlier {
+                true => self.failing.insert(server),
+                false => self.failing.remove(&server),
+            };
+            if is_changed {
+                let server = server.0;
+                tracing::info!(
+                    server,
+                    share,
+                    is_outlier,
+                    "judged a backend server by its failures"
+                );
+            }
+        }
+    }
+
     /// Returns the backend servers of a service as the planner sees them.
     fn owners(
         &self,
@@ -432,6 +463,7 @@
         let mean = times.iter().sum::<f64>() / times.len().max(1) as f64;
         own.into_iter()
             .map(|server| {
+                let is_failing = self.failing.contains(&server.id);
                 let report = self.reports.get(&server.id);
                 let absence = self.absent.get(&server.announcement.instance);
                 let is_draining = server.announcement.is_draining;
@@ -439,8 +471,8 @@
                 planner::Owner {
                     id: server.id,
                     slots: f64::from(server.announcement.slots),
-                    is_open: !is_draining && absence.is_none(),
-                    is_leaving: is_draining || absence == Some(&Absence::Stops),
+                    is_open: !is_draining && !is_failing && absence.is_none(),
+                    is_leaving: is_draining || is_failing || absence == Some(&Absence::Stops),
                     pace: report.map_or(1.0, |one| one.service_s.max(0.001) / mean),
                     parts: report.map_or_else(Vec::new, |one| one.parts.clone()),
                     is_settling: moved.is_some_and(|at| now.saturating_since(*at) < SETTLE),
--- a/crates/director/src/coordinator/leader/plan.rs
+++ b/crates/director/src/coordinator/leader/plan.rs
@@ -48,6 +48,7 @@
                 self.moved.insert(server, now);
             }
         }
+        self.judge(machine, service);
         let owners = self.owners(now, machine, service);
         if !owners.iter().any(|owner| owner.is_open) {
             return;
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -273,3 +273,36 @@
     world.leader.tick(at(6_300), &world.machine);
     assert_eq!(world.effects(), []);
 }
+
+/// Guards against keys that stay with a backend server that fails all requests and calls
+/// itself healthy, and against keys that flee from failures that everyone has.
+#[test]
+fn the_keys_of_a_failing_backend_server_move_if_the_others_do_not_fail() {
+    for (others_fail, moves) in [(0.0, true), (0.8, false)] {
+        let mut world = World::new();
+        let servers = [1, 2, 3].map(|number| announcement(&format!("i-{number}"), number));
+        let nodes = servers.each_ref().map(|server| {
+            let node = world.leader.node_up().expect("there is room");
+            world.renew(at(0), node, renewal(1, server));
+            world.commit(at(0));
+            node
+        });
+        for ms in (300..2_000).step_by(300) {
+            world.leader.tick(at(ms), &world.machine);
+            world.commit(at(ms));
+        }
+        world.effects();
+        for (number, (node, server)) in nodes.iter().zip(&servers).enumerate() {
+            let report = session::Renewal {
+                failing: if number == 0 { 0.9 } else { others_fail },
+                ..renewal(9, server)
+            };
+            world.renew(at(2_100), *node, report);
+        }
+        world.leader.tick(at(2_400), &world.machine);
+        let asked = world.effects().into_iter().any(|effect| {
+            matches!(effect, leader::Effect::Send(node, session::FromControl::Release { .. }) if node == nodes[0])
+        });
+        assert_eq!(asked, moves);
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod outcomes;
 pub mod probe;
 pub mod quota;
 pub mod route;
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -89,6 +89,8 @@
         parts: Vec<usage::Part>,
         /// Mean time that a request runs, in seconds.
         service_s: f64,
+        /// Share of requests that fail, from 0 to 1.
+        failing: f64,
     },
 }
 
@@ -224,7 +226,11 @@
                 fence,
                 handover,
             } => self.state.released(now, range, fence, handover),
-            Event::Used { parts, service_s } => self.state.used(parts, service_s),
+            Event::Used {
+                parts,
+                service_s,
+                failing,
+            } => self.state.used(parts, service_s, failing),
         }
     }
 
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -144,6 +144,7 @@
     refences: Vec<session::Refence>,
     parts: Vec<usage::Part>,
     service_s: f64,
+    failing: f64,
     effects: Vec<Effect>,
     is_changed: bool,
 }
@@ -171,6 +172,7 @@
             refences: Vec::new(),
             parts: Vec::new(),
             service_s: 0.0,
+            failing: 0.0,
             effects: Vec::new(),
             is_changed: true,
         }
@@ -354,7 +356,8 @@
     }
 
     /// Takes the load that requests have caused.
-    pub fn used(&mut self, parts: Vec<usage::Part>, service_s: f64) {
+    pub fn used(&mut self, parts: Vec<usage::Part>, service_s: f64, failing: f64) {
+        self.failing = failing;
         self.parts = parts;
         self.service_s = service_s;
     }
@@ -392,6 +395,7 @@
             refences: std::mem::take(&mut self.refences),
             parts: self.parts.clone(),
             service_s: self.service_s,
+            failing: self.failing,
             is_leaving: self.view.is_stopping,
         };
         self.effects.push(Effect::Renew(renewal));
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -274,7 +274,12 @@
             .is_some_and(|service| service.is_keyed);
         if is_keyed {
             let (parts, service_s) = context.backend.take_usage(span);
-            context.tell(coordinator::Event::Used { parts, service_s });
+            let failing = context.backend.take_failing();
+            context.tell(coordinator::Event::Used {
+                parts,
+                service_s,
+                failing,
+            });
         }
     }
 }
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use sequoiayoke_dispatch::{admission, transfer, usage};
+use sequoiayoke_dispatch::{admission, outcomes, transfer, usage};
 use sequoiayoke_http1::response;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::clock;
@@ -67,6 +67,7 @@
     idle: cell::RefCell<Vec<Connection>>,
     usage: cell::RefCell<usage::Usage>,
     transfers: bodies::Transfers,
+    outcomes: cell::RefCell<outcomes::Outcomes>,
 }
 
 #[derive(Debug)]
@@ -117,6 +118,7 @@
             idle: cell::RefCell::default(),
             usage: cell::RefCell::default(),
             transfers: bodies::Transfers::default(),
+            outcomes: cell::RefCell::default(),
         }
     }
 
@@ -152,6 +154,11 @@
         (usage.parts(PARTS), self.load().service_s)
     }
 
+    /// Returns the share of requests that fail.
+    pub(super) fn take_failing(&self) -> f64 {
+        self.outcomes.borrow_mut().report()
+    }
+
     /// Runs a request here, if it may run; `is_running` tells when it may have begun.
     pub(super) async fn run<Frontend>(
         &self,
@@ -240,9 +247,12 @@
         match ended.unwrap_or(Err(Error::Timeout)) {
             Ok(response) => {
                 self.log_slow(context, open, arrived, now);
+                let failed = response.status >= 500;
+                self.outcomes.borrow_mut().add(failed);
                 self.judge(context, open, &response, &mut slot)
             }
             Err(error) => {
+                self.outcomes.borrow_mut().add(true);
                 tracing::info!(id = open.id, %error, "no usable answer of the backend server");
                 peer::Outcome::Unknown(match error {
                     Error::Timeout => peer::Reason::Deadline,
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -55,6 +55,8 @@
     pub parts: Vec<usage::Part>,
     /// Mean time that a request runs here, in seconds.
     pub service_s: f64,
+    /// Share of requests that fail at the backend server, from 0 to 1.
+    pub failing: f64,
     /// Whether the node is about to stop.
     pub is_leaving: bool,
 }
