--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -167,6 +167,10 @@
     where
         B: Stream<Item = std::io::Result<Bytes>> + Send + 'static,
     {
+        // `hyper` takes other forms of a target too and would write them as they are.
+        if !view.path.starts_with('/') {
+            return None;
+        }
         let mut builder = hyper::Request::builder()
             .method(view.method)
             .uri(view.path)
