Bound a batch of log lines, and count lost lines until their number is written

Cause: a run of all tests beside load failed once in telemetry/tests/output.rs (dropped() was 0). The writer's thread collected lines as long as they came, without a bound, and set the count to zero before the report of it was written, which may be blocked. Change: at most 256 messages are written at once; the count falls after the write.

--- a/crates/telemetry/src/output.rs
+++ b/crates/telemetry/src/output.rs
@@ -4,6 +4,7 @@
 //! are dropped and counted, and the count is written as soon as there is room.
 
 use std::io::{self, Write};
+use std::iter;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
@@ -13,6 +14,9 @@
 
 /// Lines that may wait, enough for a second of refusals on a small VM.
 const QUEUE: usize = 2_048;
+/// Messages that are written at once. Without a bound, lines that come as fast as they are
+/// taken would be collected for ever.
+const BATCH: usize = 256;
 
 /// What goes through the queue.
 #[derive(Debug)]
@@ -80,15 +84,14 @@
     let mut waiting = Vec::new();
     while let Ok(message) = queue.recv() {
         batch.clear();
-        let mut next = Some(message);
-        while let Some(message) = next {
+        let messages = iter::once(message).chain(queue.try_iter());
+        for message in messages.take(BATCH) {
             match message {
                 Message::Line(line) => batch.extend_from_slice(&line),
                 Message::Flush(done) => waiting.push(done),
             }
-            next = queue.try_recv().ok();
         }
-        let lost = dropped.swap(0, Ordering::Relaxed);
+        let lost = dropped.load(Ordering::Relaxed);
         if lost > 0 {
             let text = format!(
                 "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":{lost}}}\n"
@@ -103,6 +106,7 @@
         {
             return;
         }
+        dropped.fetch_sub(lost, Ordering::Relaxed);
         for done in waiting.drain(..) {
             // Whoever asked may have given up.
             let _ = done.try_send(());
--- a/crates/telemetry/tests/output.rs
+++ b/crates/telemetry/tests/output.rs
@@ -69,6 +69,43 @@
     assert!(text.contains("after\n"));
 }
 
+/// A target that says when a write has begun and takes it when it is told to.
+struct Stepped {
+    begun: mpsc::Sender<usize>,
+    gate: mpsc::Receiver<()>,
+}
+
+impl Write for Stepped {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.begun.send(bytes.len()).map_err(io::Error::other)?;
+        self.gate.recv().map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a count of lost lines that is forgotten while its report waits to be
+/// written, and against a batch that grows as long as lines come.
+#[test]
+fn lost_lines_count_until_their_number_is_written() {
+    let ((begun, writes), (open, gate)) = (mpsc::channel(), mpsc::channel());
+    let output = output::Output::new(Stepped { begun, gate }).expect("a thread");
+    line(&output, "first\n");
+    assert_eq!(writes.recv(), Ok("first\n".len()));
+    for _ in 0..3_000 {
+        line(&output, "more\n");
+    }
+    let lost = output.dropped();
+    assert!(lost > 0);
+    open.send(()).expect("the target waits");
+    let bytes = writes.recv().expect("a second batch");
+    assert!(bytes < 3_000, "{bytes} bytes at once");
+    assert_eq!(output.dropped(), lost);
+}
+
 /// Guards against a process that ends before its last line is written.
 #[test]
 fn a_flush_waits_for_the_lines_before_it() {
