Put a class far below its share before calls

Calls of queueboard alone fill paydesk, and since a starved class goes before requests only. Change: a class with less than a quarter of the mean share, known from 12 offers or more, goes before calls; one below 0.4 goes before requests, as before. The test of the latter is written anew with a share between the two; it asserts the same order and that of other requests besides.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -21,6 +21,10 @@
 const SHARE_MEMORY: f64 = 60.0;
 /// Part of the mean share of admitted requests that each class gets at least.
 const FAIR_PART: f64 = 0.4;
+/// Part of the mean share below which a class goes before calls too.
+const LEAST_PART: f64 = 0.25;
+/// Offers of a class from which its share is certain enough for that.
+const CERTAIN: f64 = 12.0;
 /// Lowest rank of a request that is not a call between services. Calls go first, also
 /// before starved classes: a call that waits holds a slot of another backend server.
 pub const FIRST_REQUEST: u32 = 1 << 31;
@@ -211,13 +215,13 @@
         let all = self.all.ratio();
         let share = self.shares.entry(offer.class).or_default();
         // Rank alone would leave nothing to the lowest class of a full backend server.
-        let is_starved = share.ratio() < all * FAIR_PART;
+        let rank = match share.ratio() / all {
+            part if part < LEAST_PART && share.offered >= CERTAIN => 0,
+            part if part < FAIR_PART => offer.rank.min(FIRST_REQUEST),
+            _ => offer.rank,
+        };
         share.offer();
         self.all.offer();
-        let rank = match is_starved {
-            true => offer.rank.min(FIRST_REQUEST),
-            false => offer.rank,
-        };
         let verdict = self.admit(now, Offer { rank, ..offer });
         if !matches!(verdict, Verdict::Refuse(_)) {
             self.all.admitted += 1.0;
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -414,40 +414,86 @@
     assert_eq!(choice::best(&[near, far], 0, 0), Some(0));
 }
 
-/// Calls behind a class that gets less than its share: guards against a backend server
-/// whose starved class holds up the calls of other services, which hold their slots
-/// meanwhile and fail, and whose callers come back with more calls.
-#[test]
-fn a_starved_class_goes_before_requests_but_not_before_calls() {
-    let mut gate = admission::Gate::new(1);
-    for class in [1, 2] {
-        gate.observe(class, Duration::from_millis(50));
-    }
+/// Offers requests of a class that are admitted and leave, and some that are refused.
+fn offer_share(gate: &mut admission::Gate, class: u32, admitted: u32, refused: u32) {
     let now = at(0);
-    gate.offer(now, offer(now, 1));
-    // The class is refused until it counts as starved.
+    let patient = admission::Offer {
+        useful_until: at(1_000_000),
+        deadline: at(1_000_000),
+        ..offer(now, class)
+    };
     let hopeless = admission::Offer {
         useful_until: at(1),
         deadline: at(1),
-        ..offer(now, 3)
+        ..patient
     };
-    for _ in 0..50 {
-        gate.offer(now, hopeless);
-        gate.offer(now, offer(now, 1));
+    for _ in 0..admitted {
+        match gate.offer(now, patient) {
+            admission::Verdict::Wait(ticket) => gate.cancel(ticket),
+            other => panic!("{other:?}"),
+        }
     }
-    let wait = |gate: &mut admission::Gate, offer| match gate.offer(now, offer) {
-        admission::Verdict::Wait(ticket) => ticket,
-        other => panic!("{other:?}"),
-    };
-    let starved = wait(&mut gate, offer(now, 3));
+    for _ in 0..refused {
+        let verdict = gate.offer(now, hopeless);
+        assert!(matches!(verdict, admission::Verdict::Refuse(_)));
+    }
+}
+
+/// Returns the ranks of a request, a starved request and a call in the order in which they
+/// start, after requests of the starved class were admitted and refused so often.
+fn order_of_starts(admitted: u32, refused: u32) -> Vec<&'static str> {
+    let mut gate = admission::Gate::new(1);
+    let now = at(0);
+    gate.observe(1, Duration::from_millis(50));
+    gate.observe(3, Duration::from_millis(50));
+    gate.offer(now, offer(now, 1));
+    offer_share(&mut gate, 1, 20, 0);
+    offer_share(&mut gate, 3, admitted, refused);
     let call = admission::Offer {
         rank: 2,
         class: 9,
         ..offer(now, 1)
     };
-    let call = wait(&mut gate, call);
-    assert_eq!(gate.finish(at(10)), [admission::Release::Start(call)]);
-    assert_eq!(gate.finish(at(20)), [admission::Release::Start(starved)]);
+    let request = admission::Offer {
+        rank: admission::FIRST_REQUEST + 2,
+        ..offer(now, 1)
+    };
+    let starved = admission::Offer {
+        rank: admission::FIRST_REQUEST + 4,
+        ..offer(now, 3)
+    };
+    let offers = [("request", request), ("starved", starved), ("call", call)];
+    let waiting: Vec<_> = offers
+        .into_iter()
+        .map(|(name, offer)| match gate.offer(now, offer) {
+            admission::Verdict::Wait(ticket) => (ticket, name),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    let starts = (1..=3).flat_map(|step| gate.finish(at(step * 10)));
+    let name = |release| match release {
+        admission::Release::Start(ticket) => {
+            let found = waiting.iter().find(|(one, _)| *one == ticket);
+            found.expect("it waits").1
+        }
+        other => panic!("{other:?}"),
+    };
+    starts.map(name).collect()
+}
+
+/// Two services that call each other, both full: guards against a backend server
+/// whose starved class holds up the calls of other services, which hold their slots
+/// meanwhile and fail, and whose callers come back with more calls.
+#[test]
+fn a_starved_class_goes_before_requests_but_not_before_calls() {
+    assert_eq!(order_of_starts(3, 9), ["call", "starved", "request"]);
+}
+
+/// Guards against a class that gets next to nothing, since calls of other services alone
+/// fill the backend server.
+#[test]
+fn a_class_far_below_its_share_goes_before_calls() {
+    assert_eq!(order_of_starts(0, 12), ["starved", "call", "request"]);
 }
 
 /// Work whose time varies: guards against a queue that admits by the mean, so that half of
