--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 pub mod operator;
 pub mod process;
+pub mod proxy;
 pub mod settings;
 pub mod usage;
 
--- a/platform/tests/soak/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -10,7 +10,8 @@
 
 /// What happens to the bytes of all connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Mode {
+pub enum Mode {
+    /// Bytes arrive as they are sent.
     Pass,
     /// Bytes arrive later.
     Delay,
@@ -23,13 +24,32 @@
 }
 
 /// A proxy in front of one address.
-pub(crate) struct Proxy {
+#[derive(Debug)]
+pub struct Proxy {
     mode: watch::Sender<Mode>,
 }
 
 impl Proxy {
-    /// Starts to pass connections to `listener` on to `target`.
-    pub(crate) fn start(listener: TcpListener, target: net::SocketAddr) -> Self {
+    /// Starts to pass connections to `listener` on to `target`; call it in a runtime.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> std::io::Result<()> {
+    /// use sequoiayoke_harness::proxy;
+    ///
+    /// let target = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    /// let near = listener.local_addr()?;
+    /// let proxy = proxy::Proxy::start(listener, target.local_addr()?);
+    /// let _near = tokio::net::TcpStream::connect(near).await?;
+    /// target.accept().await?;
+    /// proxy.set(proxy::Mode::Silent);
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn start(listener: TcpListener, target: net::SocketAddr) -> Self {
         let (mode, modes) = watch::channel(Mode::Pass);
         tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
@@ -44,7 +64,8 @@
         Self { mode }
     }
 
-    pub(crate) fn set(&self, mode: Mode) {
+    /// Changes what happens, also to connections that are open.
+    pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
 }
