Log which requests the end of a node drops, and how far each had come

The logs could not tell whether a request whose connection closed without an answer was still being routed, had been sent to another node, or had an answer that was not written.

Gateways keep a registry of the requests that they have read, until the answer is written. A node that stops logs those that it drops with their stage, and counts in "stopped" the answers that are not written and the connections on which a part of a request was read. It logs each connection that it closes with such a part. The node of the backend server logs a cancelled request with its stage and the bytes of its body. Two metrics have the same stages. "logs why" names the stage. No decision has changed: the drain still ignores written answers.

--- a/crates/cli/src/diagnosis.rs
+++ b/crates/cli/src/diagnosis.rs
@@ -194,6 +194,9 @@
         let mut newest_first = lines.iter().rev();
         newest_first.find(|line| line.message() == message && line.text("id") == id)
     };
+    if let Some(dropped) = last_line("dropped a request at the end of the process") {
+        return dropped_cause(dropped, last_line("cancelled a request").copied());
+    }
     let failed_call = lines
         .iter()
         .find(|line| line.text("id") != id && line.message() == "not served");
@@ -224,6 +227,25 @@
     }
 }
 
+/// Returns the cause of a request that has no answer because its entry node ended.
+fn dropped_cause(dropped: &Line, cancelled: Option<&Line>) -> String {
+    let process = &dropped.process;
+    let took_ms = dropped.number("took_ms").unwrap_or(0);
+    let place = match (dropped.text("stage"), dropped.number("server")) {
+        ("answered", _) => return format!("{process} ended before its answer was written"),
+        ("sent", Some(server)) => format!("at the node of backend server {server}"),
+        (_, _) => "at this node".to_owned(),
+    };
+    let stage = match cancelled.map(|line| line.text("stage")) {
+        Some("fetching-body") => ", where its body was being fetched; it did not run",
+        Some("waiting-for-slot") => ", where it waited for a slot; it did not run",
+        Some("checking" | "connecting") => ", where it had not been written; it did not run",
+        Some(_) => ", where it may have run",
+        None => "",
+    };
+    format!("{process} ended after {took_ms} ms while the request was {place}{stage}")
+}
+
 fn abandoned_cause(abandoned: &Line, lines: &[&Line]) -> String {
     let refusals = [
         "the backend server is full",
--- a/crates/cli/tests/sessions/main.rs
+++ b/crates/cli/tests/sessions/main.rs
@@ -289,3 +289,23 @@
         .await;
     insta::assert_snapshot!(session.transcript());
 }
+
+const DROPPED_LOG: &str = r#"entry {"timestamp":"2026-10-09T09:28:01.604000Z","level":"INFO","message":"stopping"}
+entry {"timestamp":"2026-10-09T09:28:06.923218Z","level":"WARN","message":"dropped a request at the end of the process","id":"a099beef1e021fe4","service":"desk","stage":"sent","server":57,"took_ms":3781,"left_ms":3691}
+entry {"timestamp":"2026-10-09T09:28:06.923300Z","level":"WARN","message":"dropped a request at the end of the process","id":"caaf278670f188ad","service":"desk","stage":"answered","took_ms":3781,"left_ms":3691}
+entry {"timestamp":"2026-10-09T09:28:06.923315Z","level":"INFO","message":"stopped","in_flight":1,"answered":1,"partly_read":0,"running":0,"elapsed_ms":5321}
+owner {"timestamp":"2026-10-09T09:28:07.071734Z","level":"INFO","message":"cancelled a request","id":"a099beef1e021fe4","stage":"fetching-body","waited_ms":3928,"body_bytes":30890,"received_bytes":0}
+"#;
+
+/// Guards against a `logs why` that cannot say where a request was whose entry node ended without
+/// an answer.
+#[tokio::test]
+async fn logs_why_names_the_stage_of_a_request_that_the_end_of_a_node_dropped() {
+    let mut session = session::Session::new(&[]);
+    session.write_file("dropped.log", DROPPED_LOG);
+    for id in ["a099beef1e021fe4", "caaf278670f188ad"] {
+        let command = format!("logs why {id} files/dropped.log");
+        session.run(&command).await;
+    }
+    insta::assert_snapshot!(session.transcript());
+}
--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -24,6 +24,8 @@
     earned_retries: metrics::Gauge,
     bodies_wait: metrics::Gauge,
     skipped_lines: metrics::Counter,
+    cancelled: metrics::Counter,
+    in_progress: metrics::Gauge,
     index: metrics::Gauge,
     version: metrics::Gauge,
     labels: cell::RefCell<collections::HashMap<(String, &'static str), label::Set>>,
@@ -72,6 +74,14 @@
                 "log_lines_skipped",
                 "Lines about requests beyond the bound on them.",
             ),
+            cancelled: metrics.counter(
+                "cancelled",
+                "Requests that were cancelled at the node of the backend server, by stage.",
+            ),
+            in_progress: metrics.gauge(
+                "requests_in_progress",
+                "Requests of callers that were read and whose answers are not written, by stage.",
+            ),
             index: metrics.gauge(
                 "view_index",
                 "Log index of the view that requests are routed by.",
@@ -113,6 +123,16 @@
         self.skipped_lines.add(lines, &label::Set::empty());
     }
 
+    pub(crate) fn record_cancelled(&self, stage: &'static str) {
+        let labels = label::Set::new([label::Label::Kind(stage)]);
+        self.cancelled.add(1, &labels);
+    }
+
+    pub(crate) fn set_in_progress(&self, stage: &'static str, count: usize) {
+        let labels = label::Set::new([label::Label::Kind(stage)]);
+        self.in_progress.set(count as f64, &labels);
+    }
+
     pub(crate) fn set_earned_retries(&self, service: &str, earned: f64) {
         let labels = label::Set::new([label::Label::Service(service)]);
         self.earned_retries.set(earned, &labels);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod path;
 mod peers;
+mod requests;
 mod serving;
 mod session;
 
@@ -45,6 +46,8 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// Largest number of log lines about requests that the end of the process drops.
+const MAX_DROPPED_LINES: usize = 50;
 /// Time for which callers may still connect after the node has reported that it is not ready.
 const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
 
@@ -84,7 +87,9 @@
     observations: cell::RefCell<collections::HashMap<id::Server, path::Observation>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
     probes: cell::RefCell<collections::HashMap<String, probe::Probes>>,
-    in_flight: cell::Cell<usize>,
+    requests: rc::Rc<requests::Requests>,
+    /// Number of callers' connections on which a part of a request was read.
+    partly_read: cell::Cell<usize>,
     log_quota: cell::RefCell<quota::Quota>,
     measure: measure::Measure,
     /// Settings that may change while the node runs.
@@ -156,7 +161,8 @@
         observations: cell::RefCell::default(),
         budgets: cell::RefCell::default(),
         probes: cell::RefCell::default(),
-        in_flight: cell::Cell::new(0),
+        requests: rc::Rc::default(),
+        partly_read: cell::Cell::new(0),
         log_quota: cell::RefCell::new(quota::Quota::new(MAX_LOG_LINES, LOG_LINES_INTERVAL)),
         measure: measure::Measure::new().change_context_lazy(error)?,
         reloads,
@@ -211,6 +217,9 @@
     for (service, budget) in context.budgets.borrow().iter() {
         context.measure.set_earned_retries(service, budget.earned());
     }
+    for (stage, count) in context.requests.count().by_stage() {
+        context.measure.set_in_progress(stage, count);
+    }
     let (load, link) = (context.backend.load(), context.backend.link_load());
     match context
         .measure
@@ -229,11 +238,21 @@
     let max_time = context.settings.grace.saturating_sub(EXIT_MARGIN);
     loop {
         let elapsed = clock::Instant::now().saturating_since(start);
-        let in_flight = context.in_flight.get();
+        let count = context.requests.count();
+        let in_flight = count.routing + count.sent;
         let running = context.backend.load().running;
         if elapsed >= max_time || (in_flight == 0 && running == 0) {
-            let elapsed_ms = elapsed.as_millis() as u64;
-            tracing::info!(in_flight, running, elapsed_ms, "stopped");
+            context
+                .requests
+                .log_dropped(clock::Instant::now(), MAX_DROPPED_LINES);
+            tracing::info!(
+                in_flight,
+                answered = count.answered,
+                partly_read = context.partly_read.get(),
+                running,
+                elapsed_ms = elapsed.as_millis() as u64,
+                "stopped"
+            );
             return;
         }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -77,6 +77,34 @@
     idle: Duration,
 }
 
+/// Progress of a request at the node of the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// The request was not admitted yet.
+    Checking,
+    /// The body is being fetched from the node that the caller uses.
+    FetchingBody,
+    /// The request waits for a slot.
+    WaitingForSlot,
+    /// The request has a slot and waits for a connection.
+    Connecting,
+    /// The request was written, or a part of it, so that it may have run.
+    Running,
+}
+
+impl Stage {
+    /// Returns the value of the log field and of the metrics label.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Checking => "checking",
+            Self::FetchingBody => "fetching-body",
+            Self::WaitingForSlot => "waiting-for-slot",
+            Self::Connecting => "connecting",
+            Self::Running => "running",
+        }
+    }
+}
+
 /// Reason why an exchange with the backend server failed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum Error {
@@ -159,14 +187,13 @@
         self.outcomes.borrow_mut().report()
     }
 
-    /// Runs a request at the backend server if it may run; sets `is_running` once it may have
-    /// begun.
+    /// Runs a request at the backend server if it may run, and keeps `stage` up to date.
     pub(super) async fn run<Frontend>(
         &self,
         context: &Context<Frontend>,
         open: &peer::Open,
         pull: Option<&serving::Pull>,
-        is_running: &cell::Cell<bool>,
+        stage: &cell::Cell<Stage>,
     ) -> peer::Outcome
     where
         Frontend: frontend::Frontend,
@@ -184,6 +211,7 @@
             deadline,
             max_wait: Duration::from_millis(u64::from(open.patience_ms)),
         };
+        stage.set(Stage::FetchingBody);
         let body = match self.body(open, pull, &offer).await {
             Ok(body) => body,
             Err(bodies::Refusal::Full(retry_after)) => {
@@ -211,6 +239,7 @@
             // A request whose body was fetched is not sent to another server for a shorter wait.
             offer.max_wait = Duration::MAX;
         }
+        stage.set(Stage::WaitingForSlot);
         let now = clock::Instant::now();
         let mut slot = match self.acquire_slot(now, offer, open.key).await {
             Ok(slot) => slot,
@@ -225,6 +254,7 @@
             true => IDLE_TIMEOUT,
             false => NON_IDEMPOTENT_IDLE_TIMEOUT,
         };
+        stage.set(Stage::Connecting);
         let connection = match self.checkout(max_idle).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -242,7 +272,7 @@
         }
         let left = now.saturating_until(deadline);
         let request = self.encode(&context.frontend, open, body.as_deref(), left);
-        is_running.set(true);
+        stage.set(Stage::Running);
         slot.start = now;
         let exchange = self.exchange(&context.frontend, connection, request, &open.id);
         let timeout = left + RESPONSE_MARGIN;
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -4,6 +4,7 @@
 //! The connection is read meanwhile, so that its end is noticed at once: its requests are dropped,
 //! which cancels them at the backend servers.
 
+use std::cell;
 use std::io;
 use std::rc;
 use std::time::Duration;
@@ -56,6 +57,70 @@
     }
 }
 
+/// Counts a connection as partly read while a part of a request has been read on it.
+struct PartlyRead<'a> {
+    count: &'a cell::Cell<usize>,
+    is_counted: bool,
+}
+
+impl<'a> PartlyRead<'a> {
+    const fn new(count: &'a cell::Cell<usize>) -> Self {
+        Self {
+            count,
+            is_counted: false,
+        }
+    }
+
+    fn set(&mut self, is_partly_read: bool) {
+        match (self.is_counted, is_partly_read) {
+            (false, true) => self.count.set(self.count.get() + 1),
+            (true, false) => self.count.set(self.count.get() - 1),
+            (false, false) | (true, true) => {}
+        }
+        self.is_counted = is_partly_read;
+    }
+}
+
+impl Drop for PartlyRead<'_> {
+    fn drop(&mut self) {
+        self.set(false);
+    }
+}
+
+/// Reason why the node closes the connection of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// The rest of a request, or the next one, did not arrive in time.
+    Timeout,
+    /// The caller sends no further request.
+    LastRequest,
+    /// The node is stopping.
+    Stopping,
+}
+
+/// Logs a close after which a request that was read in part stays without an answer.
+fn log_close<Frontend>(
+    context: &Context<Frontend>,
+    reason: Close,
+    decoder: &request::Decoder,
+    input: &BytesMut,
+) where
+    Frontend: frontend::Frontend,
+{
+    let open = decoder.open_head();
+    if (open.is_none() && input.is_empty()) || !context.may_log() {
+        return;
+    }
+    let id = open.and_then(|head| context.frontend.caller(head).id);
+    tracing::info!(
+        id,
+        ?reason,
+        has_head = open.is_some(),
+        undecoded_bytes = input.len(),
+        "closed a connection on which a part of a request was read"
+    );
+}
+
 async fn serve<Frontend>(mut io: TcpStream, context: &rc::Rc<Context<Frontend>>) -> io::Result<()>
 where
     Frontend: frontend::Frontend,
@@ -68,6 +133,7 @@
     // A caller that connects to a stopping node gets one answer.
     let mut is_new = true;
     let mut last_activity = time::Instant::now();
+    let mut partly_read = PartlyRead::new(&context.partly_read);
     loop {
         let limits = context
             .shared
@@ -105,7 +171,13 @@
         let is_idle = running.is_empty();
         let is_closed = context.is_closed.get();
         let is_ending = is_closed || (context.stop.is_cancelled() && input.is_empty() && !is_new);
+        partly_read.set(decoder.is_open() || !input.is_empty());
         if is_idle && (is_last || is_ending) {
+            let reason = match is_last {
+                true => Close::LastRequest,
+                false => Close::Stopping,
+            };
+            log_close(context, reason, &decoder, &input);
             return io.shutdown().await;
         }
         let timeout_ms = match input.is_empty() && !decoder.is_open() {
@@ -120,6 +192,11 @@
                 write(&mut io, answer, is_closing).await?;
                 last_activity = time::Instant::now();
                 if is_closing {
+                    let reason = match is_last {
+                        true => Close::LastRequest,
+                        false => Close::Stopping,
+                    };
+                    log_close(context, reason, &decoder, &input);
                     return io.shutdown().await;
                 }
             }
@@ -132,7 +209,10 @@
                     last_activity = time::Instant::now();
                 }
             }
-            () = time::sleep_until(until), if is_idle => return io.shutdown().await,
+            () = time::sleep_until(until), if is_idle => {
+                log_close(context, Close::Timeout, &decoder, &input);
+                return io.shutdown().await;
+            }
             () = context.stop.cancelled(), if is_idle && !context.stop.is_cancelled() => {}
         }
     }
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -17,7 +17,7 @@
 use sequoiayoke_link::peer;
 use sequoiayoke_model::{clock, id};
 
-use super::Context;
+use super::{Context, requests};
 use crate::frontend;
 use crate::view;
 
@@ -94,39 +94,26 @@
 where
     Frontend: frontend::Frontend,
 {
-    let _in_flight = InFlight::new(&context);
     let caller = context.frontend.caller(&request.head);
     let id = caller.id.unwrap_or_default();
+    let registration = requests::Registration::new(&context.requests, id, arrived);
     let (service, result) = match prepare(&context, &request, &caller, arrived) {
         Ok(delivery) => {
             let service = delivery.service.clone();
-            (service, deliver(&context, delivery).await)
+            registration.set_route(&service, delivery.deadline);
+            (service, deliver(&context, delivery, &registration).await)
         }
         Err(failure) => (String::new(), Err(failure)),
     };
     let took = clock::Instant::now().saturating_since(arrived);
     let kind = result.as_ref().map_or_else(Failure::as_str, |_| "answered");
     context.measure.record_request(&service, kind, took);
-    result.unwrap_or_else(|failure| {
+    let answer = result.unwrap_or_else(|failure| {
         let is_logged = context.may_log();
         build_refusal(id, &service, &request.head, failure, took, is_logged)
-    })
-}
-
-/// Counts a request as in flight until it is dropped.
-struct InFlight<'a, Frontend>(&'a Context<Frontend>);
-
-impl<'a, Frontend> InFlight<'a, Frontend> {
-    fn new(context: &'a Context<Frontend>) -> Self {
-        context.in_flight.set(context.in_flight.get() + 1);
-        Self(context)
-    }
-}
-
-impl<Frontend> Drop for InFlight<'_, Frontend> {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
+    });
+    registration.set_stage(requests::Stage::Answered);
+    answer.with_registration(registration)
 }
 
 fn prepare<'a, Frontend>(
@@ -234,6 +221,7 @@
 async fn deliver<Frontend>(
     context: &rc::Rc<Context<Frontend>>,
     mut delivery: Delivery<'_>,
+    registration: &requests::Registration,
 ) -> Result<Answer, Failure>
 where
     Frontend: frontend::Frontend,
@@ -267,7 +255,9 @@
                 now + left * percent / 100
             }
         };
+        registration.set_stage(requests::Stage::Sent(target.id));
         let (outcome, load) = send(context, &delivery, &target, now, wait_until).await;
+        registration.set_stage(requests::Stage::Routing);
         record_outcome(context, &target, &outcome, load);
         if !is_last {
             let mut probes = context.probes.borrow_mut();
--- a/crates/gateway/src/traffic/path/answer.rs
+++ b/crates/gateway/src/traffic/path/answer.rs
@@ -7,6 +7,7 @@
 use sequoiayoke_model::clock;
 
 use super::Delivery;
+use crate::traffic::requests;
 
 /// An answer to a caller.
 #[derive(Debug)]
@@ -15,6 +16,26 @@
     pub(in crate::traffic) head: Vec<u8>,
     /// Body.
     pub(in crate::traffic) body: Bytes,
+    /// Registration of the request, which ends when the answer is written.
+    _registration: Option<requests::Registration>,
+}
+
+impl Answer {
+    const fn new(head: Vec<u8>, body: Bytes) -> Self {
+        Self {
+            head,
+            body,
+            _registration: None,
+        }
+    }
+
+    /// Keeps the request registered until the answer is dropped.
+    pub(super) fn with_registration(self, registration: requests::Registration) -> Self {
+        Self {
+            _registration: Some(registration),
+            ..self
+        }
+    }
 }
 
 /// Reason why the router itself answers a request.
@@ -67,7 +88,7 @@
     } else {
         body
     };
-    Answer { head, body }
+    Answer::new(head, body)
 }
 
 pub(super) fn build_refusal(
@@ -112,10 +133,8 @@
             retry_after.as_secs_f64()
         ));
     }
-    Answer {
-        head: text.into_bytes(),
-        body: Bytes::from_static(phrase.as_bytes()),
-    }
+    let body = Bytes::from_static(phrase.as_bytes());
+    Answer::new(text.into_bytes(), body)
 }
 
 /// Returns the answer to malformed or oversized input.
@@ -128,8 +147,5 @@
     tracing::info!(status, %fault, "received a malformed or oversized request");
     let phrase = serve::reason_phrase(status);
     let head = format!("HTTP/1.1 {status} {phrase}\r\ncontent-length: 0\r\n");
-    Answer {
-        head: head.into_bytes(),
-        body: Bytes::new(),
-    }
+    Answer::new(head.into_bytes(), Bytes::new())
 }
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -10,12 +10,13 @@
 
 use futures_util::StreamExt;
 use sequoiayoke_link::{codec, peer};
+use sequoiayoke_model::clock;
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::sync::oneshot;
 use tokio::task;
 use tokio_util::codec::FramedRead;
 
-use super::{Context, peers};
+use super::{Context, backend, peers};
 use crate::frontend;
 
 pub(super) use bodies::Pull;
@@ -150,21 +151,29 @@
             was_sent: false,
         });
     }
-    let is_running = cell::Cell::new(false);
-    let request = context.backend.run(context, open, pull, &is_running);
+    let arrived = clock::Instant::now();
+    let stage = cell::Cell::new(backend::Stage::Checking);
+    let request = context.backend.run(context, open, pull, &stage);
     tokio::pin!(request);
     tokio::select! {
         outcome = &mut request => return Some(outcome),
         // The error means that the sender was dropped, which is how a request is cancelled.
         _ = cancelled => {}
     }
-    if is_running.get() && !open.is_idempotent {
+    if stage.get() == backend::Stage::Running && !open.is_idempotent {
         return Some(request.await);
     }
-    tracing::debug!(
-        id = open.id,
-        is_running = is_running.get(),
-        "cancelled a request"
-    );
+    context.measure.record_cancelled(stage.get().as_str());
+    if context.may_log() {
+        let waited = clock::Instant::now().saturating_since(arrived);
+        tracing::info!(
+            id = open.id,
+            stage = stage.get().as_str(),
+            waited_ms = waited.as_millis() as u64,
+            body_bytes = open.body.len(),
+            received_bytes = pull.map_or(0, Pull::received),
+            "cancelled a request"
+        );
+    }
     None
 }
--- a/crates/gateway/src/traffic/serving/bodies.rs
+++ b/crates/gateway/src/traffic/serving/bodies.rs
@@ -107,6 +107,14 @@
         }
         received.await.ok()
     }
+
+    /// Returns the number of bytes received so far.
+    pub(super) fn received(&self) -> usize {
+        let incoming = self.bodies.incoming.borrow();
+        incoming
+            .get(&self.stream)
+            .map_or(0, |body| body.bytes.len())
+    }
 }
 
 impl Drop for Pull {
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -87,6 +87,27 @@
         self.open.is_some()
     }
 
+    /// Returns the head of the request whose body has not been decoded completely.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bytes::BytesMut;
+    /// use sequoiayoke_http1::request;
+    ///
+    /// let mut decoder = request::Decoder::new();
+    /// let mut input = BytesMut::from("POST /a HTTP/1.1\r\ncontent-length: 4\r\n\r\nab");
+    /// let limits = request::Limits { head: 1_024, body: 4 };
+    /// decoder.decode(&mut input, limits).expect("the request is well formed");
+    /// assert_eq!(decoder.open_head().map(|head| head.path()), Some("/a"));
+    /// ```
+    pub const fn open_head(&self) -> Option<&Head> {
+        match &self.open {
+            Some((head, _)) => Some(head),
+            None => None,
+        }
+    }
+
     /// Consumes the available input.
     ///
     /// # Errors
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -51,6 +51,31 @@
     Later(u32),
 }
 
+impl Body {
+    /// Returns the length of the body in bytes, whether it was transferred or not.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_link::peer;
+    ///
+    /// assert_eq!(peer::Body::Later(40_000).len(), 40_000);
+    /// assert!(peer::Body::None.is_empty());
+    /// ```
+    pub const fn len(&self) -> usize {
+        match self {
+            Self::None => 0,
+            Self::Whole(bytes) => bytes.len(),
+            Self::Later(length) => *length as usize,
+        }
+    }
+
+    /// Returns whether there is no body, or one without bytes.
+    pub const fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
 /// Reason why a request did not run, or why it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Reason {
