--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -26,6 +26,7 @@
     skipped_lines: metrics::Counter,
     cancelled: metrics::Counter,
     in_progress: metrics::Gauge,
+    partly_read: metrics::Gauge,
     index: metrics::Gauge,
     version: metrics::Gauge,
     labels: cell::RefCell<collections::HashMap<(String, &'static str), label::Set>>,
@@ -82,6 +83,10 @@
                 "requests_in_progress",
                 "Requests of callers that were read and whose answers are not written, by stage.",
             ),
+            partly_read: metrics.gauge(
+                "connections_partly_read",
+                "Connections of callers on which a part of a request was read.",
+            ),
             index: metrics.gauge(
                 "view_index",
                 "Log index of the view that requests are routed by.",
@@ -133,6 +138,11 @@
         self.in_progress.set(count as f64, &labels);
     }
 
+    pub(crate) fn set_partly_read(&self, connections: usize) {
+        let labels = label::Set::empty();
+        self.partly_read.set(connections as f64, &labels);
+    }
+
     pub(crate) fn set_earned_retries(&self, service: &str, earned: f64) {
         let labels = label::Set::new([label::Label::Service(service)]);
         self.earned_retries.set(earned, &labels);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -220,6 +220,7 @@
     for (stage, count) in context.requests.count().by_stage() {
         context.measure.set_in_progress(stage, count);
     }
+    context.measure.set_partly_read(context.partly_read.get());
     let (load, link) = (context.backend.load(), context.backend.link_load());
     match context
         .measure
