Bound every wait of a request by the end of its process

What callers saw: under planned work a whole upload got neither an answer nor a refusal; its connection closed 5.3 s after the SIGTERM of its node.

Cause: a node ended at a fixed time after the signal, whatever it held. The waits of a request (for the transfer of its body to another node, for a slot there, for an owner of its key) were bounded by its own deadline alone, 8 s for these uploads, which is later than the end of the process. A node beside a backend server that stopped dropped the requests that waited at it too, and the entry node had to report them as possibly run.

Fix: the end of a process is a deadline of all that it holds. dispatch::shutdown gives a stop phases.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod probe;
 pub mod quota;
 pub mod route;
+pub mod shutdown;
 pub mod transfer;
 pub mod usage;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -14,13 +14,14 @@
 
 use std::cell;
 use std::collections;
+use std::future;
 use std::net;
 use std::rc;
 use std::sync;
 use std::time::Duration;
 
 use error_stack::ResultExt;
-use sequoiayoke_dispatch::{budget, probe, quota, route};
+use sequoiayoke_dispatch::{budget, probe, quota, route, shutdown};
 use sequoiayoke_http1::serve;
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_supervise::{Stop, supervisor};
@@ -44,13 +45,8 @@
 const LOG_LINES_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two checks for unfinished requests while the node stops.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// Largest number of log lines about requests that the end of the process drops.
 const MAX_DROPPED_LINES: usize = 50;
-/// Time for which callers may still connect after the node has reported that it is not ready.
-const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
-
 /// Listeners that were opened at the start.
 #[derive(Debug)]
 pub struct Listeners {
@@ -94,10 +90,15 @@
     measure: measure::Measure,
     /// Settings that may change while the node runs.
     reloads: watch::Receiver<root::Reload>,
-    /// Set when the node should stop: callers are then asked to close their connections.
-    stop: Stop,
-    /// Whether new requests of callers and other nodes are refused.
-    is_closed: cell::Cell<bool>,
+    /// Phase of a graceful stop, and its times once it has begun.
+    stop: watch::Receiver<Stopping>,
+}
+
+/// Progress of a graceful stop.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stopping {
+    phase: shutdown::Phase,
+    schedule: Option<shutdown::Schedule>,
 }
 
 #[derive(Default)]
@@ -116,6 +117,26 @@
         self.log_quota.borrow_mut().take(clock::Instant::now())
     }
 
+    /// Returns the phase of a graceful stop.
+    fn phase(&self) -> shutdown::Phase {
+        self.stop.borrow().phase
+    }
+
+    /// Waits until a graceful stop has reached `phase`.
+    async fn reached(&self, phase: shutdown::Phase) {
+        let mut stop = self.stop.clone();
+        if stop.wait_for(|stop| stop.phase >= phase).await.is_err() {
+            // The task that changes the phase ends only with the process.
+            future::pending().await
+        }
+    }
+
+    /// Returns the time by which a request must have its outcome, if the node is stopping.
+    fn latest_outcome(&self) -> Option<clock::Instant> {
+        let schedule = self.stop.borrow().schedule;
+        schedule.map(|schedule| schedule.latest_outcome())
+    }
+
     /// Sends an event to the control thread.
     fn send_event(&self, event: coordinator::Event) {
         if self.events.try_send(event).is_err() {
@@ -145,6 +166,7 @@
 {
     let error = || supervisor::Error::Child("listener");
     let Signals { stop, reloads } = signals;
+    let (stopping, stop_changes) = watch::channel(Stopping::default());
     let callers = TcpListener::from_std(listeners.callers).change_context_lazy(error)?;
     let ready = TcpListener::from_std(listeners.ready).change_context_lazy(error)?;
     let announcements =
@@ -166,8 +188,7 @@
         log_quota: cell::RefCell::new(quota::Quota::new(MAX_LOG_LINES, LOG_LINES_INTERVAL)),
         measure: measure::Measure::new().change_context_lazy(error)?,
         reloads,
-        stop: stop.clone(),
-        is_closed: cell::Cell::new(false),
+        stop: stop_changes,
     });
     task::spawn_local(serving::accept(peers, rc::Rc::clone(&context)));
     task::spawn_local(announcements::run(announcements, rc::Rc::clone(&context)));
@@ -190,14 +211,31 @@
     }
     stop.cancelled().await;
     let start = clock::Instant::now();
-    tokio::time::sleep(LISTENER_CLOSE_DELAY).await;
+    let schedule = shutdown::Schedule::new(start, context.settings.grace);
+    task::spawn_local(advance_phase(stopping, schedule));
+    context.reached(shutdown::Phase::Closed).await;
     // Without a listener, connections are refused and callers use another node.
     accept_task.abort();
-    context.is_closed.set(true);
     drain_requests(&context, start).await;
     Ok(())
 }
 
+/// Publishes the phases of a graceful stop.
+async fn advance_phase(stopping: watch::Sender<Stopping>, schedule: shutdown::Schedule) {
+    loop {
+        let now = clock::Instant::now();
+        stopping.send_replace(Stopping {
+            phase: schedule.phase(now),
+            schedule: Some(schedule),
+        });
+        match schedule.next_change(now) {
+            Some(next) => tokio::time::sleep(now.saturating_until(next)).await,
+            // The process ends in this phase; the receivers must not see a closed channel.
+            None => future::pending().await,
+        }
+    }
+}
+
 /// Returns the readiness: a node is ready once it can route, and stays so while the control
 /// replicas are unreachable.
 fn readiness(view: &view::View) -> serve::Reply {
@@ -234,24 +272,22 @@
     }
 }
 
-/// Waits for the requests that have begun, within the grace period.
+/// Waits until every request has its outcome, within the grace period.
 async fn drain_requests<Frontend>(context: &Context<Frontend>, start: clock::Instant) {
-    let max_time = context.settings.grace.saturating_sub(EXIT_MARGIN);
     loop {
-        let elapsed = clock::Instant::now().saturating_since(start);
         let count = context.requests.count();
         let in_flight = count.routing + count.sent;
         let running = context.backend.load().running;
-        if elapsed >= max_time || (in_flight == 0 && running == 0) {
-            context
-                .requests
-                .log_dropped(clock::Instant::now(), MAX_DROPPED_LINES);
+        let is_drained = in_flight == 0 && running == 0;
+        if is_drained || context.phase() == shutdown::Phase::Exit {
+            let now = clock::Instant::now();
+            context.requests.log_dropped(now, MAX_DROPPED_LINES);
             tracing::info!(
                 in_flight,
                 answered = count.answered,
                 partly_read = context.partly_read.get(),
                 running,
-                elapsed_ms = elapsed.as_millis() as u64,
+                elapsed_ms = now.saturating_since(start).as_millis() as u64,
                 "stopped"
             );
             return;
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
 use sequoiayoke_catalog::config;
+use sequoiayoke_dispatch::shutdown;
 use sequoiayoke_http1::request;
 use sequoiayoke_model::clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -146,7 +147,10 @@
             head: limits.max_header_bytes as usize,
             body: limits.max_body_bytes.min(MAX_BODY_BYTES),
         };
-        while !is_last && !context.is_closed.get() && running.len() < MAX_PIPELINED {
+        let phase = context.phase();
+        let is_closed = phase >= shutdown::Phase::Closed;
+        let is_stopping = phase >= shutdown::Phase::Leaving;
+        while !is_last && !is_closed && running.len() < MAX_PIPELINED {
             match decoder.decode(&mut input, bounds) {
                 Ok(request::Event::Request(request)) => {
                     is_last = !request.head.keeps_alive;
@@ -169,8 +173,7 @@
             }
         }
         let is_idle = running.is_empty();
-        let is_closed = context.is_closed.get();
-        let is_ending = is_closed || (context.stop.is_cancelled() && input.is_empty() && !is_new);
+        let is_ending = is_closed || (is_stopping && input.is_empty() && !is_new);
         partly_read.set(decoder.is_open() || !input.is_empty());
         if is_idle && (is_last || is_ending) {
             let reason = match is_last {
@@ -188,7 +191,7 @@
         input.reserve(READ_BYTES);
         tokio::select! {
             Some(answer) = running.next() => {
-                let is_closing = (is_last || context.stop.is_cancelled()) && running.is_empty();
+                let is_closing = (is_last || is_stopping) && running.is_empty();
                 write(&mut io, answer, is_closing).await?;
                 last_activity = time::Instant::now();
                 if is_closing {
@@ -213,7 +216,7 @@
                 log_close(context, Close::Timeout, &decoder, &input);
                 return io.shutdown().await;
             }
-            () = context.stop.cancelled(), if is_idle && !context.stop.is_cancelled() => {}
+            () = context.reached(shutdown::Phase::Leaving), if is_idle && !is_stopping => {}
         }
     }
 }
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -4,6 +4,7 @@
 //! allows it. The answer "not run" is given only if no attempt may have run.
 
 mod answer;
+pub(super) mod attempt;
 mod retry;
 mod target;
 
@@ -12,12 +13,12 @@
 
 use bytes::Bytes;
 use sequoiayoke_catalog::{config, server, slice};
-use sequoiayoke_dispatch::{admission, route};
+use sequoiayoke_dispatch::{admission, route, shutdown};
 use sequoiayoke_http1::request;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::{clock, id};
 
-use super::{Context, requests};
+use super::{Context, requests, serving};
 use crate::frontend;
 use crate::view;
 
@@ -154,6 +155,7 @@
         .service(&service)
         .is_some_and(|service| service.is_keyed);
     let key = caller.key.filter(|_| is_keyed);
+    let deadline = arrived + timeout.min(max_wait);
     Ok(Delivery {
         id,
         kind: route.kind,
@@ -163,7 +165,10 @@
         max_attempts: route.max_attempts.max(1),
         is_call,
         start: arrived,
-        deadline: arrived + timeout.min(max_wait),
+        // The end of the process is a deadline too.
+        deadline: context
+            .latest_outcome()
+            .map_or(deadline, |latest| deadline.min(latest)),
         useful_until: arrived + target,
         method: &request.head.method,
         head: forwarded_head(context, request),
@@ -229,7 +234,7 @@
     earn_retry(context, &delivery.service);
     for _ in 0..MAX_ROUNDS {
         let now = clock::Instant::now();
-        if now >= delivery.deadline {
+        if now >= delivery.deadline || context.phase() >= shutdown::Phase::Withdrawing {
             break;
         }
         let view = context.view();
@@ -404,35 +409,9 @@
     let _outstanding = Outstanding::new(context, target.id);
     let timeout = now.saturating_until(delivery.deadline) + REPLY_MARGIN;
     if target.announcement.node == context.settings.peers {
-        return send_local(context, open).await;
+        let local = serving::Local::new(context, open);
+        return attempt::wait_for_reply(context, local, timeout).await;
     }
     let call = context.peers.call(target.announcement.node, open);
-    let reply = tokio::time::timeout(timeout, call).await;
-    reply.unwrap_or((
-        peer::Outcome::Unknown(peer::Reason::Deadline),
-        peer::Load::default(),
-    ))
-}
-
-/// Runs a request at this node's own backend server. It runs in a separate task, since a
-/// non-idempotent request continues when its caller has disconnected.
-async fn send_local<Frontend>(
-    context: &rc::Rc<Context<Frontend>>,
-    open: peer::Open,
-) -> (peer::Outcome, peer::Load)
-where
-    Frontend: frontend::Frontend,
-{
-    let (_cancel, cancelled) = tokio::sync::oneshot::channel();
-    let task = {
-        let context = rc::Rc::clone(context);
-        tokio::task::spawn_local(async move {
-            super::serving::run_request(&open, None, cancelled, &context).await
-        })
-    };
-    let outcome = match task.await {
-        Ok(Some(outcome)) => outcome,
-        Ok(None) | Err(_) => peer::Outcome::Unknown(peer::Reason::Broken),
-    };
-    (outcome, context.backend.load_report())
+    attempt::wait_for_reply(context, call, timeout).await
 }
--- a/crates/gateway/src/traffic/path/retry.rs
+++ b/crates/gateway/src/traffic/path/retry.rs
@@ -91,6 +91,7 @@
         peer::Reason::Malformed => "malformed",
         peer::Reason::LinkLost => "link-lost",
         peer::Reason::Stopping => "stopping",
+        peer::Reason::Withdrawn => "withdrawn",
     }
 }
 
--- a/crates/gateway/src/traffic/peers.rs
+++ b/crates/gateway/src/traffic/peers.rs
@@ -19,6 +19,8 @@
 use tokio::task;
 use tokio_util::codec::FramedRead;
 
+use super::path::attempt;
+
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which unacknowledged bytes end a connection.
@@ -88,12 +90,13 @@
     }
 }
 
-type Answer = (peer::Outcome, peer::Load);
+/// Outcome of a request, and the load that its node reported with it.
+pub(super) type Reply = (peer::Outcome, peer::Load);
 
 /// A request that the other node has not answered.
 #[derive(Debug)]
 struct Pending {
-    answer: oneshot::Sender<Answer>,
+    reply: oneshot::Sender<Reply>,
     /// The part of the body that the other node has not requested yet.
     body: Bytes,
 }
@@ -107,57 +110,91 @@
     is_up: cell::Cell<bool>,
 }
 
+impl Link {
+    /// Ends a request with an outcome that this node determines itself.
+    fn answer(&self, stream: u64, outcome: peer::Outcome) {
+        self.deliver(stream, (outcome, peer::Load::default()));
+    }
+
+    /// Ends a request with its reply.
+    fn deliver(&self, stream: u64, reply: Reply) {
+        let pending = self.pending.borrow_mut().remove(&stream);
+        // The caller of the request may have disconnected.
+        if let Some(pending) = pending
+            && pending.reply.send(reply).is_err()
+        {
+            tracing::trace!(stream, "received an answer without a caller");
+        }
+    }
+}
+
+type Links = rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<Link>>>>;
+
 /// Connections to other nodes.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
-    links: rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<Link>>>>,
+    links: Links,
 }
 
-/// A request that waits for its answer; dropping it cancels the request at the other node.
-struct Call {
+/// A request at another node; dropping it cancels the request there.
+#[derive(Debug)]
+pub(super) struct Call {
     link: rc::Rc<Link>,
     stream: u64,
+    reply: oneshot::Receiver<Reply>,
 }
 
 impl Drop for Call {
     fn drop(&mut self) {
-        let is_pending = self
-            .link
-            .pending
-            .borrow_mut()
-            .remove(&self.stream)
-            .is_some();
+        let pending = self.link.pending.borrow_mut().remove(&self.stream);
+        let is_pending = pending.is_some();
         if is_pending && !self.link.outbox.push(&peer::ToServer::Cancel(self.stream)) {
             tracing::debug!("a cancellation could not be sent");
         }
     }
 }
 
+impl attempt::Attempt for Call {
+    async fn reply(&mut self) -> Reply {
+        let reply = (&mut self.reply).await;
+        reply.unwrap_or_else(|_| (link_lost(), peer::Load::default()))
+    }
+
+    fn withdraw(&mut self) {
+        // If the message cannot be sent, the link has ended or is about to, which gives the
+        // request an outcome too.
+        if !self
+            .link
+            .outbox
+            .push(&peer::ToServer::Withdraw(self.stream))
+        {
+            tracing::debug!("a withdrawal could not be sent");
+        }
+    }
+}
+
 impl Peers {
-    /// Sends a request to a node and waits for its outcome.
-    pub(super) async fn call(&self, address: net::SocketAddr, mut open: peer::Open) -> Answer {
+    /// Sends a request to a node.
+    pub(super) fn call(&self, address: net::SocketAddr, mut open: peer::Open) -> Call {
         let link = self.link(address);
         let stream = link.next_stream.get();
         link.next_stream.set(stream + 1);
         open.stream = stream;
         let body = defer_body(&mut open);
-        let (sender, answer) = oneshot::channel();
+        let (sender, reply) = oneshot::channel();
         let pending = Pending {
-            answer: sender,
+            reply: sender,
             body,
         };
         link.pending.borrow_mut().insert(stream, pending);
-        let call = Call {
-            link: rc::Rc::clone(&link),
-            stream,
-        };
         if !link.outbox.push(&peer::ToServer::Open(open)) {
-            link.pending.borrow_mut().remove(&stream);
-            return (unreachable(), peer::Load::default());
+            link.answer(stream, unreachable());
+        }
+        Call {
+            link,
+            stream,
+            reply,
         }
-        let answer = answer.await;
-        drop(call);
-        answer.unwrap_or_else(|_| (link_lost(), peer::Load::default()))
     }
 
     fn link(&self, address: net::SocketAddr) -> rc::Rc<Link> {
@@ -170,19 +207,13 @@
                 let is_up = task_link.is_up.get();
                 task_link.outbox.close();
                 task_links.borrow_mut().remove(&address);
-                let unanswered: Vec<_> = task_link.pending.borrow_mut().drain().collect();
+                let unanswered: Vec<_> = task_link.pending.borrow().keys().copied().collect();
                 let requests = unanswered.len();
                 tracing::info!(%address, ?ended, is_up, requests, "the connection to a node ended");
-                for (_, pending) in unanswered {
+                for stream in unanswered {
                     // A request that was never written cannot have run.
                     let outcome = if is_up { link_lost() } else { unreachable() };
-                    if pending
-                        .answer
-                        .send((outcome, peer::Load::default()))
-                        .is_err()
-                    {
-                        tracing::trace!("the caller has disconnected");
-                    }
+                    task_link.answer(stream, outcome);
                 }
             });
             link
@@ -255,15 +286,7 @@
                 stream,
                 outcome,
                 load,
-            } => {
-                let pending = link.pending.borrow_mut().remove(&stream);
-                // The caller of the request may have disconnected.
-                if let Some(pending) = pending
-                    && pending.answer.send((outcome, load)).is_err()
-                {
-                    tracing::trace!(stream, "received an answer without a caller");
-                }
-            }
+            } => link.deliver(stream, (outcome, load)),
             peer::ToEntry::Pull(stream) => {
                 let mut pending = link.pending.borrow_mut();
                 let body = pending.get_mut(&stream).map(|request| &mut request.body);
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -9,13 +9,15 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use sequoiayoke_dispatch::shutdown;
 use sequoiayoke_link::{codec, peer};
 use sequoiayoke_model::clock;
 use tokio::net::{TcpListener, TcpStream, tcp};
-use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::task;
 use tokio_util::codec::FramedRead;
 
+use super::path::attempt;
 use super::{Context, backend, peers};
 use crate::frontend;
 
@@ -24,7 +26,16 @@
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-type Cancels = rc::Rc<cell::RefCell<collections::HashMap<u64, oneshot::Sender<()>>>>;
+/// Whether the node that sent a request still wants it to run. Dropping the sender cancels the
+/// request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interest {
+    Wanted,
+    Withdrawn,
+}
+
+/// Requests of one connection that have no outcome yet.
+type Interests = rc::Rc<cell::RefCell<collections::HashMap<u64, watch::Sender<Interest>>>>;
 
 /// Accepts connections of other nodes.
 pub(super) async fn accept<Frontend>(listener: TcpListener, context: rc::Rc<Context<Frontend>>)
@@ -55,25 +66,29 @@
 {
     peers::set_socket_options(&io)?;
     let (reader, writer) = io.into_split();
-    let outbox = rc::Rc::new(peers::Outbox::default());
-    let cancels = Cancels::default();
-    let bodies = rc::Rc::new(bodies::Bodies::default());
+    let connection = rc::Rc::new(Connection::default());
     let ended = tokio::select! {
-        ended = outbox.write(writer) => ended,
-        ended = read(reader, &outbox, &bodies, &cancels, context) => ended,
+        ended = connection.outbox.write(writer) => ended,
+        ended = read(reader, &connection, context) => ended,
     };
-    outbox.close();
-    bodies.clear();
+    connection.outbox.close();
+    connection.bodies.clear();
     // Dropping the senders cancels the requests that may be cancelled.
-    cancels.borrow_mut().clear();
+    connection.interests.borrow_mut().clear();
     ended
 }
 
+/// State of a connection from another node.
+#[derive(Debug, Default)]
+struct Connection {
+    outbox: rc::Rc<peers::Outbox>,
+    bodies: rc::Rc<bodies::Bodies>,
+    interests: Interests,
+}
+
 async fn read<Frontend>(
     reader: tcp::OwnedReadHalf,
-    outbox: &rc::Rc<peers::Outbox>,
-    bodies: &rc::Rc<bodies::Bodies>,
-    cancels: &Cancels,
+    connection: &rc::Rc<Connection>,
     context: &rc::Rc<Context<Frontend>>,
 ) -> io::Result<()>
 where
@@ -83,29 +98,18 @@
     while let Some(frame) = frames.next().await {
         match frame? {
             peer::ToServer::Open(open) => {
-                let (cancel, cancelled) = oneshot::channel();
-                cancels.borrow_mut().insert(open.stream, cancel);
-                let (outbox, cancels) = (rc::Rc::clone(outbox), rc::Rc::clone(cancels));
-                let context = rc::Rc::clone(context);
-                let pull = Pull::new(open.stream, rc::Rc::clone(&outbox), rc::Rc::clone(bodies));
+                let (sender, interest) = watch::channel(Interest::Wanted);
+                connection
+                    .interests
+                    .borrow_mut()
+                    .insert(open.stream, sender);
+                let (connection, context) = (rc::Rc::clone(connection), rc::Rc::clone(context));
                 task::spawn_local(async move {
-                    let outcome = run_request(&open, Some(&pull), cancelled, &context).await;
-                    cancels.borrow_mut().remove(&open.stream);
-                    if let Some(outcome) = outcome {
-                        let load = context.backend.load_report();
-                        let stream = open.stream;
-                        let reply = peer::ToEntry::Reply {
-                            stream,
-                            outcome,
-                            load,
-                        };
-                        if !outbox.push(&reply) {
-                            tracing::info!(id = open.id, "the requesting node has disconnected");
-                        }
-                    }
+                    serve_request(open, interest, &connection, &context).await;
                 });
             }
             peer::ToServer::Part { stream, bytes } => {
+                let Connection { bodies, outbox, .. } = &**connection;
                 if let Some(took) = bodies.receive_part(stream, &bytes)? {
                     let delay = context.backend.record_body_part(took);
                     if delay.is_zero() {
@@ -121,46 +125,131 @@
             }
             peer::ToServer::Cancel(stream) => {
                 // Dropping the sender cancels the request.
-                cancels.borrow_mut().remove(&stream);
+                connection.interests.borrow_mut().remove(&stream);
             }
             peer::ToServer::Ping(number) => {
-                outbox.push(&peer::ToEntry::Pong(number));
+                connection.outbox.push(&peer::ToEntry::Pong(number));
+            }
+            peer::ToServer::Withdraw(stream) => {
+                if let Some(interest) = connection.interests.borrow().get(&stream) {
+                    interest.send_replace(Interest::Withdrawn);
+                }
             }
         }
     }
     Ok(())
 }
 
+/// Runs a request and queues its outcome, unless it was cancelled.
+async fn serve_request<Frontend>(
+    open: peer::Open,
+    interest: watch::Receiver<Interest>,
+    connection: &Connection,
+    context: &Context<Frontend>,
+) where
+    Frontend: frontend::Frontend,
+{
+    let stream = open.stream;
+    let (outbox, bodies) = (&connection.outbox, &connection.bodies);
+    let pull = Pull::new(stream, rc::Rc::clone(outbox), rc::Rc::clone(bodies));
+    let outcome = run_request(&open, Some(&pull), interest, context).await;
+    connection.interests.borrow_mut().remove(&stream);
+    let Some(outcome) = outcome else {
+        return;
+    };
+    let reply = peer::ToEntry::Reply {
+        stream,
+        outcome,
+        load: context.backend.load_report(),
+    };
+    if !outbox.push(&reply) {
+        tracing::info!(id = open.id, "the requesting node has disconnected");
+    }
+}
+
+/// A request of this node for its own backend server.
+///
+/// It runs in a separate task, since a non-idempotent request continues when its caller has
+/// disconnected.
+pub(super) struct Local<'a, Frontend> {
+    context: &'a Context<Frontend>,
+    interest: watch::Sender<Interest>,
+    task: task::JoinHandle<Option<peer::Outcome>>,
+}
+
+impl<'a, Frontend> Local<'a, Frontend>
+where
+    Frontend: frontend::Frontend,
+{
+    pub(super) fn new(context: &'a rc::Rc<Context<Frontend>>, open: peer::Open) -> Self {
+        let (sender, interest) = watch::channel(Interest::Wanted);
+        let task_context = rc::Rc::clone(context);
+        let task =
+            task::spawn_local(
+                async move { run_request(&open, None, interest, &task_context).await },
+            );
+        Self {
+            context,
+            interest: sender,
+            task,
+        }
+    }
+}
+
+impl<Frontend> attempt::Attempt for Local<'_, Frontend> {
+    async fn reply(&mut self) -> peers::Reply {
+        let outcome = match (&mut self.task).await {
+            Ok(Some(outcome)) => outcome,
+            Ok(None) | Err(_) => peer::Outcome::Unknown(peer::Reason::Broken),
+        };
+        (outcome, self.context.backend.load_report())
+    }
+
+    fn withdraw(&mut self) {
+        self.interest.send_replace(Interest::Withdrawn);
+    }
+}
+
 /// Runs a request; returns `None` if it was cancelled.
 ///
-/// A non-idempotent request that is running is not cancelled: its work is done anyway, and
-/// cancelling would only hide the outcome.
-pub(super) async fn run_request<Frontend>(
+/// A request that has not begun to run ends with that outcome when it is withdrawn, or when this
+/// node must not begin requests any more. A non-idempotent request that is running is not
+/// cancelled: its work is done anyway, and cancelling would only hide the outcome.
+async fn run_request<Frontend>(
     open: &peer::Open,
     pull: Option<&Pull>,
-    cancelled: oneshot::Receiver<()>,
-    context: &rc::Rc<Context<Frontend>>,
+    mut interest: watch::Receiver<Interest>,
+    context: &Context<Frontend>,
 ) -> Option<peer::Outcome>
 where
     Frontend: frontend::Frontend,
 {
-    if context.is_closed.get() {
-        return Some(peer::Outcome::NotRun {
-            reason: peer::Reason::Stopping,
-            retry_after_ms: 0,
-            was_sent: false,
-        });
+    if context.phase() >= shutdown::Phase::Closed {
+        return Some(not_run(peer::Reason::Stopping));
     }
     let arrived = clock::Instant::now();
     let stage = cell::Cell::new(backend::Stage::Checking);
     let request = context.backend.run(context, open, pull, &stage);
     tokio::pin!(request);
-    tokio::select! {
+    let reason = tokio::select! {
         outcome = &mut request => return Some(outcome),
-        // The error means that the sender was dropped, which is how a request is cancelled.
-        _ = cancelled => {}
+        withdrawn = interest.wait_for(|interest| *interest == Interest::Withdrawn) => {
+            // An error means that the sender was dropped.
+            withdrawn.is_ok().then_some(peer::Reason::Withdrawn)
+        }
+        () = context.reached(shutdown::Phase::Withdrawing) => Some(peer::Reason::Stopping),
+    };
+    let has_begun = stage.get() == backend::Stage::Running;
+    if let Some(reason) = reason {
+        if !has_begun {
+            return Some(not_run(reason));
+        }
+        tokio::select! {
+            outcome = &mut request => return Some(outcome),
+            () = cancelled(&mut interest) => {}
+        }
     }
-    if stage.get() == backend::Stage::Running && !open.is_idempotent {
+    if has_begun && !open.is_idempotent {
         return Some(request.await);
     }
     context.measure.record_cancelled(stage.get().as_str());
@@ -177,3 +266,16 @@
     }
     None
 }
+
+/// Waits until the sender of a request's interest is dropped, which cancels the request.
+async fn cancelled(interest: &mut watch::Receiver<Interest>) {
+    while interest.changed().await.is_ok() {}
+}
+
+const fn not_run(reason: peer::Reason) -> peer::Outcome {
+    peer::Outcome::NotRun {
+        reason,
+        retry_after_ms: 0,
+        was_sent: false,
+    }
+}
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -101,6 +101,8 @@
     LinkLost,
     /// The node is stopping.
     Stopping,
+    /// The node that the caller uses has withdrawn the request.
+    Withdrawn,
 }
 
 /// Outcome of a request.
@@ -207,6 +209,9 @@
     Cancel(u64),
     /// Requests a [`ToEntry::Pong`] with the same number, to check that the node is responsive.
     Ping(u64),
+    /// Asks that a request does not begin to run any more. The [`ToEntry::Reply`] tells at once
+    /// that it did not run, or its outcome once it has ended.
+    Withdraw(u64),
 }
 
 /// Message to the node that a caller uses.
