Deliver answers and replies before the process of a node ends

What callers saw: answers cut in the middle when their node stopped, and 502 for requests that had been answered or not even read by the node beside the backend server when that node stopped.

Cause: a request counted as finished when its outcome was known. Neither the answer to the caller nor the reply to another node had to be written before the process ended, and the sockets were closed with unread input, which resets a connection and destroys what is on its way. A request that reached a node in its last moments looked like one that may have run.

Fix: a stopping node waits until all answers and replies are written. It then tells the other nodes which request was the last that it has read (new message Close), stops reading, and waits for them to close. The other node reports later requests as not run, so that they can go elsewhere.

--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -92,6 +92,15 @@
     reloads: watch::Receiver<root::Reload>,
     /// Phase of a graceful stop, and its times once it has begun.
     stop: watch::Receiver<Stopping>,
+    /// Number of requests of other nodes, and of this one for its own backend server, whose
+    /// outcome is not known.
+    serving: cell::Cell<usize>,
+    /// Bytes of replies to other nodes that are not written.
+    unwritten: rc::Rc<cell::Cell<usize>>,
+    /// Number of connections from other nodes.
+    node_connections: cell::Cell<usize>,
+    /// Set when nothing is left to do for other nodes, whose connections are then closed.
+    drained: Stop,
 }
 
 /// Progress of a graceful stop.
@@ -189,6 +198,10 @@
         measure: measure::Measure::new().change_context_lazy(error)?,
         reloads,
         stop: stop_changes,
+        serving: cell::Cell::new(0),
+        unwritten: rc::Rc::default(),
+        node_connections: cell::Cell::new(0),
+        drained: Stop::new(),
     });
     task::spawn_local(serving::accept(peers, rc::Rc::clone(&context)));
     task::spawn_local(announcements::run(announcements, rc::Rc::clone(&context)));
@@ -217,9 +230,30 @@
     // Without a listener, connections are refused and callers use another node.
     accept_task.abort();
     drain_requests(&context, start).await;
+    close_node_connections(&context).await;
     Ok(())
 }
 
+/// Closes the connections from other nodes, and waits until they have been closed at both ends.
+async fn close_node_connections<Frontend>(context: &Context<Frontend>) {
+    context.drained.cancel();
+    let closed = async {
+        while context.node_connections.get() > 0 {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    };
+    if tokio::time::timeout(serving::CLOSE_TIMEOUT, closed)
+        .await
+        .is_err()
+    {
+        let connections = context.node_connections.get();
+        tracing::info!(
+            connections,
+            "nodes have not closed their connections in time"
+        );
+    }
+}
+
 /// Publishes the phases of a graceful stop.
 async fn advance_phase(stopping: watch::Sender<Stopping>, schedule: shutdown::Schedule) {
     loop {
@@ -272,21 +306,25 @@
     }
 }
 
-/// Waits until every request has its outcome, within the grace period.
+/// Waits until every request has its outcome and every answer is delivered, within the grace
+/// period.
 async fn drain_requests<Frontend>(context: &Context<Frontend>, start: clock::Instant) {
     loop {
         let count = context.requests.count();
-        let in_flight = count.routing + count.sent;
         let running = context.backend.load().running;
-        let is_drained = in_flight == 0 && running == 0;
+        let (serving, unwritten) = (context.serving.get(), context.unwritten.get());
+        let is_drained =
+            count == requests::Count::default() && running == 0 && serving == 0 && unwritten == 0;
         if is_drained || context.phase() == shutdown::Phase::Exit {
             let now = clock::Instant::now();
             context.requests.log_dropped(now, MAX_DROPPED_LINES);
             tracing::info!(
-                in_flight,
+                in_flight = count.routing + count.sent,
                 answered = count.answered,
                 partly_read = context.partly_read.get(),
                 running,
+                serving,
+                unwritten_bytes = unwritten,
                 elapsed_ms = now.saturating_since(start).as_millis() as u64,
                 "stopped"
             );
--- a/crates/gateway/src/traffic/peers.rs
+++ b/crates/gateway/src/traffic/peers.rs
@@ -53,9 +53,20 @@
     bytes: cell::RefCell<BytesMut>,
     wake: Notify,
     is_closed: cell::Cell<bool>,
+    /// Number of bytes that are queued or being written.
+    unwritten: cell::Cell<usize>,
+    /// The same number for all outboxes that share it.
+    total_unwritten: rc::Rc<cell::Cell<usize>>,
 }
 
 impl Outbox {
+    /// Creates an outbox that adds its unwritten bytes to `total_unwritten`.
+    pub(super) fn new(total_unwritten: rc::Rc<cell::Cell<usize>>) -> Self {
+        let mut outbox = Self::default();
+        outbox.total_unwritten = total_unwritten;
+        outbox
+    }
+
     /// Appends a message; returns whether it was queued.
     pub(super) fn push<T>(&self, message: &T) -> bool
     where
@@ -65,28 +76,53 @@
         if self.is_closed.get() || bytes.len() > MAX_QUEUED_BYTES {
             return false;
         }
+        let length = bytes.len();
         if let Err(error) = codec::append(message, &mut bytes) {
             tracing::error!(%error, "a message to a node cannot be encoded");
             return false;
         }
+        let added = bytes.len() - length;
+        self.unwritten.set(self.unwritten.get() + added);
+        let total = &self.total_unwritten;
+        total.set(total.get() + added);
         self.wake.notify_one();
         true
     }
 
-    /// Writes the queued frames until the connection breaks.
+    fn record_written(&self, count: usize) {
+        self.unwritten.set(self.unwritten.get() - count);
+        let total = &self.total_unwritten;
+        total.set(total.get() - count);
+    }
+
+    /// Writes the queued frames until the connection breaks, or until the outbox is closed and all
+    /// of them are written.
     pub(super) async fn write(&self, mut writer: tcp::OwnedWriteHalf) -> io::Result<()> {
         loop {
             let mut batch = std::mem::take(&mut *self.bytes.borrow_mut());
             if batch.is_empty() {
+                if self.is_closed.get() {
+                    return writer.shutdown().await;
+                }
                 self.wake.notified().await;
                 continue;
             }
+            let length = batch.len();
             writer.write_all_buf(&mut batch).await?;
+            self.record_written(length);
         }
     }
 
+    /// Accepts no more messages.
     pub(super) fn close(&self) {
         self.is_closed.set(true);
+        self.wake.notify_one();
+    }
+}
+
+impl Drop for Outbox {
+    fn drop(&mut self) {
+        self.record_written(self.unwritten.get());
     }
 }
 
@@ -126,6 +162,18 @@
             tracing::trace!(stream, "received an answer without a caller");
         }
     }
+
+    /// Ends the requests that a node has not read before it closed the connection.
+    fn close(&self, last_read: Option<u64>) {
+        let is_unread = |stream: &u64| last_read.is_none_or(|last| *stream > last);
+        let unread: Vec<_> = {
+            let pending = self.pending.borrow();
+            pending.keys().copied().filter(is_unread).collect()
+        };
+        for stream in unread {
+            self.answer(stream, stopping());
+        }
+    }
 }
 
 type Links = rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<Link>>>>;
@@ -203,10 +251,9 @@
             let link = rc::Rc::new(Link::default());
             let (task_link, task_links) = (rc::Rc::clone(&link), rc::Rc::clone(&self.links));
             task::spawn_local(async move {
-                let ended = run_link(address, &task_link).await;
+                let ended = run_link(address, &task_link, &task_links).await;
                 let is_up = task_link.is_up.get();
-                task_link.outbox.close();
-                task_links.borrow_mut().remove(&address);
+                remove_link(&task_links, address, &task_link);
                 let unanswered: Vec<_> = task_link.pending.borrow().keys().copied().collect();
                 let requests = unanswered.len();
                 tracing::info!(%address, ?ended, is_up, requests, "the connection to a node ended");
@@ -243,22 +290,56 @@
     }
 }
 
+fn stopping() -> peer::Outcome {
+    peer::Outcome::NotRun {
+        reason: peer::Reason::Stopping,
+        retry_after_ms: 0,
+        was_sent: false,
+    }
+}
+
 fn link_lost() -> peer::Outcome {
     peer::Outcome::Unknown(peer::Reason::LinkLost)
 }
 
-async fn run_link(address: net::SocketAddr, link: &Link) -> io::Result<()> {
+/// Removes a connection, so that the next request to the node opens another one.
+fn remove_link(links: &Links, address: net::SocketAddr, link: &rc::Rc<Link>) {
+    link.outbox.close();
+    let mut links = links.borrow_mut();
+    if links
+        .get(&address)
+        .is_some_and(|current| rc::Rc::ptr_eq(current, link))
+    {
+        links.remove(&address);
+    }
+}
+
+async fn run_link(address: net::SocketAddr, link: &rc::Rc<Link>, links: &Links) -> io::Result<()> {
     let io = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     set_socket_options(&io)?;
     link.is_up.set(true);
     let (reader, writer) = io.into_split();
-    tokio::select! {
-        ended = link.outbox.write(writer) => ended,
-        ended = read(reader, link) => ended,
+    let mut writing = std::pin::pin!(link.outbox.write(writer));
+    let mut reading = std::pin::pin!(read(reader, link, || remove_link(links, address, link)));
+    let written = tokio::select! {
+        written = &mut writing => written,
+        ended = &mut reading => return ended,
+    };
+    // The outbox of a connection that the other node closes ends first; replies may follow.
+    match link.outbox.is_closed.get() {
+        true => reading.await,
+        false => written,
     }
 }
 
-async fn read(reader: tcp::OwnedReadHalf, link: &Link) -> io::Result<()> {
+async fn read<Closing>(
+    reader: tcp::OwnedReadHalf,
+    link: &Link,
+    on_closing: Closing,
+) -> io::Result<()>
+where
+    Closing: Fn(),
+{
     let mut frames = FramedRead::new(reader, codec::Codec::<peer::ToServer, peer::ToEntry>::new());
     let mut last_received = tokio::time::Instant::now();
     let mut pings = 0;
@@ -297,6 +378,10 @@
                 }
             }
             peer::ToEntry::Pong(_) => {}
+            peer::ToEntry::Close(last_read) => {
+                on_closing();
+                link.close(last_read);
+            }
         }
     }
 }
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -12,6 +12,7 @@
 use sequoiayoke_dispatch::shutdown;
 use sequoiayoke_link::{codec, peer};
 use sequoiayoke_model::clock;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::sync::watch;
 use tokio::task;
@@ -26,6 +27,12 @@
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest time for which the end of the process waits until other nodes close their connections:
+/// closing one with unread input resets it, which can destroy replies that are on their way.
+pub(super) const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Bytes of input that are discarded at once while a connection closes.
+const DISCARD_BYTES: usize = 4 * 1024;
+
 /// Whether the node that sent a request still wants it to run. Dropping the sender cancels the
 /// request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,12 +71,25 @@
 where
     Frontend: frontend::Frontend,
 {
+    let _open = Counted::new(&context.node_connections);
     peers::set_socket_options(&io)?;
     let (reader, writer) = io.into_split();
-    let connection = rc::Rc::new(Connection::default());
+    let mut frames = Frames::new(reader, codec::Codec::new());
+    let connection = rc::Rc::new(Connection {
+        outbox: rc::Rc::new(peers::Outbox::new(rc::Rc::clone(&context.unwritten))),
+        ..Connection::default()
+    });
+    let mut writing = std::pin::pin!(connection.outbox.write(writer));
     let ended = tokio::select! {
-        ended = connection.outbox.write(writer) => ended,
-        ended = read(reader, &connection, context) => ended,
+        ended = &mut writing => ended,
+        ended = read(&mut frames, &connection, context) => ended,
+        () = context.drained.cancelled() => {
+            let last_read = connection.last_read.get();
+            connection.outbox.push(&peer::ToEntry::Close(last_read));
+            connection.outbox.close();
+            writing.await?;
+            discard_input(frames.get_mut()).await
+        }
     };
     connection.outbox.close();
     connection.bodies.clear();
@@ -78,26 +98,37 @@
     ended
 }
 
+/// Reads until the other node has closed the connection.
+async fn discard_input(reader: &mut tcp::OwnedReadHalf) -> io::Result<()> {
+    let mut buffer = [0; DISCARD_BYTES];
+    while reader.read(&mut buffer).await? > 0 {}
+    Ok(())
+}
+
+type Frames = FramedRead<tcp::OwnedReadHalf, codec::Codec<peer::ToEntry, peer::ToServer>>;
+
 /// State of a connection from another node.
 #[derive(Debug, Default)]
 struct Connection {
     outbox: rc::Rc<peers::Outbox>,
     bodies: rc::Rc<bodies::Bodies>,
     interests: Interests,
+    /// Number of the last request that was read.
+    last_read: cell::Cell<Option<u64>>,
 }
 
 async fn read<Frontend>(
-    reader: tcp::OwnedReadHalf,
+    frames: &mut Frames,
     connection: &rc::Rc<Connection>,
     context: &rc::Rc<Context<Frontend>>,
 ) -> io::Result<()>
 where
     Frontend: frontend::Frontend,
 {
-    let mut frames = FramedRead::new(reader, codec::Codec::<peer::ToEntry, peer::ToServer>::new());
     while let Some(frame) = frames.next().await {
         match frame? {
             peer::ToServer::Open(open) => {
+                connection.last_read.set(Some(open.stream));
                 let (sender, interest) = watch::channel(Interest::Wanted);
                 connection
                     .interests
@@ -210,6 +241,22 @@
     }
 }
 
+/// Counts something for as long as it exists.
+pub(super) struct Counted<'a>(&'a cell::Cell<usize>);
+
+impl<'a> Counted<'a> {
+    pub(super) fn new(count: &'a cell::Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Runs a request; returns `None` if it was cancelled.
 ///
 /// A request that has not begun to run ends with that outcome when it is withdrawn, or when this
@@ -224,6 +271,7 @@
 where
     Frontend: frontend::Frontend,
 {
+    let _serving = Counted::new(&context.serving);
     if context.phase() >= shutdown::Phase::Closed {
         return Some(not_run(peer::Reason::Stopping));
     }
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -230,4 +230,7 @@
     Pull(u64),
     /// Answers a [`ToServer::Ping`] with the same number.
     Pong(u64),
+    /// The node ends. It has read no request after this one, if any, and reads no more; replies
+    /// to all others precede this message.
+    Close(Option<u64>),
 }
