Answer what callers send to a stopping node on open connections

What callers saw: a stopping node closed connections while an upload was being sent on them, and without an answer to a whole request that arrived on an open connection 2.3 s after the signal or later.

Cause: a connection with the body of a request still to come counted as idle once its buffer was empty, and from the closing of the listener on the node decoded nothing more.

Fix: a connection is idle only if no part of a request was read. A stopping node reads and serves what callers send until it begins to refuse requests, answers then with 503 also what it has read in part, and closes after the last answer. It shuts its side of the connection and discards input until the caller closes, at most 0.5 s, since closing with unread input resets the connection.

That a reset destroys an answer is not shown by a test: loopback delivers an answer that was received before the reset.

--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -97,6 +97,8 @@
     serving: cell::Cell<usize>,
     /// Bytes of replies to other nodes that are not written.
     unwritten: rc::Rc<cell::Cell<usize>>,
+    /// Number of callers' connections that wait for the caller to close them.
+    closing: cell::Cell<usize>,
     /// Number of connections from other nodes.
     node_connections: cell::Cell<usize>,
     /// Set when nothing is left to do for other nodes, whose connections are then closed.
@@ -200,6 +202,7 @@
         stop: stop_changes,
         serving: cell::Cell::new(0),
         unwritten: rc::Rc::default(),
+        closing: cell::Cell::new(0),
         node_connections: cell::Cell::new(0),
         drained: Stop::new(),
     });
@@ -313,8 +316,11 @@
         let count = context.requests.count();
         let running = context.backend.load().running;
         let (serving, unwritten) = (context.serving.get(), context.unwritten.get());
-        let is_drained =
-            count == requests::Count::default() && running == 0 && serving == 0 && unwritten == 0;
+        let is_drained = count == requests::Count::default()
+            && running == 0
+            && serving == 0
+            && unwritten == 0
+            && context.closing.get() == 0;
         if is_drained || context.phase() == shutdown::Phase::Exit {
             let now = clock::Instant::now();
             context.requests.log_dropped(now, MAX_DROPPED_LINES);
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
-use super::{Context, path};
+use super::{Context, path, serving};
 use crate::frontend;
 
 /// Largest number of requests of one connection that run concurrently; further ones stay unread.
@@ -30,6 +30,8 @@
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 /// Longest time for a caller to read an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time for which a connection that the node closes stays open until the caller closes it.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Bytes of buffer that are reserved for each read.
@@ -97,6 +99,8 @@
     LastRequest,
     /// The node is stopping.
     Stopping,
+    /// The caller sent bytes that are no request within the limits.
+    Malformed,
 }
 
 /// Logs a close after which a request that was read in part stays without an answer.
@@ -122,6 +126,7 @@
     );
 }
 
+/// Serves the requests of a connection, then closes it.
 async fn serve<Frontend>(mut io: TcpStream, context: &rc::Rc<Context<Frontend>>) -> io::Result<()>
 where
     Frontend: frontend::Frontend,
@@ -129,12 +134,48 @@
     io.set_nodelay(true)?;
     let mut input = BytesMut::new();
     let mut decoder = request::Decoder::new();
+    let Some(reason) = serve_requests(&mut io, &mut input, &mut decoder, context).await? else {
+        return Ok(());
+    };
+    log_close(context, reason, &decoder, &input);
+    let _closing = serving::Counted::new(&context.closing);
+    io.shutdown().await?;
+    let discarded = time::timeout(CLOSE_TIMEOUT, discard_input(&mut io, input));
+    // A caller that keeps its end open has had the time to read the last answer.
+    discarded.await.unwrap_or(Ok(()))
+}
+
+/// Reads until the caller has closed the connection.
+///
+/// Closing a connection with unread input resets it, which can destroy an answer on its way.
+async fn discard_input(io: &mut TcpStream, mut buffer: BytesMut) -> io::Result<()> {
+    loop {
+        buffer.clear();
+        buffer.reserve(READ_BYTES);
+        if io.read_buf(&mut buffer).await? == 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// Serves requests until the node should close the connection; returns why, or `None` if the
+/// caller has closed it.
+async fn serve_requests<Frontend>(
+    io: &mut TcpStream,
+    input: &mut BytesMut,
+    decoder: &mut request::Decoder,
+    context: &rc::Rc<Context<Frontend>>,
+) -> io::Result<Option<Close>>
+where
+    Frontend: frontend::Frontend,
+{
     let mut running = FuturesOrdered::new();
     let mut is_last = false;
     // A caller that connects to a stopping node gets one answer.
     let mut is_new = true;
     let mut last_activity = time::Instant::now();
     let mut partly_read = PartlyRead::new(&context.partly_read);
+    let mut stop = context.stop.clone();
     loop {
         let limits = context
             .shared
@@ -147,11 +188,8 @@
             head: limits.max_header_bytes as usize,
             body: limits.max_body_bytes.min(MAX_BODY_BYTES),
         };
-        let phase = context.phase();
-        let is_closed = phase >= shutdown::Phase::Closed;
-        let is_stopping = phase >= shutdown::Phase::Leaving;
-        while !is_last && !is_closed && running.len() < MAX_PIPELINED {
-            match decoder.decode(&mut input, bounds) {
+        while !is_last && running.len() < MAX_PIPELINED {
+            match decoder.decode(input, bounds) {
                 Ok(request::Event::Request(request)) => {
                     is_last = !request.head.keeps_alive;
                     is_new = false;
@@ -165,58 +203,64 @@
                 Ok(request::Event::More) => break,
                 Err(fault) => {
                     while let Some(answer) = running.next().await {
-                        write(&mut io, answer, false).await?;
+                        write(io, answer, false).await?;
                     }
-                    write(&mut io, path::malformed(fault), true).await?;
-                    return io.shutdown().await;
+                    write(io, path::malformed(fault), true).await?;
+                    return Ok(Some(Close::Malformed));
                 }
             }
         }
-        let is_idle = running.is_empty();
-        let is_ending = is_closed || (is_stopping && input.is_empty() && !is_new);
-        partly_read.set(decoder.is_open() || !input.is_empty());
-        if is_idle && (is_last || is_ending) {
-            let reason = match is_last {
-                true => Close::LastRequest,
-                false => Close::Stopping,
-            };
-            log_close(context, reason, &decoder, &input);
-            return io.shutdown().await;
+        let is_partly_read = decoder.is_open() || !input.is_empty();
+        partly_read.set(is_partly_read);
+        let phase = stop.borrow_and_update().phase;
+        if running.is_empty() {
+            if is_last {
+                return Ok(Some(Close::LastRequest));
+            }
+            if phase >= shutdown::Phase::Withdrawing {
+                if is_partly_read {
+                    write(io, path::unread(), true).await?;
+                }
+                return Ok(Some(Close::Stopping));
+            }
+            if phase >= shutdown::Phase::Leaving && !is_partly_read && !is_new {
+                return Ok(Some(Close::Stopping));
+            }
         }
-        let timeout_ms = match input.is_empty() && !decoder.is_open() {
-            true => limits.idle_timeout_ms,
-            false => limits.header_timeout_ms,
+        let timeout_ms = match is_partly_read {
+            true => limits.header_timeout_ms,
+            false => limits.idle_timeout_ms,
         };
         let until = last_activity + Duration::from_millis(timeout_ms);
         input.reserve(READ_BYTES);
         tokio::select! {
             Some(answer) = running.next() => {
-                let is_closing = (is_last || is_stopping) && running.is_empty();
-                write(&mut io, answer, is_closing).await?;
+                let is_ending = is_last || phase >= shutdown::Phase::Leaving;
+                let is_closing = is_ending && running.is_empty();
+                write(io, answer, is_closing).await?;
                 last_activity = time::Instant::now();
                 if is_closing {
                     let reason = match is_last {
                         true => Close::LastRequest,
                         false => Close::Stopping,
                     };
-                    log_close(context, reason, &decoder, &input);
-                    return io.shutdown().await;
+                    return Ok(Some(reason));
                 }
             }
-            read = io.read_buf(&mut input), if running.len() < MAX_PIPELINED => {
+            read = io.read_buf(input), if running.len() < MAX_PIPELINED => {
                 if read? == 0 {
                     // The caller has disconnected; dropping `running` cancels its requests.
-                    return Ok(());
+                    return Ok(None);
                 }
                 if decoder.is_open() {
                     last_activity = time::Instant::now();
                 }
             }
-            () = time::sleep_until(until), if is_idle => {
-                log_close(context, Close::Timeout, &decoder, &input);
-                return io.shutdown().await;
+            () = time::sleep_until(until), if running.is_empty() => {
+                return Ok(Some(Close::Timeout));
             }
-            () = context.reached(shutdown::Phase::Leaving), if is_idle && !is_stopping => {}
+            // The phase of the stop is looked at again.
+            _ = stop.changed() => {}
         }
     }
 }
--- a/crates/gateway/src/traffic/path/answer.rs
+++ b/crates/gateway/src/traffic/path/answer.rs
@@ -6,7 +6,7 @@
 use sequoiayoke_http1::{request, serve};
 use sequoiayoke_model::clock;
 
-use super::Delivery;
+use super::{Delivery, MIN_RETRY_AFTER};
 use crate::traffic::requests;
 
 /// An answer to a caller.
@@ -137,6 +137,16 @@
     Answer::new(text.into_bytes(), body)
 }
 
+/// Returns the answer to a request that a stopping node has not read completely, so that it did not
+/// run.
+pub(in crate::traffic) fn unread() -> Answer {
+    let phrase = serve::reason_phrase(503);
+    let retry_after = MIN_RETRY_AFTER.as_secs_f64();
+    let head =
+        format!("HTTP/1.1 503 {phrase}\r\nretry-after: {retry_after:.3}\r\ncontent-length: 0\r\n");
+    Answer::new(head.into_bytes(), Bytes::new())
+}
+
 /// Returns the answer to malformed or oversized input.
 pub(in crate::traffic) fn malformed(fault: sequoiayoke_http1::Error) -> Answer {
     let status: u16 = match fault {
