Count the time limit of a head from its first byte

What callers saw: a connection that was idle for longer than a head may take closed without an answer when the next request arrived in more than one segment.

Cause: the limit counted from the last activity of the connection, which may be long ago.

The test fails on the sources before this commit: the second request gets no answer.

--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -252,7 +252,8 @@
                     // The caller has disconnected; dropping `running` cancels its requests.
                     return Ok(None);
                 }
-                if decoder.is_open() {
+                // The time limit of a head counts from its first byte.
+                if decoder.is_open() || !is_partly_read {
                     last_activity = time::Instant::now();
                 }
             }
