Answer 408 when the rest of a request does not arrive

The node now answers 408 with Retry-After, which is true, since a request runs only once it was read completely.

--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -219,7 +219,7 @@
             }
             if phase >= shutdown::Phase::Withdrawing {
                 if is_partly_read {
-                    write(io, path::unread(), true).await?;
+                    write(io, path::unread(path::Unread::Stopping), true).await?;
                 }
                 return Ok(Some(Close::Stopping));
             }
@@ -258,6 +258,9 @@
                 }
             }
             () = time::sleep_until(until), if running.is_empty() => {
+                if is_partly_read {
+                    write(io, path::unread(path::Unread::Timeout), true).await?;
+                }
                 return Ok(Some(Close::Timeout));
             }
             // The phase of the stop is looked at again.
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -22,7 +22,7 @@
 use crate::frontend;
 use crate::view;
 
-pub(super) use answer::{Answer, malformed, unread};
+pub(super) use answer::{Answer, Unread, malformed, unread};
 pub(super) use target::Observation;
 
 use answer::{Failure, build_answer, build_refusal};
--- a/crates/gateway/src/traffic/path/answer.rs
+++ b/crates/gateway/src/traffic/path/answer.rs
@@ -137,13 +137,26 @@
     Answer::new(text.into_bytes(), body)
 }
 
-/// Returns the answer to a request that a stopping node has not read completely, so that it did not
-/// run.
-pub(in crate::traffic) fn unread() -> Answer {
-    let phrase = serve::reason_phrase(503);
+/// Reason why the node does not wait for the rest of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::traffic) enum Unread {
+    /// It did not arrive in time.
+    Timeout,
+    /// The node is stopping.
+    Stopping,
+}
+
+/// Returns the answer to a request that was not read completely, and so did not run.
+pub(in crate::traffic) fn unread(reason: Unread) -> Answer {
+    let status = match reason {
+        Unread::Timeout => 408,
+        Unread::Stopping => 503,
+    };
+    let phrase = serve::reason_phrase(status);
     let retry_after = MIN_RETRY_AFTER.as_secs_f64();
-    let head =
-        format!("HTTP/1.1 503 {phrase}\r\nretry-after: {retry_after:.3}\r\ncontent-length: 0\r\n");
+    let head = format!(
+        "HTTP/1.1 {status} {phrase}\r\nretry-after: {retry_after:.3}\r\ncontent-length: 0\r\n"
+    );
     Answer::new(head.into_bytes(), Bytes::new())
 }
 
