Send nodes the changes of the state instead of whole tables

What callers saw: under planned work on a deployment with links of 5.8 Mbit/s, requests that waited to their deadline, configurations that were acknowledged but not in force at some nodes for seconds, and leases that lapsed.

Cause: each change of the owner of a key range sent the whole table of the service to every node. A stopping node hands its keys over, so rolling stops cause tens of changes a second, and each leaves more slices behind.

Fix: a session begins with the whole state. After that the leader sends what has changed since its last message: servers that joined or left, the configuration, and the slices with changed keys, with the values that they have now. Changes that a node knows in part apply too, so a new leader whose state machine lags does no harm; a node that misses some reconnects.

--- a/crates/catalog/src/slice.rs
+++ b/crates/catalog/src/slice.rs
@@ -187,6 +187,71 @@
         changed
     }
 
+    /// Returns the slices that have a key in `range`, in key order.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_catalog::slice;
+    ///
+    /// let table = slice::Table::new();
+    /// assert_eq!(table.overlapping(slice::Range::new(8, 11)), table.slices());
+    /// ```
+    pub fn overlapping(&self, range: Range) -> &[Slice] {
+        let start = self
+            .slices
+            .partition_point(|slice| slice.range.last < range.first);
+        let end = self
+            .slices
+            .partition_point(|slice| slice.range.first <= range.last);
+        &self.slices[start..end]
+    }
+
+    /// Replaces the owners and grants of the keys of `slice`, as another copy of the table has them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_catalog::slice;
+    /// use sequoiayoke_model::id;
+    ///
+    /// let mut table = slice::Table::new();
+    /// table.replace(slice::Slice {
+    ///     range: slice::Range::new(8, 11),
+    ///     fence: slice::Fence(3),
+    ///     owner: Some(id::Server(1)),
+    ///     handover: None,
+    /// });
+    /// assert_eq!(table.find(9).owner, Some(id::Server(1)));
+    /// assert_eq!(table.find(12).owner, None);
+    /// ```
+    pub fn replace(&mut self, slice: Slice) {
+        let range = slice.range;
+        let start = self
+            .slices
+            .partition_point(|slice| slice.range.last < range.first);
+        let end = self
+            .slices
+            .partition_point(|slice| slice.range.first <= range.last);
+        let before = self.slices[start..end]
+            .first()
+            .filter(|first| first.range.first < range.first);
+        let before = before.map(|first| Slice {
+            range: Range::new(first.range.first, range.first - 1),
+            ..first.clone()
+        });
+        let after = self.slices[start..end]
+            .last()
+            .filter(|last| last.range.last > range.last);
+        let after = after.map(|last| Slice {
+            range: Range::new(range.last + 1, last.range.last),
+            ..last.clone()
+        });
+        let replacements = before.into_iter().chain([slice]).chain(after);
+        self.slices.splice(start..end, replacements);
+        self.merge();
+    }
+
     /// Merges adjacent slices of the same grant. Slices with a handover value are not
     /// merged, because each value applies only to the range that was released with it.
     fn merge(&mut self) {
--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -388,49 +388,50 @@
         }
     }
 
-    /// Sends the leader's messages to the nodes, encoding each set of state sections once.
+    /// Sends the leader's messages to the nodes, encoding each message once.
     fn send_effects(&mut self) {
         let Some(leader) = &mut self.leader else {
             return;
         };
-        let mut encoded_states = collections::BTreeMap::new();
-        for effect in leader.take_effects() {
-            let (session, bytes) = match effect {
+        let machine = self.driver.machine();
+        let mut state = None;
+        for effect in leader.take_effects(machine) {
+            let (sessions, bytes) = match effect {
                 leader::Effect::Send(session, message) => {
                     let is_move = matches!(message, session::FromControl::Release { .. });
                     self.outputs.measure.record_moves(usize::from(is_move));
-                    (session, encode(&message))
+                    (vec![session], encode(&message))
                 }
-                leader::Effect::State(session, sections) => {
-                    let machine = self.driver.machine();
-                    let bytes = encoded_states
-                        .entry(sections)
-                        .or_insert_with(|| encode(&state_message(machine, sections)));
-                    (session, bytes.clone())
+                leader::Effect::Broadcast(sessions, message) => (sessions, encode(&message)),
+                leader::Effect::State(session) => {
+                    let bytes = state.get_or_insert_with(|| encode(&state_message(machine)));
+                    (vec![session], bytes.clone())
                 }
             };
-            let (Some(queue), Some(bytes)) = (self.node_queues.get(session), bytes) else {
+            let Some(bytes) = bytes else {
                 continue;
             };
-            // A node that reads too slowly reconnects and receives the whole state.
-            if queue.try_send(bytes).is_err() {
-                tracing::warn!("the queue to a node is full or closed; ending its session");
-                self.node_queues.remove(session);
-                leader.node_down(session);
+            for session in sessions {
+                let Some(queue) = self.node_queues.get(session) else {
+                    continue;
+                };
+                // A node that reads too slowly reconnects and receives the whole state.
+                if queue.try_send(bytes.clone()).is_err() {
+                    tracing::warn!("the queue to a node is full or closed; ending its session");
+                    self.node_queues.remove(session);
+                    leader.node_down(session);
+                }
             }
         }
     }
 }
 
-fn state_message(machine: &machine::Machine, sections: leader::Sections) -> session::FromControl {
-    let order = machine.order().filter(|_| sections.config);
+fn state_message(machine: &machine::Machine) -> session::FromControl {
     session::FromControl::State(session::State {
         index: machine.index(),
-        config: order.map(|order| order.config.clone()),
-        servers: sections
-            .servers
-            .then(|| machine.servers().values().cloned().collect()),
-        tables: sections.tables.then(|| machine.tables().clone()),
+        config: machine.order().map(|order| order.config.clone()),
+        servers: machine.servers().values().cloned().collect(),
+        tables: machine.tables().clone(),
     })
 }
 
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -4,6 +4,7 @@
 //! proposals for the log and messages to nodes. All of its state can be lost: nodes state what they
 //! hold with each renewal, and a new leader treats every lease as granted when it was elected.
 
+mod changes;
 mod plan;
 
 use std::collections;
@@ -42,35 +43,18 @@
 pub enum Effect {
     /// Sends this message.
     Send(Session, session::FromControl),
-    /// Sends the current state, limited to these sections.
-    State(Session, Sections),
-}
-
-/// Sections of the state to send to a node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Sections {
-    /// The configuration.
-    pub config: bool,
-    /// The backend servers.
-    pub servers: bool,
-    /// The slices.
-    pub tables: bool,
-}
-
-impl Sections {
-    const ALL: Self = Self {
-        config: true,
-        servers: true,
-        tables: true,
-    };
+    /// Sends the whole state.
+    State(Session),
+    /// Sends the same message to these nodes.
+    Broadcast(Vec<Session>, session::FromControl),
 }
 
 /// A connected node.
 #[derive(Debug)]
 struct Node {
     server: Option<server::Instance>,
-    /// Sections that have changed since they were last sent to the node.
-    due: Sections,
+    /// Whether the node has been sent the whole state.
+    has_state: bool,
 }
 
 /// Reason why a backend server cannot receive keys because of its node.
@@ -126,6 +110,7 @@
     planned_at: clock::Instant,
     proposals: Vec<machine::Command>,
     effects: Vec<Effect>,
+    changes: changes::Changes,
 }
 
 impl Leader {
@@ -155,6 +140,7 @@
             planned_at: now,
             proposals: Vec::new(),
             effects: Vec::new(),
+            changes: changes::Changes::new(machine),
         }
     }
 
@@ -165,7 +151,7 @@
         }
         Some(self.nodes.insert(Node {
             server: None,
-            due: Sections::ALL,
+            has_state: false,
         }))
     }
 
@@ -182,12 +168,17 @@
         std::mem::take(&mut self.proposals)
     }
 
-    /// Removes and returns the messages to send, with the due sections of the state at the end.
-    pub fn take_effects(&mut self) -> Vec<Effect> {
+    /// Removes and returns the messages to send; the last ones give the nodes the state of `machine`.
+    pub fn take_effects(&mut self, machine: &machine::Machine) -> Vec<Effect> {
+        if let Some(changes) = self.changes.take(machine) {
+            let nodes = self.nodes.iter().filter(|(_, node)| node.has_state);
+            let sessions: Vec<_> = nodes.map(|(session, _)| session).collect();
+            let message = session::FromControl::Changes(changes);
+            self.effects.push(Effect::Broadcast(sessions, message));
+        }
         for (session, node) in &mut self.nodes {
-            let due = std::mem::take(&mut node.due);
-            if due != Sections::default() {
-                self.effects.push(Effect::State(session, due));
+            if !std::mem::replace(&mut node.has_state, true) {
+                self.effects.push(Effect::State(session));
             }
         }
         std::mem::take(&mut self.effects)
@@ -394,10 +385,8 @@
         command: &machine::Command,
         output: &machine::Output,
     ) {
+        self.changes.record(command, output);
         match (command, output) {
-            (machine::Command::Configure(_), machine::Output::Configured) => {
-                self.mark_due(|due| (due.config, due.tables) = (true, true));
-            }
             (machine::Command::Join(announcement), machine::Output::Joined(id)) => {
                 self.proposed_joins.remove(announcement);
                 self.last_joined.insert(announcement.service.clone(), now);
@@ -407,7 +396,6 @@
                     tracing::warn!(server = id.0, ?refusal, "a lease could not be granted");
                 }
                 self.remove_stale_state(machine);
-                self.mark_due(|due| (due.servers, due.tables) = (true, true));
             }
             (
                 machine::Command::Leave {
@@ -419,7 +407,6 @@
                 let member = registry::Member::new(*server, *incarnation);
                 self.leases.remove(member);
                 self.remove_stale_state(machine);
-                self.mark_due(|due| (due.servers, due.tables) = (true, true));
             }
             (machine::Command::Assign(moves), machine::Output::Assigned(_)) => {
                 self.pending_moves.retain(|pending| {
@@ -430,7 +417,6 @@
                     !is_done
                 });
                 self.assigned_at = None;
-                self.mark_due(|due| due.tables = true);
             }
             (_, machine::Output::Refused(refusal)) => {
                 tracing::info!(%refusal, "a command was refused");
@@ -515,14 +501,4 @@
             })
             .collect()
     }
-
-    /// Marks sections as due for all nodes.
-    fn mark_due<F>(&mut self, change: F)
-    where
-        F: Fn(&mut Sections),
-    {
-        for node in self.nodes.values_mut() {
-            change(&mut node.due);
-        }
-    }
 }
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -78,7 +78,7 @@
     }
 
     fn effects(&mut self) -> Vec<leader::Effect> {
-        self.leader.take_effects()
+        self.leader.take_effects(&self.machine)
     }
 
     fn owner(&self, key: u16) -> Option<id::Server> {
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -250,6 +250,13 @@
                 self.send_command(Command::Replicas(replicas));
             }
             session::FromControl::State(state) => self.state.apply_state(now, state),
+            session::FromControl::Changes(changes) => {
+                let since = changes.since;
+                if !self.state.apply_changes(now, changes) {
+                    tracing::error!(since, "changes of an unknown state; reconnecting");
+                    self.send_command(Command::Redirect(None));
+                }
+            }
             session::FromControl::Renewed { sequence, server } => {
                 self.state.record_renewed(now, sequence, server);
             }
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -6,9 +6,9 @@
 
 mod grants;
 mod releases;
+mod replicated;
 
 use std::net;
-use std::sync;
 use std::time::Duration;
 
 use sequoiayoke_catalog::{server, slice};
@@ -407,46 +407,6 @@
         self.effects.push(Effect::Renew(renewal));
     }
 
-    /// Applies a section of the replicated state.
-    pub fn apply_state(&mut self, now: clock::Instant, state: session::State) {
-        // A replica that lags behind must not move the node back to an older state.
-        if state.index < self.view.index {
-            return;
-        }
-        self.view.index = state.index;
-        if let Some(config) = state.config {
-            let current = self.view.config.as_ref().map(|config| config.version);
-            if current.is_none_or(|current| current < config.version) {
-                tracing::info!(
-                    version = config.version.0,
-                    index = state.index,
-                    "configuration in force"
-                );
-                self.view.config = Some(sync::Arc::new(config));
-            }
-        }
-        if let Some(servers) = state.servers {
-            let before = self.backend_id();
-            let servers = servers.into_iter().map(|server| (server.id, server));
-            self.view.servers = sync::Arc::new(servers.collect());
-            // A lease belongs to one server id; the next renewal requests a new lease.
-            if before.is_some() && self.backend_id() != before {
-                self.lease.drop_lease();
-                self.grants.clear();
-                self.releases.clear();
-            }
-            if before != self.backend_id() {
-                self.renew(now);
-            }
-            self.identify_backend();
-        }
-        if let Some(tables) = state.tables {
-            self.view.tables = sync::Arc::new(tables);
-        }
-        self.is_changed = true;
-        self.reconcile_grants(now);
-    }
-
     /// Records the acknowledgement of a renewal.
     pub fn record_renewed(&mut self, now: clock::Instant, sequence: u64, server: id::Server) {
         if self.backend_id() == Some(server) {
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -56,8 +56,8 @@
     session::State {
         index,
         config: None,
-        servers: Some(vec![server]),
-        tables: Some(table(slices)),
+        servers: vec![server],
+        tables: table(slices),
     }
 }
 
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -61,17 +61,34 @@
     pub is_leaving: bool,
 }
 
-/// Sections of the state; a section that is `None` has not changed.
+/// The whole state, with which a session begins.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     /// Log index up to which the state is complete.
     pub index: u64,
-    /// Configuration.
+    /// Configuration, if there is one.
     pub config: Option<config::Config>,
     /// All backend servers.
-    pub servers: Option<Vec<server::Server>>,
+    pub servers: Vec<server::Server>,
     /// The slices of all keyed services.
-    pub tables: Option<collections::BTreeMap<String, slice::Table>>,
+    pub tables: collections::BTreeMap<String, slice::Table>,
+}
+
+/// Changes of the state between two log indexes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    /// Log index of the state that they apply to, or to any later one.
+    pub since: u64,
+    /// Log index up to which the state is complete afterwards.
+    pub index: u64,
+    /// Configuration, if it has changed.
+    pub config: Option<config::Config>,
+    /// Backend servers that were added or changed.
+    pub joined: Vec<server::Server>,
+    /// Backend servers that were removed; their keys are vacant.
+    pub left: Vec<id::Server>,
+    /// Slices with keys whose owner or grant has changed since the removals, by service.
+    pub slices: Vec<(String, Vec<slice::Slice>)>,
 }
 
 /// Message from a node to a control replica.
@@ -88,7 +105,7 @@
     Redirect(Option<net::SocketAddr>),
     /// Addresses at which the control replicas accept nodes.
     Replicas(Vec<net::SocketAddr>),
-    /// Sections of the state have changed.
+    /// The whole state.
     State(State),
     /// The lease is renewed, counted from the time at which the node sent the renewal.
     Renewed {
@@ -106,4 +123,6 @@
         /// Fencing token of the grant under which they are held.
         fence: slice::Fence,
     },
+    /// The state has changed.
+    Changes(Changes),
 }
