Give every request that a closing node has read its outcome first

Cause: a node that was drained told other nodes the last request that it had read, and closed the queue of replies, while the task of a request that had just been read had not queued its outcome.

Fix: the connection waits for the outcomes of all requests that it has read before it announces the last one.

--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -14,7 +14,7 @@
 use sequoiayoke_model::clock;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream, tcp};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task;
 use tokio_util::codec::FramedRead;
 
@@ -84,6 +84,7 @@
         ended = &mut writing => ended,
         ended = read(&mut frames, &connection, context) => ended,
         () = context.drained.cancelled() => {
+            connection.settled().await;
             let last_read = connection.last_read.get();
             connection.outbox.push(&peer::ToEntry::Close(last_read));
             connection.outbox.close();
@@ -115,6 +116,17 @@
     interests: Interests,
     /// Number of the last request that was read.
     last_read: cell::Cell<Option<u64>>,
+    /// Notified when the outcome of a request has been queued.
+    progress: Notify,
+}
+
+impl Connection {
+    /// Waits until the outcomes of all requests that were read have been queued.
+    async fn settled(&self) {
+        while !self.interests.borrow().is_empty() {
+            self.progress.notified().await;
+        }
+    }
 }
 
 async fn read<Frontend>(
@@ -184,18 +196,18 @@
     let (outbox, bodies) = (&connection.outbox, &connection.bodies);
     let pull = Pull::new(stream, rc::Rc::clone(outbox), rc::Rc::clone(bodies));
     let outcome = run_request(&open, Some(&pull), interest, context).await;
-    connection.interests.borrow_mut().remove(&stream);
-    let Some(outcome) = outcome else {
-        return;
-    };
-    let reply = peer::ToEntry::Reply {
-        stream,
-        outcome,
-        load: context.backend.load_report(),
-    };
-    if !outbox.push(&reply) {
-        tracing::info!(id = open.id, "the requesting node has disconnected");
+    if let Some(outcome) = outcome {
+        let reply = peer::ToEntry::Reply {
+            stream,
+            outcome,
+            load: context.backend.load_report(),
+        };
+        if !outbox.push(&reply) {
+            tracing::info!(id = open.id, "the requesting node has disconnected");
+        }
     }
+    connection.interests.borrow_mut().remove(&stream);
+    connection.progress.notify_one();
 }
 
 /// A request of this node for its own backend server.
