Refuse a request that can no longer be answered before its deadline

Cause: a request that waited for a slot or for the transfer of its body was looked at again only when a slot became free. At its deadline the outcome still had to reach the entry node and the caller. A request that got a slot was started with half of its expected run time left, and was then cut by the backend server: a stopping node answered 504 for such a request that was not idempotent.

Fix: a wait ends when the request can no longer run and be answered before its deadline, and a request does not start after that time. The wait for an owner was bounded already.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -35,6 +35,8 @@
 /// Shortest time limit of a request that can meet its target when it runs at once. A call with a
 /// short target is part of another request, which fails as a whole when the call is refused.
 const MIN_TIME_LIMIT: Duration = Duration::from_millis(400);
+/// Time for an answer to reach the caller from the backend server.
+const DELIVERY_TIME: Duration = Duration::from_millis(50);
 /// Shortest delay before a retry that a refused caller is given.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -358,8 +360,7 @@
         while self.running < self.slots
             && let Some(((_, ticket), offer)) = self.waiting.pop_first()
         {
-            let end = now + self.service_time(offer.class) / 2;
-            if end > offer.deadline {
+            if now >= self.latest_start(&offer) {
                 releases.push(Release::Refuse(ticket, MIN_RETRY_AFTER));
             } else {
                 self.running += 1;
@@ -369,6 +370,11 @@
         releases
     }
 
+    /// Returns the time from which a request is expected to be answered after its deadline.
+    pub fn latest_start(&self, offer: &Offer) -> clock::Instant {
+        offer.deadline - self.service_time(offer.class) - DELIVERY_TIME
+    }
+
     /// Returns the expected time until a request with `ahead` others before it starts.
     fn wait_behind(&self, ahead: usize) -> Duration {
         let busy = f64::from(self.running) + ahead as f64 + 1.0 - f64::from(self.slots);
--- a/crates/gateway/src/traffic/backend/bodies.rs
+++ b/crates/gateway/src/traffic/backend/bodies.rs
@@ -110,7 +110,8 @@
             drop(permit);
             Some(body)
         };
-        let time_left = now.saturating_until(offer.deadline);
+        let latest_start = self.gate.borrow().latest_start(offer);
+        let time_left = now.saturating_until(latest_start);
         let body = tokio::time::timeout(time_left, fetched).await;
         body.ok().flatten().map(Some).ok_or(Refusal::Missing)
     }
--- a/crates/gateway/src/traffic/backend/slots.rs
+++ b/crates/gateway/src/traffic/backend/slots.rs
@@ -8,9 +8,13 @@
 use sequoiayoke_dispatch::admission;
 use sequoiayoke_model::clock;
 use tokio::sync::oneshot;
+use tokio::time;
 
 use super::Backend;
 
+/// Retry delay of a request that could not start in time: its caller has little time left.
+const LATE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Sender for the admission of a queued request, and whether it was admitted.
 pub(super) type Waiter = (oneshot::Sender<Admission>, rc::Rc<cell::Cell<bool>>);
 
@@ -107,7 +111,13 @@
                 let waiting = self.wait(ticket);
                 let evicted = self.gate.borrow_mut().evict(now);
                 self.apply_releases(evicted);
-                waiting.await?;
+                // No slot may become free: the backend server may not answer any request.
+                let latest_start = self.gate.borrow().latest_start(&offer);
+                let max_wait = now.saturating_until(latest_start);
+                match time::timeout(max_wait, waiting).await {
+                    Ok(admitted) => admitted?,
+                    Err(_) => return Err(LATE_RETRY_DELAY),
+                }
             }
         }
         Ok(Slot {
--- a/crates/model/src/clock.rs
+++ b/crates/model/src/clock.rs
@@ -59,6 +59,14 @@
     }
 }
 
+impl ops::Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration.as_micros() as u64))
+    }
+}
+
 /// Source of the current time, replaced by a fake in tests.
 pub trait Clock {
     /// Returns the current time.
