http1: read what the peer still sends before a connection is closed

Callers of the small server (operators, readiness, announcements, metrics) could see a reset instead of an answer, or the beginning of one.

Cause: after an answer that closes the connection, and after the answer to a request that exceeds a limit, the server closed the socket at once. A close with unread bytes resets the connection, and the kernel then drops the part of the answer that is not delivered yet.

The server now shuts down its write side, then reads and discards until the peer closes too, for at most one second (LINGER_TIMEOUT). The peer has the whole answer and its end before the socket is closed.

--- a/crates/http1/src/serve.rs
+++ b/crates/http1/src/serve.rs
@@ -2,27 +2,21 @@
 //!
 //! Requests of callers have their own listener.
 
+mod connection;
+
 use std::future;
 use std::io;
 use std::rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
 use crate::request;
 
-/// Size limits of a request, in bytes. A configuration with thousands of routes fits.
-const LIMITS: request::Limits = request::Limits {
-    head: 16 * 1024,
-    body: 16 * 1024 * 1024,
-};
 /// Largest number of concurrent connections; further ones are closed when they are accepted.
 const MAX_CONNECTIONS: usize = 256;
-/// Longest time to wait for more bytes of a connection.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay after which accepting is retried when it fails.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -119,7 +113,11 @@
                         tracing::warn!(%address, "too many connections, closing a new one");
                         return;
                     };
-                    if let Err(error) = serve_connection(io, &*handler).await {
+                    let served = match connection::Connection::new(io) {
+                        Ok(connection) => connection.run(&*handler).await,
+                        Err(error) => Err(error),
+                    };
+                    if let Err(error) = served {
                         tracing::debug!(%address, %error, "a connection ended with an error");
                     }
                 });
@@ -131,57 +129,3 @@
         }
     }
 }
-
-async fn serve_connection<Handler, Answer>(mut io: TcpStream, handler: &Handler) -> io::Result<()>
-where
-    Handler: Fn(request::Request) -> Answer,
-    Answer: future::Future<Output = Reply>,
-{
-    io.set_nodelay(true)?;
-    let mut input = BytesMut::new();
-    let mut decoder = request::Decoder::new();
-    loop {
-        match decoder.decode(&mut input, LIMITS) {
-            Ok(request::Event::Request(request)) => {
-                let keeps_alive = request.head.keeps_alive;
-                let reply = handler(request).await;
-                io.write_all(&encode(&reply, keeps_alive)).await?;
-                if !keeps_alive {
-                    return io.shutdown().await;
-                }
-            }
-            Ok(request::Event::Continue) => io.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?,
-            Ok(request::Event::More) => {
-                let read = tokio::time::timeout(IDLE_TIMEOUT, io.read_buf(&mut input)).await??;
-                if read == 0 {
-                    return Ok(());
-                }
-            }
-            Err(error) => {
-                let reply = Reply::new(400, "text/plain", error.to_string());
-                io.write_all(&encode(&reply, false)).await?;
-                return io.shutdown().await;
-            }
-        }
-    }
-}
-
-fn encode(reply: &Reply, keeps_alive: bool) -> Vec<u8> {
-    let mut text = format!(
-        "HTTP/1.1 {} {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n",
-        reply.status,
-        reason_phrase(reply.status),
-        reply.media_type,
-        reply.body.len()
-    );
-    for (name, value) in &reply.fields {
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
-    if !keeps_alive {
-        text.push_str("connection: close\r\n");
-    }
-    text.push_str("\r\n");
-    let mut bytes = text.into_bytes();
-    bytes.extend_from_slice(&reply.body);
-    bytes
-}
--- /dev/null
+++ b/crates/http1/src/serve/connection.rs
@@ -0,0 +1,115 @@
+//! A connection of the server: requests in order, each answered before the next is decoded.
+
+use std::future;
+use std::io;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time;
+
+use super::Reply;
+use crate::request;
+
+/// Size limits of a request, in bytes. A configuration with thousands of routes fits.
+const LIMITS: request::Limits = request::Limits {
+    head: 16 * 1024,
+    body: 16 * 1024 * 1024,
+};
+/// Longest time to wait for more bytes of a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time for which a connection that is being closed waits for its peer to close it too.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BYTES: usize = 4 * 1024;
+
+/// A connection of the server.
+#[derive(Debug)]
+pub(super) struct Connection {
+    io: TcpStream,
+    input: BytesMut,
+    decoder: request::Decoder,
+}
+
+impl Connection {
+    /// Creates a connection that has received nothing.
+    pub(super) fn new(io: TcpStream) -> io::Result<Self> {
+        io.set_nodelay(true)?;
+        Ok(Self {
+            io,
+            input: BytesMut::new(),
+            decoder: request::Decoder::new(),
+        })
+    }
+
+    /// Answers requests until one of the two sides closes the connection.
+    pub(super) async fn run<Handler, Answer>(mut self, handler: &Handler) -> io::Result<()>
+    where
+        Handler: Fn(request::Request) -> Answer,
+        Answer: future::Future<Output = Reply>,
+    {
+        loop {
+            match self.decoder.decode(&mut self.input, LIMITS) {
+                Ok(request::Event::Request(request)) => {
+                    let keeps_alive = request.head.keeps_alive;
+                    let reply = handler(request).await;
+                    self.io.write_all(&encode(&reply, keeps_alive)).await?;
+                    if !keeps_alive {
+                        return self.close().await;
+                    }
+                }
+                Ok(request::Event::Continue) => {
+                    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+                    self.io.write_all(interim).await?;
+                }
+                Ok(request::Event::More) => {
+                    let read = self.io.read_buf(&mut self.input);
+                    if time::timeout(IDLE_TIMEOUT, read).await?? == 0 {
+                        return Ok(());
+                    }
+                }
+                Err(error) => {
+                    let reply = Reply::new(400, "text/plain", error.to_string());
+                    self.io.write_all(&encode(&reply, false)).await?;
+                    return self.close().await;
+                }
+            }
+        }
+    }
+
+    /// Closes the connection after an answer.
+    ///
+    /// Bytes that are unread at the close reset the connection, and the peer may lose the answer.
+    /// They are discarded until the peer closes the connection, for a limited time.
+    async fn close(mut self) -> io::Result<()> {
+        self.io.shutdown().await?;
+        let discard = async {
+            let mut discarded = [0; DISCARD_BYTES];
+            while self.io.read(&mut discarded).await? > 0 {}
+            Ok(())
+        };
+        let closed = time::timeout(LINGER_TIMEOUT, discard).await;
+        closed.unwrap_or(Ok(()))
+    }
+}
+
+fn encode(reply: &Reply, keeps_alive: bool) -> Vec<u8> {
+    let mut text = format!(
+        "HTTP/1.1 {} {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n",
+        reply.status,
+        super::reason_phrase(reply.status),
+        reply.media_type,
+        reply.body.len()
+    );
+    for (name, value) in &reply.fields {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if !keeps_alive {
+        text.push_str("connection: close\r\n");
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(&reply.body);
+    bytes
+}
