http1: add a server that stops after it has answered what reached it

serve::serve ends only with its thread, so a process that stops cuts the calls in progress, resets connections that wait to be accepted, and gives no answer to a request that is in the socket but not decoded.

serve::Server has a stop token: it then accepts what is in the backlog, closes the listener, answers each connection's next request with "connection: close", and waits for the connections for a limited time, which the owner chooses. An idle connection is closed after LAST_REQUEST_TIMEOUT (200 ms), so that a request that crosses the stop is answered. serve::serve keeps its behaviour.

The tests stop a server with a call in progress, a request of which a part has arrived and one that is not accepted yet; all three get whole answers. A call that never ends does not keep the server from ending.

--- a/crates/http1/src/serve.rs
+++ b/crates/http1/src/serve.rs
@@ -6,12 +6,16 @@
 
 use std::future;
 use std::io;
+use std::net;
 use std::rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::net::TcpListener;
+use sequoiayoke_supervise::Stop;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::task;
+use tokio::time;
 
 use crate::request;
 
@@ -101,31 +105,115 @@
     Handler: Fn(request::Request) -> Answer + 'static,
     Answer: future::Future<Output = Reply> + 'static,
 {
-    let handler = rc::Rc::new(handler);
-    let connection_permits = rc::Rc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let permits = rc::Rc::clone(&connection_permits);
-        match listener.accept().await {
-            Ok((io, address)) => {
-                let handler = rc::Rc::clone(&handler);
-                tokio::task::spawn_local(async move {
-                    let Ok(_permit) = permits.try_acquire() else {
-                        tracing::warn!(%address, "too many connections, closing a new one");
-                        return;
-                    };
-                    let served = match connection::Connection::new(io) {
-                        Ok(connection) => connection.run(&*handler).await,
-                        Err(error) => Err(error),
-                    };
-                    if let Err(error) = served {
-                        tracing::debug!(%address, %error, "a connection ended with an error");
+    Server::new(handler).run(listener).await
+}
+
+/// A server of one listener.
+#[derive(Debug)]
+pub struct Server<Handler> {
+    handler: rc::Rc<Handler>,
+    permits: rc::Rc<Semaphore>,
+    connections: task::JoinSet<()>,
+    stop: Stop,
+    close_timeout: Duration,
+}
+
+impl<Handler, Answer> Server<Handler>
+where
+    Handler: Fn(request::Request) -> Answer + 'static,
+    Answer: future::Future<Output = Reply> + 'static,
+{
+    /// Creates a server that answers each request with `handler` and does not stop.
+    pub fn new(handler: Handler) -> Self {
+        Self {
+            handler: rc::Rc::new(handler),
+            permits: rc::Rc::new(Semaphore::new(MAX_CONNECTIONS)),
+            connections: task::JoinSet::new(),
+            stop: Stop::new(),
+            close_timeout: Duration::ZERO,
+        }
+    }
+
+    /// Makes the server stop when `stop` is cancelled.
+    ///
+    /// It then accepts no more connections, answers the requests that have reached it and closes
+    /// their connections. Connections that are open after `close_timeout` are cut.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sequoiayoke_http1::{request, serve};
+    /// use sequoiayoke_supervise::Stop;
+    /// use tokio::{net, runtime, task};
+    ///
+    /// let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    /// task::LocalSet::new().block_on(&runtime, async {
+    ///     let stop = Stop::new();
+    ///     stop.cancel();
+    ///     let handler = |_: request::Request| async { serve::Reply::new(200, "text/plain", "ok") };
+    ///     let server = serve::Server::new(handler).with_stop(stop, Duration::from_secs(1));
+    ///     server.run(net::TcpListener::bind("127.0.0.1:0").await?).await
+    /// })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn with_stop(mut self, stop: Stop, close_timeout: Duration) -> Self {
+        (self.stop, self.close_timeout) = (stop, close_timeout);
+        self
+    }
+
+    /// Serves the connections of `listener` until the server has stopped; must run in a
+    /// `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used when the server stops. An error of one connection ends
+    /// only that connection, and accepting is retried when it fails.
+    pub async fn run(mut self, listener: TcpListener) -> io::Result<()> {
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((io, address)) => self.spawn(io, address),
+                    Err(error) => {
+                        tracing::warn!(%error, "no connection could be accepted");
+                        time::sleep(ACCEPT_RETRY_DELAY).await;
                     }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "no connection could be accepted");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                },
+                Some(_) = self.connections.join_next() => {}
+                () = self.stop.cancelled() => break,
             }
         }
+        // The close of a listener resets the connections that were not accepted.
+        let listener = listener.into_std()?;
+        while let Ok((io, address)) = listener.accept() {
+            io.set_nonblocking(true)?;
+            self.spawn(TcpStream::from_std(io)?, address);
+        }
+        drop(listener);
+        let closed = async { while self.connections.join_next().await.is_some() {} };
+        if time::timeout(self.close_timeout, closed).await.is_err() {
+            let connections = self.connections.len();
+            tracing::warn!(connections, "cutting connections that are still open");
+        }
+        Ok(())
+    }
+
+    fn spawn(&mut self, io: TcpStream, address: net::SocketAddr) {
+        let permits = rc::Rc::clone(&self.permits);
+        let handler = rc::Rc::clone(&self.handler);
+        let stop = self.stop.clone();
+        self.connections.spawn_local(async move {
+            let Ok(_permit) = permits.try_acquire() else {
+                tracing::warn!(%address, "too many connections, closing a new one");
+                return;
+            };
+            let served = match connection::Connection::new(io, stop) {
+                Ok(connection) => connection.run(&*handler).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = served {
+                tracing::debug!(%address, %error, "a connection ended with an error");
+            }
+        });
     }
 }
--- a/crates/http1/src/serve/connection.rs
+++ b/crates/http1/src/serve/connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use sequoiayoke_supervise::Stop;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time;
@@ -19,6 +20,10 @@
 };
 /// Longest time to wait for more bytes of a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time to wait for more bytes of a request after the server was asked to stop.
+const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time to wait for a request that was sent before its peer could see that the server stops.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest time for which a connection that is being closed waits for its peer to close it too.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of the buffer for bytes that are discarded.
@@ -30,16 +35,19 @@
     io: TcpStream,
     input: BytesMut,
     decoder: request::Decoder,
+    stop: Stop,
 }
 
 impl Connection {
-    /// Creates a connection that has received nothing.
-    pub(super) fn new(io: TcpStream) -> io::Result<Self> {
+    /// Creates a connection that has received nothing. Once `stop` is cancelled, it is closed after
+    /// the next answer, or without one if no request arrives.
+    pub(super) fn new(io: TcpStream, stop: Stop) -> io::Result<Self> {
         io.set_nodelay(true)?;
         Ok(Self {
             io,
             input: BytesMut::new(),
             decoder: request::Decoder::new(),
+            stop,
         })
     }
 
@@ -52,8 +60,9 @@
         loop {
             match self.decoder.decode(&mut self.input, LIMITS) {
                 Ok(request::Event::Request(request)) => {
-                    let keeps_alive = request.head.keeps_alive;
+                    let is_last = !request.head.keeps_alive;
                     let reply = handler(request).await;
+                    let keeps_alive = !is_last && !self.stop.is_cancelled();
                     self.io.write_all(&encode(&reply, keeps_alive)).await?;
                     if !keeps_alive {
                         return self.close().await;
@@ -64,8 +73,7 @@
                     self.io.write_all(interim).await?;
                 }
                 Ok(request::Event::More) => {
-                    let read = self.io.read_buf(&mut self.input);
-                    if time::timeout(IDLE_TIMEOUT, read).await?? == 0 {
+                    if self.read().await? == 0 {
                         return Ok(());
                     }
                 }
@@ -78,6 +86,23 @@
         }
     }
 
+    /// Reads more bytes; returns zero at the end of the connection.
+    async fn read(&mut self) -> io::Result<usize> {
+        let is_partial = self.decoder.is_open() || !self.input.is_empty();
+        loop {
+            let is_stopping = self.stop.is_cancelled();
+            let limit = match (is_stopping, is_partial) {
+                (false, _) => IDLE_TIMEOUT,
+                (true, true) => STOPPING_IDLE_TIMEOUT,
+                (true, false) => LAST_REQUEST_TIMEOUT,
+            };
+            tokio::select! {
+                read = time::timeout(limit, self.io.read_buf(&mut self.input)) => return read?,
+                () = self.stop.cancelled(), if !is_stopping => {}
+            }
+        }
+    }
+
     /// Closes the connection after an answer.
     ///
     /// Bytes that are unread at the close reset the connection, and the peer may lose the answer.
--- a/crates/http1/tests/serve.rs
+++ b/crates/http1/tests/serve.rs
@@ -1,11 +1,16 @@
 //! Connections of the small server, on loopback.
 
+use std::cell;
 use std::net;
+use std::rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use sequoiayoke_http1::{request, serve};
+use sequoiayoke_supervise::Stop;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::task;
 
 /// Size of an answer that does not fit into the receive buffer of [`connect_with_small_buffer`].
@@ -64,3 +69,86 @@
     };
     task::LocalSet::new().run_until(test).await;
 }
+
+/// Longest time for which a server that stops lets its connections finish.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Guards against calls that a server had read, or that had reached its socket, and that get no
+/// answer when it stops.
+#[tokio::test]
+async fn a_stopping_server_answers_the_requests_that_have_reached_it() {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let stop = Stop::new();
+        let (called, answer) = (rc::Rc::new(Notify::new()), rc::Rc::new(Notify::new()));
+        let calls = rc::Rc::new(cell::Cell::new(0));
+        let handler = {
+            let (called, answer) = (rc::Rc::clone(&called), rc::Rc::clone(&answer));
+            move |_: request::Request| {
+                let (called, answer) = (rc::Rc::clone(&called), rc::Rc::clone(&answer));
+                let call = calls.replace(calls.get() + 1);
+                async move {
+                    called.notify_one();
+                    if call == 0 {
+                        answer.notified().await;
+                    }
+                    serve::Reply::new(200, "text/plain", "done")
+                }
+            }
+        };
+        let server = serve::Server::new(handler).with_stop(stop.clone(), CLOSE_TIMEOUT);
+        let server = task::spawn_local(server.run(listener));
+        let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        let mut running = TcpStream::connect(address).await.expect("a connection");
+        running.write_all(request).await.expect("it is open");
+        called.notified().await;
+        let mut partial = TcpStream::connect(address).await.expect("a connection");
+        partial.write_all(&request[..9]).await.expect("it is open");
+        // The server accepts this connection after it was asked to stop.
+        let mut late = TcpStream::connect(address).await.expect("a connection");
+        late.write_all(request).await.expect("it is open");
+        stop.cancel();
+        called.notified().await;
+        partial.write_all(&request[9..]).await.expect("it is open");
+        called.notified().await;
+        answer.notify_one();
+        for mut io in [running, partial, late] {
+            let mut text = String::new();
+            let read = io.read_to_string(&mut text).await;
+            read.expect("the connection is not reset");
+            assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+            assert!(text.contains("connection: close") && text.ends_with("done"));
+        }
+        server.await.expect("it does not panic").expect("it ends");
+        let refused = TcpStream::connect(address).await;
+        refused.expect_err("the listener is closed");
+    };
+    task::LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a server that does not stop because a call does not end.
+#[tokio::test(start_paused = true)]
+async fn a_stopping_server_ends_in_time_if_a_call_does_not_end() {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let (stop, called) = (Stop::new(), rc::Rc::new(Notify::new()));
+        let notify = rc::Rc::clone(&called);
+        let handler = move |_: request::Request| {
+            notify.notify_one();
+            std::future::pending()
+        };
+        let server = serve::Server::new(handler).with_stop(stop.clone(), CLOSE_TIMEOUT);
+        let server = task::spawn_local(server.run(listener));
+        let mut io = TcpStream::connect(address).await.expect("a connection");
+        let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        io.write_all(request).await.expect("the connection is open");
+        called.notified().await;
+        stop.cancel();
+        let ended = tokio::time::timeout(2 * CLOSE_TIMEOUT, server).await;
+        let ended = ended.expect("it ends in time");
+        ended.expect("it does not panic").expect("it ends");
+    };
+    task::LocalSet::new().run_until(test).await;
+}
