http1: refuse a request that does not arrive in time with 408

A caller of the small server whose request stopped half way saw the connection close after 30 s (or, while the server stops, after 0.5 s) with neither an answer nor a refusal. Cause: the timeout of a read ended the connection with an error, whether a part of a request had been read or not.

A part of a request is now answered with 408, which says that it did not run; an idle connection is closed without an answer as before. The new test failed without the change (the connection ended without a byte) and passes with it.

--- a/crates/http1/src/serve/connection.rs
+++ b/crates/http1/src/serve/connection.rs
@@ -72,23 +72,40 @@
                     let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
                     self.io.write_all(interim).await?;
                 }
-                Ok(request::Event::More) => {
-                    if self.read().await? == 0 {
-                        return Ok(());
+                Ok(request::Event::More) => match self.read().await {
+                    Ok(0) => return Ok(()),
+                    Ok(_) => {}
+                    Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                        if !self.has_partial_request() {
+                            return Ok(());
+                        }
+                        let reply = Reply::new(408, "text/plain", "the request is incomplete");
+                        return self.reject(&reply).await;
                     }
-                }
+                    Err(error) => return Err(error),
+                },
                 Err(error) => {
                     let reply = Reply::new(400, "text/plain", error.to_string());
-                    self.io.write_all(&encode(&reply, false)).await?;
-                    return self.close().await;
+                    return self.reject(&reply).await;
                 }
             }
         }
     }
 
+    /// Returns whether a part of a request has been received.
+    fn has_partial_request(&self) -> bool {
+        self.decoder.is_open() || !self.input.is_empty()
+    }
+
+    /// Answers a request that is not handled, and closes the connection.
+    async fn reject(mut self, reply: &Reply) -> io::Result<()> {
+        self.io.write_all(&encode(reply, false)).await?;
+        self.close().await
+    }
+
     /// Reads more bytes; returns zero at the end of the connection.
     async fn read(&mut self) -> io::Result<usize> {
-        let is_partial = self.decoder.is_open() || !self.input.is_empty();
+        let is_partial = self.has_partial_request();
         loop {
             let is_stopping = self.stop.is_cancelled();
             let limit = match (is_stopping, is_partial) {
--- a/crates/http1/tests/serve.rs
+++ b/crates/http1/tests/serve.rs
@@ -152,3 +152,20 @@
     };
     task::LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a request of which only a part arrives in time, and that ends with neither an
+/// answer nor a refusal.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_does_not_arrive_in_time_is_refused() {
+    let test = async {
+        let address = start().await;
+        let mut io = TcpStream::connect(address).await.expect("a connection");
+        let request = b"POST / HTTP/1.1\r\ncontent-length: 9\r\n\r\npart";
+        io.write_all(request).await.expect("the connection is open");
+        let mut text = String::new();
+        let read = io.read_to_string(&mut text).await;
+        read.expect("the connection is not reset");
+        assert!(text.starts_with("HTTP/1.1 408"), "{text:?}");
+    };
+    task::LocalSet::new().run_until(test).await;
+}
