http1: refuse calls beyond the largest number of connections with 503

With 256 connections of the small server open, the call on a further one ended with a reset: the connection was closed as soon as it was accepted, and the caller could not tell a full server from one that had died.

The next request of such a connection is now answered with 503 and the connection closed, with the code that closes the connections of a server that stops. The new test opens one connection too many; without the change it fails with "Connection reset by peer".

--- a/crates/http1/src/serve.rs
+++ b/crates/http1/src/serve.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net;
 use std::rc;
+use std::sync;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,8 +20,11 @@
 
 use crate::request;
 
-/// Largest number of concurrent connections; further ones are closed when they are accepted.
-const MAX_CONNECTIONS: usize = 256;
+/// Largest number of concurrent connections. The request of a further one is refused with 503.
+pub const MAX_CONNECTIONS: usize = 256;
+/// Largest number of concurrent connections whose request is refused; further ones are closed when
+/// they are accepted.
+const MAX_REFUSALS: usize = 64;
 /// Delay after which accepting is retried when it fails.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -112,7 +116,8 @@
 #[derive(Debug)]
 pub struct Server<Handler> {
     handler: rc::Rc<Handler>,
-    permits: rc::Rc<Semaphore>,
+    permits: sync::Arc<Semaphore>,
+    refusal_permits: sync::Arc<Semaphore>,
     connections: task::JoinSet<()>,
     stop: Stop,
     close_timeout: Duration,
@@ -127,7 +132,8 @@
     pub fn new(handler: Handler) -> Self {
         Self {
             handler: rc::Rc::new(handler),
-            permits: rc::Rc::new(Semaphore::new(MAX_CONNECTIONS)),
+            permits: sync::Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            refusal_permits: sync::Arc::new(Semaphore::new(MAX_REFUSALS)),
             connections: task::JoinSet::new(),
             stop: Stop::new(),
             close_timeout: Duration::ZERO,
@@ -199,21 +205,43 @@
     }
 
     fn spawn(&mut self, io: TcpStream, address: net::SocketAddr) {
-        let permits = rc::Rc::clone(&self.permits);
         let handler = rc::Rc::clone(&self.handler);
         let stop = self.stop.clone();
-        self.connections.spawn_local(async move {
-            let Ok(_permit) = permits.try_acquire() else {
-                tracing::warn!(%address, "too many connections, closing a new one");
-                return;
-            };
-            let served = match connection::Connection::new(io, stop) {
-                Ok(connection) => connection.run(&*handler).await,
-                Err(error) => Err(error),
-            };
-            if let Err(error) = served {
-                tracing::debug!(%address, %error, "a connection ended with an error");
-            }
-        });
+        if let Ok(permit) = sync::Arc::clone(&self.permits).try_acquire_owned() {
+            self.connections.spawn_local(async move {
+                let _permit = permit;
+                let served = match connection::Connection::new(io, stop) {
+                    Ok(connection) => connection.run(&*handler).await,
+                    Err(error) => Err(error),
+                };
+                log_end(address, &served);
+            });
+            return;
+        }
+        let permit = sync::Arc::clone(&self.refusal_permits).try_acquire_owned();
+        let is_refused = permit.is_ok();
+        tracing::warn!(%address, is_refused, "too many connections");
+        if let Ok(permit) = permit {
+            self.connections.spawn_local(async move {
+                let _permit = permit;
+                log_end(address, &refuse(io).await);
+            });
+        }
+    }
+}
+
+/// Refuses the next request of a connection, and closes it.
+async fn refuse(io: TcpStream) -> io::Result<()> {
+    // A connection of a server that has stopped is closed after its next request.
+    let stop = Stop::new();
+    stop.cancel();
+    let handler = |_| async { Reply::new(503, "text/plain", "too many connections") };
+    let connection = connection::Connection::new(io, stop)?;
+    connection.run(&handler).await
+}
+
+fn log_end(address: net::SocketAddr, served: &io::Result<()>) {
+    if let Err(error) = served {
+        tracing::debug!(%address, %error, "a connection ended with an error");
     }
 }
--- a/crates/http1/tests/serve.rs
+++ b/crates/http1/tests/serve.rs
@@ -169,3 +169,28 @@
     };
     task::LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a call that is neither answered nor refused because the server has as many
+/// connections as it may have.
+#[tokio::test]
+async fn a_request_beyond_the_largest_number_of_connections_is_refused() {
+    let test = async {
+        let address = start().await;
+        let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        let mut open = Vec::new();
+        for _ in 0..serve::MAX_CONNECTIONS {
+            let mut io = TcpStream::connect(address).await.expect("a connection");
+            io.write_all(request).await.expect("it is open");
+            io.read_u8().await.expect("an answer");
+            open.push(io);
+        }
+        let mut io = TcpStream::connect(address).await.expect("a connection");
+        io.write_all(request).await.expect("it is open");
+        let mut text = String::new();
+        let read = io.read_to_string(&mut text).await;
+        read.expect("the connection is not reset");
+        assert!(text.starts_with("HTTP/1.1 503"), "{text:?}");
+        drop(open);
+    };
+    task::LocalSet::new().run_until(test).await;
+}
