http1: give up an answer that its peer does not read for 30 s

The small server waited without a limit for a peer that does not read its answer. Each such peer held one of the 256 connections for ever; once all were held, no operator or backend server got an answer. Cause: reads have a timeout, writes had none.

A write now ends after WRITE_TIMEOUT (30 s, as for reads) and the connection is closed. The new test never reads a large answer; without the change the server still holds it after 300 s of test time.

--- a/crates/http1/src/serve/connection.rs
+++ b/crates/http1/src/serve/connection.rs
@@ -24,6 +24,8 @@
 const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time to wait for a request that was sent before its peer could see that the server stops.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest time to write an answer to a peer that reads slowly or not at all.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time for which a connection that is being closed waits for its peer to close it too.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of the buffer for bytes that are discarded.
@@ -63,14 +65,14 @@
                     let is_last = !request.head.keeps_alive;
                     let reply = handler(request).await;
                     let keeps_alive = !is_last && !self.stop.is_cancelled();
-                    self.io.write_all(&encode(&reply, keeps_alive)).await?;
+                    self.write(&encode(&reply, keeps_alive)).await?;
                     if !keeps_alive {
                         return self.close().await;
                     }
                 }
                 Ok(request::Event::Continue) => {
                     let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
-                    self.io.write_all(interim).await?;
+                    self.write(interim).await?;
                 }
                 Ok(request::Event::More) => match self.read().await {
                     Ok(0) => return Ok(()),
@@ -99,10 +101,14 @@
 
     /// Answers a request that is not handled, and closes the connection.
     async fn reject(mut self, reply: &Reply) -> io::Result<()> {
-        self.io.write_all(&encode(reply, false)).await?;
+        self.write(&encode(reply, false)).await?;
         self.close().await
     }
 
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        time::timeout(WRITE_TIMEOUT, self.io.write_all(bytes)).await?
+    }
+
     /// Reads more bytes; returns zero at the end of the connection.
     async fn read(&mut self) -> io::Result<usize> {
         let is_partial = self.has_partial_request();
--- a/crates/http1/tests/serve.rs
+++ b/crates/http1/tests/serve.rs
@@ -3,6 +3,7 @@
 use std::cell;
 use std::net;
 use std::rc;
+use std::sync;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -194,3 +195,48 @@
     };
     task::LocalSet::new().run_until(test).await;
 }
+
+/// Body of an answer that does not fit into the buffers of a connection.
+struct LargeBody {
+    bytes: Vec<u8>,
+    /// Notified when the answer is dropped.
+    dropped: sync::Arc<Notify>,
+}
+
+impl AsRef<[u8]> for LargeBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for LargeBody {
+    fn drop(&mut self) {
+        self.dropped.notify_one();
+    }
+}
+
+/// Guards against connections whose peers do not read and that are held for ever, until no
+/// connection is left for other callers.
+#[tokio::test(start_paused = true)]
+async fn a_connection_whose_peer_does_not_read_is_closed() {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let dropped = sync::Arc::new(Notify::new());
+        let notify = sync::Arc::clone(&dropped);
+        task::spawn_local(serve::serve(listener, move |_: request::Request| {
+            let body = LargeBody {
+                bytes: vec![b'x'; 32 * 1024 * 1024],
+                dropped: sync::Arc::clone(&notify),
+            };
+            async { serve::Reply::new(200, "text/plain", Bytes::from_owner(body)) }
+        }));
+        let mut io = TcpStream::connect(address).await.expect("a connection");
+        let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        io.write_all(request).await.expect("the connection is open");
+        let ended = tokio::time::timeout(Duration::from_secs(300), dropped.notified()).await;
+        ended.expect("the answer is given up");
+        drop(io);
+    };
+    task::LocalSet::new().run_until(test).await;
+}
