director: time out every expired order, at its deadline

An operator whose order was not committed in time could wait longer than the 0.9 s after which the director answers that the outcome is unknown, up to the 0.95 s after which the call itself gives up, or not get that answer at all.

Causes: a pass of the control thread timed out one order at most, and the time at which an order expires was not among those for which the thread wakes up.

The orders that wait are now a queue with its decisions apart from the control thread (coordinator::pending): it returns all expired orders, and its next deadline is one of the control thread's. With one expired order a pass, as before, the new test fails (it gets [1], not [1, 2]); it passes now.

--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -8,6 +8,7 @@
 pub mod leader;
 mod members;
 mod orders;
+pub mod pending;
 
 use std::collections;
 use std::net;
@@ -17,7 +18,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use sequoiayoke_catalog::machine;
-use sequoiayoke_consensus::{config, event as log, position, stored};
+use sequoiayoke_consensus::{config, event as log, stored};
 use sequoiayoke_link::{codec, session};
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_replication::driver;
@@ -41,8 +42,6 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 /// Maximum number of events that share one sync of the log.
 const MAX_BATCH: usize = 256;
-/// Maximum time for which an operator's order waits for its commit.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
 
 type Disk = folder::Folder<medium::Disk>;
 type Driver = driver::Driver<Disk, machine::Machine>;
@@ -90,14 +89,6 @@
     pub(crate) measure: sync::Arc<measure::Measure>,
 }
 
-/// An order that was proposed and waits for its commit.
-#[derive(Debug)]
-struct PendingOrder {
-    position: position::Position,
-    since: clock::Instant,
-    reply: oneshot::Sender<operator::Answer>,
-}
-
 /// State of the control thread.
 #[derive(Debug)]
 pub struct Coordinator {
@@ -111,7 +102,7 @@
     driver: Driver,
     leader: Option<leader::Leader>,
     node_queues: slotmap::SecondaryMap<leader::Session, mpsc::Sender<Bytes>>,
-    pending_orders: Vec<PendingOrder>,
+    pending_orders: pending::Queue<oneshot::Sender<operator::Answer>>,
     last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
     members_checked_at: clock::Instant,
     outputs: Outputs,
@@ -151,7 +142,7 @@
             driver,
             leader: None,
             node_queues: slotmap::SecondaryMap::new(),
-            pending_orders: Vec::new(),
+            pending_orders: pending::Queue::new(),
             last_heard: collections::BTreeMap::new(),
             members_checked_at: now,
             outputs,
@@ -197,7 +188,9 @@
     fn next_deadline(&self) -> clock::Instant {
         let replica = self.driver.replica().next_deadline();
         let leader = self.leader.as_ref().map(leader::Leader::next_deadline);
-        leader.map_or(replica, |leader| leader.min(replica))
+        let order = self.pending_orders.next_deadline();
+        let others = leader.into_iter().chain(order);
+        others.fold(replica, clock::Instant::min)
     }
 
     fn handle(&mut self, event: Event) -> supervisor::Outcome {
@@ -316,13 +309,8 @@
         self.flush(now)?;
         self.check_members(now)?;
         self.send_effects();
-        let expired = self
-            .pending_orders
-            .iter()
-            .position(|order| now.saturating_since(order.since) >= ORDER_TIMEOUT);
-        if let Some(index) = expired {
+        for order in self.pending_orders.take_expired(now) {
             // The order may still be committed, so its outcome is unknown; the operator retries it.
-            let order = self.pending_orders.remove(index);
             tracing::warn!(position = %order.position, "an order is not committed in time");
             send_answer(order.reply, operator::Answer::Unavailable);
         }
@@ -380,7 +368,7 @@
                 self.leader = None;
                 // Dropping the queues closes the sessions, and the nodes connect to the new leader.
                 self.node_queues.clear();
-                for order in self.pending_orders.drain(..) {
+                for order in self.pending_orders.take_all() {
                     send_answer(order.reply, operator::Answer::Unavailable);
                 }
             }
--- a/crates/director/src/coordinator/orders.rs
+++ b/crates/director/src/coordinator/orders.rs
@@ -6,7 +6,7 @@
 use sequoiayoke_model::clock;
 use tokio::sync::oneshot;
 
-use super::{Coordinator, PendingOrder, send_answer};
+use super::{Coordinator, send_answer};
 use crate::operator;
 
 impl Coordinator {
@@ -47,12 +47,7 @@
         match self.driver.propose(now, &command) {
             Some(position) => {
                 tracing::info!(version, %position, "an order entered the log");
-                let since = now;
-                self.pending_orders.push(PendingOrder {
-                    position,
-                    since,
-                    reply,
-                });
+                self.pending_orders.push(now, position, reply);
             }
             None => send_answer(reply, operator::Answer::Unavailable),
         }
@@ -60,14 +55,9 @@
 
     /// Answers the operator whose order was at the index of a committed entry.
     pub(super) fn answer_order(&mut self, position: position::Position, output: &machine::Output) {
-        let index = self
-            .pending_orders
-            .iter()
-            .position(|order| order.position.index == position.index);
-        let Some(index) = index else {
+        let Some(order) = self.pending_orders.take(position.index) else {
             return;
         };
-        let order = self.pending_orders.swap_remove(index);
         let answer = match output {
             // Another leader's entry was committed at the index of the order.
             _ if order.position != position => operator::Answer::Unavailable,
