director: count the silence of a member from the start of the leadership

With four or more voters, a replica that had just become the leader could remove a healthy voter half a second later, and the group had one replica less until that one was added again.

Cause: members are removed after 4 s or 20 s without a message, counted from their last message to this process, or from boot without one. But members send messages only to the leader, so after a change of leader every member whose first acknowledgement was still on its way counted as silent for hours.

Silence now counts from the start of the leadership at the earliest. A replica that was never heard is not added, as before. The decision has moved to members::View, apart from the control thread.

--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -6,7 +6,7 @@
 
 pub mod directory;
 pub mod leader;
-mod members;
+pub mod members;
 mod orders;
 pub mod pending;
 
@@ -101,6 +101,8 @@
     directory: directory::Directory,
     driver: Driver,
     leader: Option<leader::Leader>,
+    /// When this replica last became the leader.
+    leads_since: clock::Instant,
     node_queues: slotmap::SecondaryMap<leader::Session, mpsc::Sender<Bytes>>,
     pending_orders: pending::Queue<oneshot::Sender<operator::Answer>>,
     last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
@@ -141,6 +143,7 @@
             directory,
             driver,
             leader: None,
+            leads_since: now,
             node_queues: slotmap::SecondaryMap::new(),
             pending_orders: pending::Queue::new(),
             last_heard: collections::BTreeMap::new(),
@@ -362,6 +365,7 @@
                 tracing::info!(term = %role.term, "this replica leads");
                 let leader = leader::Leader::new(self.lease, self.driver.machine(), now);
                 self.leader = Some(leader);
+                self.leads_since = now;
             }
             (false, true) => {
                 tracing::warn!(term = %role.term, "this replica no longer leads");
--- a/crates/director/src/coordinator/directory.rs
+++ b/crates/director/src/coordinator/directory.rs
@@ -86,6 +86,11 @@
         self.addresses.get(&id).copied()
     }
 
+    /// Returns the address of each replica that was ever discovered.
+    pub const fn addresses(&self) -> &collections::BTreeMap<id::Replica, net::SocketAddr> {
+        &self.addresses
+    }
+
     /// Returns the latest identity that introduced itself from each address.
     pub const fn current(&self) -> &collections::BTreeMap<net::SocketAddr, id::Replica> {
         &self.current
--- a/crates/director/src/coordinator/members.rs
+++ b/crates/director/src/coordinator/members.rs
@@ -4,6 +4,8 @@
 //! identity is added as a learner, then promoted to voter, and only then is the identity that it
 //! replaces removed, so that the group is never short of a voter.
 
+use std::collections;
+use std::net;
 use std::time::Duration;
 
 use sequoiayoke_consensus::{event as log, members};
@@ -44,7 +46,15 @@
         if self.leader.is_none() {
             return Ok(());
         }
-        let Some(change) = self.next_member_change(now) else {
+        let view = View {
+            own: replica.id(),
+            members: replica.members(),
+            addresses: self.directory.addresses(),
+            current: self.directory.current(),
+            last_heard: &self.last_heard,
+            leads_since: self.leads_since,
+        };
+        let Some(change) = view.next_change(now) else {
             return Ok(());
         };
         tracing::info!(?change, "changing the members of the group");
@@ -57,19 +67,56 @@
         }
         Ok(())
     }
+}
+
+/// What a leader knows about the members of the group and other replicas.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Identity of the leader.
+    pub own: id::Replica,
+    /// Members of the group.
+    pub members: &'a members::Members,
+    /// Address of each replica that was ever discovered.
+    pub addresses: &'a collections::BTreeMap<id::Replica, net::SocketAddr>,
+    /// Latest identity at each address.
+    pub current: &'a collections::BTreeMap<net::SocketAddr, id::Replica>,
+    /// When each replica last sent a message to this one.
+    pub last_heard: &'a collections::BTreeMap<id::Replica, clock::Instant>,
+    /// Since when this replica has led.
+    pub leads_since: clock::Instant,
+}
 
+impl View<'_> {
     /// Returns the next change of the group's members, if one is due.
-    pub(super) fn next_member_change(&self, now: clock::Instant) -> Option<members::Change> {
-        let group = self.driver.replica().members();
-        let own = self.driver.replica().id();
-        let time_since_heard = |id: &id::Replica| {
-            let last_heard = self.last_heard.get(id).copied();
-            // A replica that has sent nothing to this process counts as silent since boot.
-            let last_heard = last_heard.unwrap_or(clock::Instant::from_micros(0));
-            now.saturating_since(last_heard)
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::collections;
+    /// use sequoiayoke_consensus::members::{Change, Members};
+    /// use sequoiayoke_director::coordinator::members;
+    /// use sequoiayoke_model::{clock, id};
+    ///
+    /// let (own, other) = (id::Replica(1), id::Replica(2));
+    /// let address = "10.0.0.2:80".parse().expect("an address");
+    /// let now = clock::Instant::now();
+    /// let view = members::View {
+    ///     own,
+    ///     members: &Members::new([own], []),
+    ///     addresses: &collections::BTreeMap::from([(other, address)]),
+    ///     current: &collections::BTreeMap::from([(address, other)]),
+    ///     last_heard: &collections::BTreeMap::from([(other, now)]),
+    ///     leads_since: now,
+    /// };
+    /// assert_eq!(view.next_change(now), Some(Change::AddLearner(other)));
+    /// ```
+    pub fn next_change(&self, now: clock::Instant) -> Option<members::Change> {
+        let (own, group) = (self.own, self.members);
+        let is_live = |id: &id::Replica| {
+            let last_heard = self.last_heard.get(id);
+            last_heard.is_some_and(|heard| now.saturating_since(*heard) < REPLACED_AFTER)
         };
-        let current = self.directory.current();
-        let is_live = |id: &id::Replica| time_since_heard(id) < REPLACED_AFTER;
+        let current = self.current;
         for id in current.values().filter(|id| **id != own && is_live(id)) {
             if !group.contains(*id) {
                 return Some(members::Change::AddLearner(*id));
@@ -79,8 +126,8 @@
             }
         }
         let replaced = group.all().find(|id| {
-            let address = self.directory.address(*id);
-            let successor = address.and_then(|address| current.get(&address));
+            let address = self.addresses.get(id);
+            let successor = address.and_then(|address| current.get(address));
             *id != own
                 && successor.is_some_and(|successor| successor != id && group.is_voter(*successor))
         });
@@ -90,7 +137,7 @@
         let voters = group.voters().count();
         let is_even = voters.is_multiple_of(2);
         let lost = group.all().find(|id| {
-            let silence = time_since_heard(id);
+            let silence = now.saturating_since(self.silent_since(*id));
             *id != own && (silence >= LOST_AFTER || (silence >= REPLACED_AFTER && is_even))
         });
         match lost {
@@ -100,4 +147,13 @@
             _ => None,
         }
     }
+
+    /// Returns since when a member has been silent.
+    ///
+    /// Members send nothing to each other, only to the leader, so the time before this replica led
+    /// does not count.
+    fn silent_since(&self, member: id::Replica) -> clock::Instant {
+        let last_heard = self.last_heard.get(&member).copied();
+        last_heard.map_or(self.leads_since, |heard| heard.max(self.leads_since))
+    }
 }
