director: tell the leader of every session that ends

A leader could keep a session whose connection was gone: the node counted as connected (sequoiayoke_nodes) until something was sent to it, and its backend server still got vacant keys that nobody could grant.

Cause: a session's task ended with the first of its two directions. If writing ended first, with a reset or because sent bytes stayed unacknowledged, the reading side was dropped before it sent NodeDown. The task now sends NodeDown whichever side ends first.

--- a/crates/director/src/traffic/nodes.rs
+++ b/crates/director/src/traffic/nodes.rs
@@ -47,26 +47,23 @@
 
 async fn serve(io: TcpStream, config: &Config) -> io::Result<()> {
     replicas::set_socket_options(&io)?;
-    let (reader, writer) = io.into_split();
+    let (mut reader, writer) = io.into_split();
     let (queue, frames) = mpsc::channel(QUEUE_CAPACITY);
     let (reply, session) = oneshot::channel();
     let event = coordinator::Event::NodeUp(queue, reply);
     config.events.send(event).await.map_err(io::Error::other)?;
-    let sending = write(writer, frames);
-    let receiving = async {
-        let Ok(session) = session.await else {
-            // This replica opened no session; the queued frames redirect the node to the leader.
-            return std::future::pending().await;
-        };
-        let result = read(reader, session, config).await;
-        let down = coordinator::Event::NodeDown(session);
-        config.events.send(down).await.map_err(io::Error::other)?;
-        result
+    let Ok(session) = session.await else {
+        // This replica opened no session; the queued frames redirect the node to the leader.
+        return write(writer, frames).await;
     };
-    tokio::select! {
-        result = sending => result,
-        result = receiving => result,
-    }
+    let result = tokio::select! {
+        result = write(writer, frames) => result,
+        result = read(&mut reader, session, config) => result,
+    };
+    // The leader keeps a session until it learns of the end, whichever side ended it.
+    let down = coordinator::Event::NodeDown(session);
+    config.events.send(down).await.map_err(io::Error::other)?;
+    result
 }
 
 async fn write(
@@ -80,7 +77,7 @@
 }
 
 async fn read(
-    reader: tcp::OwnedReadHalf,
+    reader: &mut tcp::OwnedReadHalf,
     session: coordinator::leader::Session,
     config: &Config,
 ) -> io::Result<()> {
