director: answer, hand over and close before the process ends

When a director got SIGTERM, operators whose calls were in progress (an order waiting for its commit, an answer being written) saw their connection reset. The group had no leader for 0.6 to 1 s, until an election timed out, while the other directors redirected operators to the one that was gone. Nodes lost their sessions with a reset and had to search for the new leader.

Cause: the traffic thread ended at the moment at which the stop token was cancelled. The control thread ended after one more pass, so pending orders were dropped without an answer, and the transfer of the leadership, if the successor's log was complete at all, was sent to a queue that nobody read.

The two threads now stop in order. Then the traffic thread closes its listeners, answers the calls that have reached it and closes the connections (CLOSE_TIMEOUT, 1 s), while the control thread still answers calls (a redirect to the successor, or 503) and the log. The control thread ends last. A thread that panics now ends the other one too: the tokens are cancelled by a drop guard. The platform kills a process 6 s after SIGTERM; the bounds leave the larger part of it.

--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -9,6 +9,7 @@
 pub mod members;
 mod orders;
 pub mod pending;
+mod stopping;
 
 use std::collections;
 use std::net;
@@ -40,6 +41,8 @@
 pub const ELECTION_MAX: Duration = Duration::from_millis(1_000);
 /// Interval between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+/// Longest time that the control thread waits for an event.
+const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Maximum number of events that share one sync of the log.
 const MAX_BATCH: usize = 256;
 
@@ -89,6 +92,17 @@
     pub(crate) measure: sync::Arc<measure::Measure>,
 }
 
+/// Signals between the root supervisor and the two threads.
+#[derive(Clone, Debug, Default)]
+pub struct Signals {
+    /// Asks the replica to stop.
+    pub stop: Stop,
+    /// The replica has given up its leadership, or the control thread has ended.
+    pub resigned: Stop,
+    /// The traffic thread has closed its connections and ended.
+    pub closed: Stop,
+}
+
 /// State of the control thread.
 #[derive(Debug)]
 pub struct Coordinator {
@@ -107,6 +121,7 @@
     pending_orders: pending::Queue<oneshot::Sender<operator::Answer>>,
     last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
     members_checked_at: clock::Instant,
+    stage: stopping::Stage,
     outputs: Outputs,
 }
 
@@ -148,11 +163,15 @@
             pending_orders: pending::Queue::new(),
             last_heard: collections::BTreeMap::new(),
             members_checked_at: now,
+            stage: stopping::Stage::Running,
             outputs,
         })
     }
 
-    /// Runs until `stop` is cancelled; a leader transfers its leadership first.
+    /// Runs until the traffic thread has ended.
+    ///
+    /// Once `signals.stop` is cancelled, a leader transfers its leadership; then
+    /// `signals.resigned` is cancelled.
     ///
     /// # Errors
     ///
@@ -160,15 +179,17 @@
     pub async fn run(
         mut self,
         mut inbox: mpsc::Receiver<Event>,
-        stop: Stop,
+        signals: Signals,
     ) -> supervisor::Outcome {
         self.announce();
         loop {
             let timeout = clock::Instant::now().saturating_until(self.next_deadline());
+            let is_running = self.stage == stopping::Stage::Running;
             tokio::select! {
                 Some(event) = inbox.recv() => self.handle(event)?,
                 () = time::sleep(timeout) => {}
-                () = stop.cancelled() => break,
+                () = signals.stop.cancelled(), if is_running => self.stop(),
+                () = signals.closed.cancelled() => return Ok(()),
             }
             let mut events = 1;
             while events < MAX_BATCH
@@ -178,22 +199,22 @@
                 events += 1;
             }
             self.advance()?;
+            if self.stage == stopping::Stage::Resigned {
+                signals.resigned.cancel();
+            }
         }
-        if self.leader.take().is_some() {
-            tracing::info!("transferring leadership");
-            let now = clock::Instant::now();
-            self.driver.step(now, log::Event::Transfer);
-            self.flush(now)?;
-        }
-        Ok(())
     }
 
     fn next_deadline(&self) -> clock::Instant {
-        let replica = self.driver.replica().next_deadline();
+        let log = self
+            .has_timers()
+            .then(|| self.driver.replica().next_deadline());
         let leader = self.leader.as_ref().map(leader::Leader::next_deadline);
         let order = self.pending_orders.next_deadline();
-        let others = leader.into_iter().chain(order);
-        others.fold(replica, clock::Instant::min)
+        let stop = self.stage.deadline();
+        let deadlines = [log, leader, order, stop].into_iter().flatten();
+        let latest = clock::Instant::now() + MAX_WAIT;
+        deadlines.fold(latest, clock::Instant::min)
     }
 
     fn handle(&mut self, event: Event) -> supervisor::Outcome {
@@ -269,9 +290,7 @@
         send(&queue, &session::FromControl::Replicas(replicas));
         let session = self.leader.as_mut().and_then(leader::Leader::node_up);
         let Some(session) = session else {
-            let leader = self.leader_address();
-            let address =
-                leader.map(|address| net::SocketAddr::new(address.ip(), self.session_port));
+            let address = self.to_session_address(self.leader_address());
             send(&queue, &session::FromControl::Redirect(address));
             return;
         };
@@ -289,6 +308,17 @@
             .collect()
     }
 
+    /// Returns the address for nodes of the replica with this address for operators.
+    fn to_session_address(&self, operator: Option<net::SocketAddr>) -> Option<net::SocketAddr> {
+        operator.map(|address| net::SocketAddr::new(address.ip(), self.session_port))
+    }
+
+    /// Returns the address of the leader, if it is known and not this replica.
+    fn other_leader_address(&self) -> Option<net::SocketAddr> {
+        let address = self.leader_address()?;
+        (address != self.own_address).then_some(address)
+    }
+
     fn leader_address(&self) -> Option<net::SocketAddr> {
         let leader = self.driver.replica().role().leader?;
         self.directory.address(leader)
@@ -298,9 +328,27 @@
     /// produced.
     fn advance(&mut self) -> supervisor::Outcome {
         let now = clock::Instant::now();
-        self.driver.step(now, log::Event::Tick);
+        if self.has_timers() {
+            self.driver.step(now, log::Event::Tick);
+        }
+        self.transfer_leadership(now);
         self.flush(now)?;
         self.check_leadership(now);
+        if self.stage == stopping::Stage::Running {
+            self.make_decisions(now)?;
+        }
+        self.send_effects();
+        for order in self.pending_orders.take_expired(now) {
+            // The order may still be committed, so its outcome is unknown; the operator retries it.
+            tracing::warn!(position = %order.position, "an order is not committed in time");
+            send_answer(order.reply, operator::Answer::Unavailable);
+        }
+        self.check_resignation(now);
+        Ok(())
+    }
+
+    /// Proposes what the leader has decided, and changes the members of the group.
+    fn make_decisions(&mut self, now: clock::Instant) -> supervisor::Outcome {
         if let Some(leader) = &mut self.leader {
             leader.tick(now, self.driver.machine());
             for command in leader.take_proposals() {
@@ -310,14 +358,7 @@
             }
         }
         self.flush(now)?;
-        self.check_members(now)?;
-        self.send_effects();
-        for order in self.pending_orders.take_expired(now) {
-            // The order may still be committed, so its outcome is unknown; the operator retries it.
-            tracing::warn!(position = %order.position, "an order is not committed in time");
-            send_answer(order.reply, operator::Answer::Unavailable);
-        }
-        Ok(())
+        self.check_members(now)
     }
 
     fn flush(&mut self, now: clock::Instant) -> supervisor::Outcome {
@@ -360,8 +401,9 @@
     fn check_leadership(&mut self, now: clock::Instant) {
         let role = self.driver.replica().role();
         let is_leader = self.driver.replica().is_authoritative(now);
+        let is_running = self.stage == stopping::Stage::Running;
         match (is_leader, self.leader.is_some()) {
-            (true, false) => {
+            (true, false) if is_running => {
                 tracing::info!(term = %role.term, "this replica leads");
                 let leader = leader::Leader::new(self.lease, self.driver.machine(), now);
                 self.leader = Some(leader);
@@ -370,11 +412,10 @@
             (false, true) => {
                 tracing::warn!(term = %role.term, "this replica no longer leads");
                 self.leader = None;
-                // Dropping the queues closes the sessions, and the nodes connect to the new leader.
-                self.node_queues.clear();
-                for order in self.pending_orders.take_all() {
-                    send_answer(order.reply, operator::Answer::Unavailable);
+                if is_running {
+                    self.close_sessions();
                 }
+                self.give_up_orders();
             }
             _ => {}
         }
--- a/crates/director/src/coordinator/orders.rs
+++ b/crates/director/src/coordinator/orders.rs
@@ -6,6 +6,7 @@
 use sequoiayoke_model::clock;
 use tokio::sync::oneshot;
 
+use super::stopping::Stage;
 use super::{Coordinator, send_answer};
 use crate::operator;
 
@@ -19,15 +20,17 @@
     ) {
         let is_leader = self.leader.is_some() && self.driver.replica().is_authoritative(now);
         let answer = match (is_leader, call) {
-            (false, _) => match self.leader_address() {
-                Some(leader) if leader != self.own_address => operator::Answer::Redirect(leader),
-                _ => operator::Answer::Unavailable,
+            (false, _) => match self.other_leader_address() {
+                Some(leader) => operator::Answer::Redirect(leader),
+                None => operator::Answer::Unavailable,
             },
             (true, operator::Call::Read) => match self.driver.machine().order() {
                 Some(order) => operator::Answer::Document(Bytes::copy_from_slice(&order.document)),
                 None => operator::Answer::Unavailable,
             },
             (true, operator::Call::Configure(order)) => match self.driver.machine().check(&order) {
+                // An order that is not in the log when the leadership is transferred has no effect.
+                Ok(()) if self.stage != Stage::Running => operator::Answer::Unavailable,
                 Ok(()) => return self.propose_order(now, order, reply),
                 Err(refusal) => operator::Answer::Refused(refusal),
             },
--- a/crates/director/src/coordinator/pending.rs
+++ b/crates/director/src/coordinator/pending.rs
@@ -43,6 +43,16 @@
         Self(collections::VecDeque::new())
     }
 
+    /// Returns the number of orders.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether no order waits.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Adds an order that was proposed at `now`.
     pub fn push(&mut self, now: clock::Instant, position: position::Position, reply: Reply) {
         self.0.push_back(Order {
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -1,7 +1,9 @@
 //! Root supervisor: one control thread and one traffic thread.
 //!
 //! Neither child is restarted: a replica whose log failed has to recover from its disk, so the
-//! process ends with an error and is restarted.
+//! process ends with an error and is restarted. A replica that stops first gives up its leadership
+//! on the control thread; then the traffic thread answers the calls that it has read and closes the
+//! connections, and the control thread ends last.
 
 use std::net;
 use std::path;
@@ -16,6 +18,7 @@
 use sequoiayoke_supervise::{Stop, supervisor};
 use tokio::runtime;
 use tokio::sync::{mpsc, watch};
+use tokio::task;
 
 use crate::coordinator;
 use crate::coordinator::directory;
@@ -107,22 +110,22 @@
             session: bind(net::SocketAddr::new(ip, settings.session_port))?,
             metrics: settings.metrics.map(bind).transpose()?,
         };
-        let stop = Stop::new();
+        let signals = coordinator::Signals::default();
         let (events, inbox) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let (outgoing, frames) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let (publisher, published) = watch::channel(coordinator::Published::default());
         let measure = sync::Arc::new(measure::Measure::new().change_context(Error::Start)?);
         let traffic_measure = sync::Arc::clone(&measure);
         let coordinator = {
-            let (settings, stop) = (settings.clone(), stop.clone());
-            spawn("coordinator", stop.clone(), async move || {
+            let (settings, signals) = (settings.clone(), signals.clone());
+            spawn("coordinator", signals.resigned.clone(), async move || {
                 let outputs = coordinator::Outputs {
                     frames: outgoing,
                     published: publisher,
                     measure,
                 };
                 let coordinator = open(&settings, outputs)?;
-                coordinator.run(inbox, stop).await
+                coordinator.run(inbox, signals).await
             })?
         };
         let reloader = Reloader(events.clone());
@@ -131,12 +134,13 @@
             published,
             measure: traffic_measure,
             replica_port: settings.replica_port,
+            stop: signals.resigned,
         };
-        let traffic = spawn("traffic", stop.clone(), async move || {
+        let traffic = spawn("traffic", signals.closed, async move || {
             traffic::run(listeners, config, frames, frontend).await
         })?;
         Ok(Self {
-            stop,
+            stop: signals.stop,
             reloader,
             coordinator,
             traffic,
@@ -164,10 +168,10 @@
     }
 }
 
-/// Runs a child on its own thread; all children are stopped when it ends.
+/// Runs a child on its own thread, and cancels `ended` when it has ended for whatever reason.
 fn spawn<Run>(
     name: &'static str,
-    stop: Stop,
+    ended: Stop,
     run: Run,
 ) -> Result<thread::JoinHandle<supervisor::Outcome>, Report<Error>>
 where
@@ -178,21 +182,8 @@
         .build()
         .change_context(Error::Start)?;
     let body = move || {
-        let local = tokio::task::LocalSet::new();
-        let outcome = local.block_on(&runtime, async {
-            let stopped = stop.clone();
-            let child = run();
-            if name == "traffic" {
-                tokio::select! {
-                    outcome = child => outcome,
-                    () = stopped.cancelled() => Ok(()),
-                }
-            } else {
-                child.await
-            }
-        });
-        stop.cancel();
-        outcome
+        let _ended = ended.drop_guard();
+        task::LocalSet::new().block_on(&runtime, run())
     };
     let thread = thread::Builder::new().name(name.to_owned());
     thread.spawn(body).change_context(Error::Start)
--- a/crates/director/src/traffic.rs
+++ b/crates/director/src/traffic.rs
@@ -1,24 +1,28 @@
 //! The traffic thread: connections of operators, replicas and nodes.
 //!
-//! Each listener is a task that runs until the process ends. Each connection to a replica is a task
-//! that reconnects after a failure.
+//! Each listener is a task that runs until the replica stops. Each connection to a replica is a task
+//! that reconnects after a failure; these run until all other connections are closed.
 
 mod nodes;
 mod operators;
 mod replicas;
 
 use std::collections;
+use std::convert;
+use std::future;
 use std::net;
 use std::rc;
 use std::sync;
+use std::time::Duration;
 
 use error_stack::ResultExt;
 use sequoiayoke_http1::serve;
-use sequoiayoke_supervise::supervisor;
+use sequoiayoke_supervise::{Stop, supervisor};
 use sequoiayoke_telemetry::metrics;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task;
+use tokio::time;
 
 use crate::coordinator;
 use crate::measure;
@@ -26,6 +30,8 @@
 
 /// Maximum number of frames that are queued for one replica.
 const LINK_QUEUE_CAPACITY: usize = 512;
+/// Longest time to close the connections of operators and nodes after the replica was asked to stop.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Listeners that were bound at startup.
 #[derive(Debug)]
@@ -51,9 +57,12 @@
     pub(crate) measure: sync::Arc<measure::Measure>,
     /// Port on which replicas listen for each other.
     pub replica_port: u16,
+    /// Closes the connections of operators and nodes, and ends the thread.
+    pub stop: Stop,
 }
 
-/// Serves all connections until the control thread ends.
+/// Serves all connections until `config.stop` is cancelled and those of operators and nodes are
+/// closed.
 ///
 /// # Errors
 ///
@@ -72,28 +81,43 @@
     let replica = TcpListener::from_std(listeners.replica).change_context_lazy(failed)?;
     let session = TcpListener::from_std(listeners.session).change_context_lazy(failed)?;
     let config = rc::Rc::new(config);
-    task::spawn_local(operators::run(operator, rc::Rc::clone(&config), frontend));
-    task::spawn_local(replicas::accept(replica, rc::Rc::clone(&config)));
-    task::spawn_local(nodes::accept(session, rc::Rc::clone(&config)));
+    let mut servers = task::JoinSet::new();
+    servers.spawn_local(operators::run(operator, rc::Rc::clone(&config), frontend));
+    servers.spawn_local(nodes::accept(session, rc::Rc::clone(&config)));
     if let Some(metrics) = listeners.metrics {
         let metrics = TcpListener::from_std(metrics).change_context_lazy(failed)?;
-        let measure = sync::Arc::clone(&config.measure);
-        task::spawn_local(serve::serve(metrics, move |_| {
-            let reply = render_metrics(&measure);
-            async move { reply }
-        }));
+        servers.spawn_local(serve_metrics(metrics, rc::Rc::clone(&config)));
     }
+    task::spawn_local(replicas::accept(replica, rc::Rc::clone(&config)));
+    let closed = async {
+        config.stop.cancelled().await;
+        let closed = async { while servers.join_next().await.is_some() {} };
+        if time::timeout(CLOSE_TIMEOUT, closed).await.is_err() {
+            tracing::warn!("cutting connections that are still open");
+        }
+    };
+    tokio::select! {
+        () = closed => Ok(()),
+        never = send_frames(&mut frames, &config) => match never {},
+    }
+}
+
+/// Passes the frames of the control thread to the connections with other replicas.
+async fn send_frames(
+    frames: &mut mpsc::Receiver<coordinator::Outgoing>,
+    config: &rc::Rc<Config>,
+) -> convert::Infallible {
     let mut published = config.published.clone();
     let mut links = collections::BTreeMap::new();
     loop {
         let wanted = published.borrow_and_update().replicas.clone();
-        update_links(&mut links, &wanted, &config);
+        update_links(&mut links, &wanted, config);
         loop {
             tokio::select! {
                 changed = published.changed() => {
-                    // The control thread has ended; the root supervisor ends this thread too.
+                    // The control thread has ended, and the root supervisor stops this thread.
                     if changed.is_err() {
-                        return Ok(());
+                        return future::pending().await;
                     }
                     break;
                 }
@@ -108,6 +132,18 @@
     }
 }
 
+async fn serve_metrics(listener: TcpListener, config: rc::Rc<Config>) {
+    let stop = config.stop.clone();
+    let handler = move |_| {
+        let reply = render_metrics(&config.measure);
+        async move { reply }
+    };
+    let server = serve::Server::new(handler).with_stop(stop, CLOSE_TIMEOUT);
+    if let Err(error) = server.run(listener).await {
+        tracing::error!(%error, "the listener for metrics has failed");
+    }
+}
+
 fn render_metrics(measure: &measure::Measure) -> serve::Reply {
     match measure.render() {
         Ok(text) => serve::Reply::new(200, metrics::Metrics::CONTENT_TYPE, text),
--- a/crates/director/src/traffic/nodes.rs
+++ b/crates/director/src/traffic/nodes.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::sync::{mpsc, oneshot};
+use tokio::{task, time};
 use tokio_util::codec::FramedRead;
 
 use super::Config;
@@ -29,24 +30,31 @@
 
 type Codec = codec::Codec<session::FromControl, session::FromNode>;
 
-/// Accepts the connections of nodes.
+/// Accepts the connections of nodes until the replica stops, and waits until they are closed.
 pub(super) async fn accept(listener: TcpListener, config: rc::Rc<Config>) {
+    let mut sessions = task::JoinSet::new();
     loop {
-        match listener.accept().await {
-            Ok((io, address)) => {
-                let config = rc::Rc::clone(&config);
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve(io, &config).await {
-                        tracing::debug!(%address, %error, "the session of a node ended");
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "no connection could be accepted");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((io, address)) => {
+                    let config = rc::Rc::clone(&config);
+                    sessions.spawn_local(async move {
+                        if let Err(error) = serve(io, &config).await {
+                            tracing::debug!(%address, %error, "the session of a node ended");
+                        }
+                    });
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "no connection could be accepted");
+                    time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            Some(_) = sessions.join_next() => {}
+            () = config.stop.cancelled() => break,
         }
     }
+    drop(listener);
+    while sessions.join_next().await.is_some() {}
 }
 
 async fn serve(io: TcpStream, config: &Config) -> io::Result<()> {
@@ -84,7 +92,7 @@
         while reader.read(&mut discarded).await? > 0 {}
         Ok(())
     };
-    let closed = tokio::time::timeout(LINGER_TIMEOUT, read).await;
+    let closed = time::timeout(LINGER_TIMEOUT, read).await;
     closed.unwrap_or(Ok(()))
 }
 
@@ -105,7 +113,7 @@
 ) -> io::Result<()> {
     let mut frames = FramedRead::new(reader, Codec::new());
     loop {
-        let Some(frame) = tokio::time::timeout(IDLE_TIMEOUT, frames.next()).await? else {
+        let Some(frame) = time::timeout(IDLE_TIMEOUT, frames.next()).await? else {
             return Ok(());
         };
         let event = coordinator::Event::NodeFrame(session, frame?);
--- a/crates/director/src/traffic/operators.rs
+++ b/crates/director/src/traffic/operators.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
-use super::Config;
+use super::{CLOSE_TIMEOUT, Config};
 use crate::coordinator;
 use crate::operator;
 
@@ -20,11 +20,13 @@
     Frontend: operator::Frontend,
 {
     let frontend = rc::Rc::new(frontend);
+    let stop = config.stop.clone();
     let handler = move |request: request::Request| {
         let (config, frontend) = (rc::Rc::clone(&config), rc::Rc::clone(&frontend));
         async move { handle(&request, &config, &*frontend).await }
     };
-    if let Err(error) = serve::serve(listener, handler).await {
+    let server = serve::Server::new(handler).with_stop(stop, CLOSE_TIMEOUT);
+    if let Err(error) = server.run(listener).await {
         tracing::error!(%error, "the operators' listener has failed");
     }
 }
