director: end in a limited time if a thread does not respond

A director whose control thread hung in a write to a faulty disk, or whose traffic thread hung, did not end after SIGTERM until the platform killed it. If one of the threads failed, wait() still joined the other one without a limit, so a director with half of its threads could stay.

Director::wait now gives the threads 4 s (STOP_TIMEOUT) from the request to stop, or from the end of one of them, and then returns an error, with which the process ends. A replica has nothing to lose by that: what it acknowledged is synced. The 4 s are above the 2 s of an orderly end and below the 6 s after which the platform kills a process.

--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -5,6 +5,7 @@
 //! on the control thread; then the traffic thread answers the calls that it has read and closes the
 //! connections, and the control thread ends last.
 
+use std::convert;
 use std::net;
 use std::path;
 use std::sync;
@@ -19,6 +20,7 @@
 use tokio::runtime;
 use tokio::sync::{mpsc, watch};
 use tokio::task;
+use tokio::time;
 
 use crate::coordinator;
 use crate::coordinator::directory;
@@ -26,6 +28,10 @@
 use crate::operator;
 use crate::traffic;
 
+/// Longest time in which the threads end after the replica was asked to stop, or after one of them has
+/// ended. A thread may hang in a write to a faulty disk; the process then ends without it.
+const STOP_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -68,6 +74,9 @@
     /// A child thread of the replica has failed.
     #[error("the {0} has failed")]
     Child(&'static str),
+    /// A child thread has not ended in time after the replica was asked to stop.
+    #[error("a thread has not ended {} s after the request to stop", STOP_TIMEOUT.as_secs())]
+    Stop,
 }
 
 /// Handle that applies changed settings.
@@ -86,7 +95,9 @@
 /// A running control replica.
 #[derive(Debug)]
 pub struct Director {
-    stop: Stop,
+    signals: coordinator::Signals,
+    /// Closed when both threads have ended.
+    threads: mpsc::Receiver<convert::Infallible>,
     reloader: Reloader,
     coordinator: thread::JoinHandle<supervisor::Outcome>,
     traffic: thread::JoinHandle<supervisor::Outcome>,
@@ -111,6 +122,7 @@
             metrics: settings.metrics.map(bind).transpose()?,
         };
         let signals = coordinator::Signals::default();
+        let (thread, threads) = mpsc::channel(1);
         let (events, inbox) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let (outgoing, frames) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let (publisher, published) = watch::channel(coordinator::Published::default());
@@ -118,7 +130,8 @@
         let traffic_measure = sync::Arc::clone(&measure);
         let coordinator = {
             let (settings, signals) = (settings.clone(), signals.clone());
-            spawn("coordinator", signals.resigned.clone(), async move || {
+            let ended = (signals.resigned.clone(), thread.clone());
+            spawn("coordinator", ended, async move || {
                 let outputs = coordinator::Outputs {
                     frames: outgoing,
                     published: publisher,
@@ -134,13 +147,15 @@
             published,
             measure: traffic_measure,
             replica_port: settings.replica_port,
-            stop: signals.resigned,
+            stop: signals.resigned.clone(),
         };
-        let traffic = spawn("traffic", signals.closed, async move || {
+        let ended = (signals.closed.clone(), thread);
+        let traffic = spawn("traffic", ended, async move || {
             traffic::run(listeners, config, frames, frontend).await
         })?;
         Ok(Self {
-            stop: signals.stop,
+            signals,
+            threads,
             reloader,
             coordinator,
             traffic,
@@ -149,7 +164,7 @@
 
     /// Returns the token that makes the replica transfer its leadership and stop.
     pub const fn stop(&self) -> &Stop {
-        &self.stop
+        &self.signals.stop
     }
 
     /// Returns the handle that applies changed settings.
@@ -161,34 +176,58 @@
     ///
     /// # Errors
     ///
-    /// Fails if a child thread of the replica has failed.
-    pub fn wait(self) -> Result<(), Report<Error>> {
+    /// Fails if a child thread of the replica has failed, or if one has not ended in time after the
+    /// request to stop.
+    pub fn wait(mut self) -> Result<(), Report<Error>> {
+        let runtime = new_runtime()?;
+        let signals = &self.signals;
+        let timeout = async {
+            tokio::select! {
+                () = signals.stop.cancelled() => {}
+                () = signals.resigned.cancelled() => {}
+                () = signals.closed.cancelled() => {}
+            }
+            time::sleep(STOP_TIMEOUT).await;
+        };
+        let threads = &mut self.threads;
+        let is_late = runtime.block_on(async {
+            tokio::select! {
+                _ = threads.recv() => false,
+                () = timeout => true,
+            }
+        });
+        if is_late {
+            return Err(Report::new(Error::Stop));
+        }
         let coordinator = join("coordinator", self.coordinator);
         coordinator.and(join("traffic", self.traffic))
     }
 }
 
-/// Runs a child on its own thread, and cancels `ended` when it has ended for whatever reason.
+/// Runs a child on its own thread. When it has ended, for whatever reason, the token in `ended` is
+/// cancelled and the sender dropped.
 fn spawn<Run>(
     name: &'static str,
-    ended: Stop,
+    ended: (Stop, mpsc::Sender<convert::Infallible>),
     run: Run,
 ) -> Result<thread::JoinHandle<supervisor::Outcome>, Report<Error>>
 where
     Run: AsyncFnOnce() -> supervisor::Outcome + Send + 'static,
 {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .change_context(Error::Start)?;
+    let runtime = new_runtime()?;
     let body = move || {
-        let _ended = ended.drop_guard();
+        let _ended = (ended.0.drop_guard(), ended.1);
         task::LocalSet::new().block_on(&runtime, run())
     };
     let thread = thread::Builder::new().name(name.to_owned());
     thread.spawn(body).change_context(Error::Start)
 }
 
+fn new_runtime() -> Result<runtime::Runtime, Report<Error>> {
+    let mut builder = runtime::Builder::new_current_thread();
+    builder.enable_all().build().change_context(Error::Start)
+}
+
 fn join(
     name: &'static str,
     child: thread::JoinHandle<supervisor::Outcome>,
