director: do not drop changed settings while the control thread is busy

A director could log "the control thread did not accept changed settings" and go on with the former seeds until the settings file changed again.

Cause: changed seeds went through the bounded queue of events with the messages of replicas and nodes, and a full queue dropped them. They now go through a watch channel, as in the gateway: the latest value is kept until the control thread takes it, and equal values are no change. The reloader also no longer holds the queue of events open.

--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -63,8 +63,6 @@
     NodeFrame(leader::Session, session::FromNode),
     /// The connection of a node has closed.
     NodeDown(leader::Session),
-    /// The settings were read again and list these replicas.
-    Seeds(Vec<net::SocketAddr>),
     /// A call from an operator.
     Operator(operator::Call, oneshot::Sender<operator::Answer>),
 }
@@ -109,7 +107,8 @@
     region: String,
     lease: Duration,
     session_port: u16,
-    seeds: Vec<net::SocketAddr>,
+    /// Replicas that the settings list, in their latest version.
+    seeds: watch::Receiver<Vec<net::SocketAddr>>,
     /// Address for operators, which also identifies this replica.
     own_address: net::SocketAddr,
     directory: directory::Directory,
@@ -140,6 +139,7 @@
     /// Fails if the snapshot cannot be decoded.
     pub fn new(
         settings: &root::Settings,
+        seeds: watch::Receiver<Vec<net::SocketAddr>>,
         log: config::Config,
         disk: Disk,
         stored: stored::Stored<Bytes>,
@@ -153,7 +153,7 @@
             region: settings.region.clone(),
             lease: settings.lease,
             session_port: settings.session_port,
-            seeds: settings.seeds.clone(),
+            seeds,
             own_address: settings.operator,
             directory,
             driver,
@@ -187,6 +187,7 @@
             let is_running = self.stage == stopping::Stage::Running;
             tokio::select! {
                 Some(event) = inbox.recv() => self.handle(event)?,
+                Ok(()) = self.seeds.changed() => self.apply_seeds(),
                 () = time::sleep(timeout) => {}
                 () = signals.stop.cancelled(), if is_running => self.stop(),
                 () = signals.closed.cancelled() => return Ok(()),
@@ -259,22 +260,21 @@
                     leader.node_down(session);
                 }
             }
-            Event::Seeds(seeds) => {
-                if self.seeds != seeds {
-                    tracing::info!(?seeds, "changed settings are in force");
-                    self.seeds = seeds;
-                    self.announce();
-                }
-            }
             Event::Operator(call, reply) => self.handle_operator(now, call, reply),
         }
         Ok(())
     }
 
+    fn apply_seeds(&mut self) {
+        let seeds = self.seeds.borrow_and_update().clone();
+        tracing::info!(?seeds, "changed settings are in force");
+        self.announce();
+    }
+
     /// Publishes this replica's introduction and the replicas to connect to.
     fn announce(&self) {
         let members = self.driver.replica().members();
-        let mut replicas: collections::BTreeSet<_> = self.seeds.iter().copied().collect();
+        let mut replicas: collections::BTreeSet<_> = self.seeds.borrow().iter().copied().collect();
         replicas.extend(members.all().filter_map(|id| self.directory.address(id)));
         replicas.extend(self.directory.current().keys());
         replicas.remove(&self.own_address);
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -81,14 +81,16 @@
 
 /// Handle that applies changed settings.
 #[derive(Clone, Debug)]
-pub struct Reloader(mpsc::Sender<coordinator::Event>);
+pub struct Reloader(watch::Sender<Vec<net::SocketAddr>>);
 
 impl Reloader {
     /// Replaces the seeds, which the replica connects to besides the members of the group.
     pub fn reload(&self, seeds: Vec<net::SocketAddr>) {
-        if self.0.try_send(coordinator::Event::Seeds(seeds)).is_err() {
-            tracing::warn!("the control thread did not accept changed settings");
-        }
+        self.0.send_if_modified(|current| {
+            let is_changed = *current != seeds;
+            *current = seeds;
+            is_changed
+        });
     }
 }
 
@@ -125,6 +127,7 @@
         let (thread, threads) = mpsc::channel(1);
         let (events, inbox) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let (outgoing, frames) = mpsc::channel(coordinator::QUEUE_CAPACITY);
+        let (reload, seeds) = watch::channel(settings.seeds.clone());
         let (publisher, published) = watch::channel(coordinator::Published::default());
         let measure = sync::Arc::new(measure::Measure::new().change_context(Error::Start)?);
         let traffic_measure = sync::Arc::clone(&measure);
@@ -137,11 +140,10 @@
                     published: publisher,
                     measure,
                 };
-                let coordinator = open(&settings, outputs)?;
+                let coordinator = open(&settings, seeds, outputs)?;
                 coordinator.run(inbox, signals).await
             })?
         };
-        let reloader = Reloader(events.clone());
         let config = traffic::Config {
             events,
             published,
@@ -156,7 +158,7 @@
         Ok(Self {
             signals,
             threads,
-            reloader,
+            reloader: Reloader(reload),
             coordinator,
             traffic,
         })
@@ -253,6 +255,7 @@
 /// identity and joins as a new member.
 fn open(
     settings: &Settings,
+    seeds: watch::Receiver<Vec<net::SocketAddr>>,
     outputs: coordinator::Outputs,
 ) -> Result<coordinator::Coordinator, Report<supervisor::Error>> {
     let failed = supervisor::Error::Child("log");
@@ -289,7 +292,7 @@
     log.election_min = coordinator::ELECTION_MIN;
     log.election_max = coordinator::ELECTION_MAX;
     log.heartbeat = coordinator::HEARTBEAT_INTERVAL;
-    coordinator::Coordinator::new(settings, log, disk, stored, directory, outputs)
+    coordinator::Coordinator::new(settings, seeds, log, disk, stored, directory, outputs)
 }
 
 /// Returns the identity of a bootstrap replica with this address.
