daemon: install the handlers of signals before the start

A process that got SIGHUP while it read its settings or started was ended by it: until a handler is installed, the signal ends a process. A SIGTERM in that time ended it without an orderly stop, when its listeners may have been open.

The handlers were installed after the daemon had started. They are now installed first, and what arrives before the daemon runs is handled then.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -197,10 +197,12 @@
 where
     D: Daemon,
 {
+    // Without a handler, a signal that arrives during the start ends the process.
+    let signals = Signals::new()?;
     let settings: D::Settings = sequoiayoke_settings::load(file).change_context(Error::Settings)?;
     D::init_log(&settings).change_context(Error::Settings)?;
     let daemon = D::start(&settings)?;
-    watch_signals(daemon.stop(), reload_handler::<D>(file, daemon.reloader()))?;
+    signals.watch(daemon.stop(), reload_handler::<D>(file, daemon.reloader()))?;
     // Scripts and tests wait for this line and parse the ports in it.
     let mut stdout = io::stdout();
     let (version, addresses) = (env!("CARGO_PKG_VERSION"), daemon.addresses());
@@ -257,35 +259,57 @@
         .ok()
 }
 
-/// Starts a thread that cancels `stop` on SIGTERM or SIGINT, and calls `reload` on SIGHUP and
-/// periodically.
-fn watch_signals<Reload>(stop: Stop, mut reload: Reload) -> Result<(), Report<Error>>
-where
-    Reload: FnMut(Cause) + Send + 'static,
-{
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .change_context(Error::Start)?;
-    let runtime_context = runtime.enter();
-    let mut terminate = unix::signal(unix::SignalKind::terminate()).change_context(Error::Start)?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt()).change_context(Error::Start)?;
-    let mut hangup = unix::signal(unix::SignalKind::hangup()).change_context(Error::Start)?;
-    drop(runtime_context);
-    let watch = move || {
-        runtime.block_on(async {
-            loop {
-                tokio::select! {
-                    _ = terminate.recv() => return,
-                    _ = interrupt.recv() => return,
-                    _ = hangup.recv() => reload(Cause::Signal),
-                    () = time::sleep(SETTINGS_POLL_INTERVAL) => reload(Cause::Time),
+/// Handlers of signals; those that arrive before [`Signals::watch`] wait for it.
+#[derive(Debug)]
+struct Signals {
+    runtime: runtime::Runtime,
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    fn new() -> Result<Self, Report<Error>> {
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .change_context(Error::Start)?;
+        let context = runtime.enter();
+        let handle = |kind| unix::signal(kind).change_context(Error::Start);
+        let terminate = handle(unix::SignalKind::terminate())?;
+        let interrupt = handle(unix::SignalKind::interrupt())?;
+        let hangup = handle(unix::SignalKind::hangup())?;
+        drop(context);
+        Ok(Self {
+            runtime,
+            terminate,
+            interrupt,
+            hangup,
+        })
+    }
+
+    /// Starts a thread that cancels `stop` on SIGTERM or SIGINT, and calls `reload` on SIGHUP and
+    /// periodically.
+    fn watch<Reload>(mut self, stop: Stop, mut reload: Reload) -> Result<(), Report<Error>>
+    where
+        Reload: FnMut(Cause) + Send + 'static,
+    {
+        let watch = move || {
+            self.runtime.block_on(async {
+                loop {
+                    tokio::select! {
+                        _ = self.terminate.recv() => return,
+                        _ = self.interrupt.recv() => return,
+                        _ = self.hangup.recv() => reload(Cause::Signal),
+                        () = time::sleep(SETTINGS_POLL_INTERVAL) => reload(Cause::Time),
+                    }
                 }
-            }
-        });
-        stop.cancel();
-    };
-    let thread = thread::Builder::new().name("signals".to_owned());
-    thread.spawn(watch).change_context(Error::Start)?;
-    Ok(())
+            });
+            stop.cancel();
+        };
+        let thread = thread::Builder::new().name("signals".to_owned());
+        thread.spawn(watch).change_context(Error::Start)?;
+        Ok(())
+    }
 }
