daemon: notice settings that change during the start

A process whose settings file changed between its start and the end of its initialization, without a signal, kept the former settings until the next change of the file.

Cause: the modification time with which later checks compare was taken after the start, so it could be that of a file that was never read. It is now taken before the file is read.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -199,10 +199,12 @@
 {
     // Without a handler, a signal that arrives during the start ends the process.
     let signals = Signals::new()?;
+    let last_modified = modification_time(file);
     let settings: D::Settings = sequoiayoke_settings::load(file).change_context(Error::Settings)?;
     D::init_log(&settings).change_context(Error::Settings)?;
     let daemon = D::start(&settings)?;
-    signals.watch(daemon.stop(), reload_handler::<D>(file, daemon.reloader()))?;
+    let reload = reload_handler::<D>(file, last_modified, daemon.reloader());
+    signals.watch(daemon.stop(), reload)?;
     // Scripts and tests wait for this line and parse the ports in it.
     let mut stdout = io::stdout();
     let (version, addresses) = (env!("CARGO_PKG_VERSION"), daemon.addresses());
@@ -214,16 +216,17 @@
     result
 }
 
-/// Returns a function that reloads the settings in `file` and passes them to `apply`.
+/// Returns a function that reloads the settings in `file` and passes them to `apply`. The settings
+/// in force were read after the file was modified at `last_modified`.
 fn reload_handler<D>(
     file: &path::Path,
+    mut last_modified: Option<SystemTime>,
     apply: impl Fn(&D::Settings) + Send + 'static,
 ) -> impl FnMut(Cause) + Send + 'static
 where
     D: Daemon,
 {
     let file = file.to_owned();
-    let mut last_modified = modification_time(&file);
     move |cause| {
         let modified = modification_time(&file);
         if cause == Cause::Time && modified == last_modified {
