--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -6,8 +6,10 @@
 
 pub mod directory;
 pub mod leader;
-mod members;
+pub mod members;
 mod orders;
+pub mod pending;
+mod stopping;
 
 use std::collections;
 use std::net;
@@ -17,7 +19,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use sequoiayoke_catalog::machine;
-use sequoiayoke_consensus::{config, event as log, position, stored};
+use sequoiayoke_consensus::{config, event as log, stored};
 use sequoiayoke_link::{codec, session};
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_replication::driver;
@@ -39,10 +41,10 @@
 pub const ELECTION_MAX: Duration = Duration::from_millis(1_000);
 /// Interval between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+/// Longest time that the control thread waits for an event.
+const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Maximum number of events that share one sync of the log.
 const MAX_BATCH: usize = 256;
-/// Maximum time for which an operator's order waits for its commit.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
 
 type Disk = folder::Folder<medium::Disk>;
 type Driver = driver::Driver<Disk, machine::Machine>;
@@ -61,8 +63,6 @@
     NodeFrame(leader::Session, session::FromNode),
     /// The connection of a node has closed.
     NodeDown(leader::Session),
-    /// The settings were read again and list these replicas.
-    Seeds(Vec<net::SocketAddr>),
     /// A call from an operator.
     Operator(operator::Call, oneshot::Sender<operator::Answer>),
 }
@@ -90,12 +90,15 @@
     pub(crate) measure: sync::Arc<measure::Measure>,
 }
 
-/// An order that was proposed and waits for its commit.
-#[derive(Debug)]
-struct PendingOrder {
-    position: position::Position,
-    since: clock::Instant,
-    reply: oneshot::Sender<operator::Answer>,
+/// Signals between the root supervisor and the two threads.
+#[derive(Clone, Debug, Default)]
+pub struct Signals {
+    /// Asks the replica to stop.
+    pub stop: Stop,
+    /// The replica has given up its leadership, or the control thread has ended.
+    pub resigned: Stop,
+    /// The traffic thread has closed its connections and ended.
+    pub closed: Stop,
 }
 
 /// State of the control thread.
@@ -104,16 +107,20 @@
     region: String,
     lease: Duration,
     session_port: u16,
-    seeds: Vec<net::SocketAddr>,
+    /// Replicas that the settings list, in their latest version.
+    seeds: watch::Receiver<Vec<net::SocketAddr>>,
     /// Address for operators, which also identifies this replica.
     own_address: net::SocketAddr,
     directory: directory::Directory,
     driver: Driver,
     leader: Option<leader::Leader>,
+    /// When this replica last became the leader.
+    leads_since: clock::Instant,
     node_queues: slotmap::SecondaryMap<leader::Session, mpsc::Sender<Bytes>>,
-    pending_orders: Vec<PendingOrder>,
+    pending_orders: pending::Queue<oneshot::Sender<operator::Answer>>,
     last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
     members_checked_at: clock::Instant,
+    stage: stopping::Stage,
     outputs: Outputs,
 }
 
@@ -132,6 +139,7 @@
     /// Fails if the snapshot cannot be decoded.
     pub fn new(
         settings: &root::Settings,
+        seeds: watch::Receiver<Vec<net::SocketAddr>>,
         log: config::Config,
         disk: Disk,
         stored: stored::Stored<Bytes>,
@@ -145,20 +153,25 @@
             region: settings.region.clone(),
             lease: settings.lease,
             session_port: settings.session_port,
-            seeds: settings.seeds.clone(),
+            seeds,
             own_address: settings.operator,
             directory,
             driver,
             leader: None,
+            leads_since: now,
             node_queues: slotmap::SecondaryMap::new(),
-            pending_orders: Vec::new(),
+            pending_orders: pending::Queue::new(),
             last_heard: collections::BTreeMap::new(),
             members_checked_at: now,
+            stage: stopping::Stage::Running,
             outputs,
         })
     }
 
-    /// Runs until `stop` is cancelled; a leader transfers its leadership first.
+    /// Runs until the traffic thread has ended.
+    ///
+    /// Once `signals.stop` is cancelled, a leader transfers its leadership; then
+    /// `signals.resigned` is cancelled.
     ///
     /// # Errors
     ///
@@ -166,15 +179,18 @@
     pub async fn run(
         mut self,
         mut inbox: mpsc::Receiver<Event>,
-        stop: Stop,
+        signals: Signals,
     ) -> supervisor::Outcome {
         self.announce();
         loop {
             let timeout = clock::Instant::now().saturating_until(self.next_deadline());
+            let is_running = self.stage == stopping::Stage::Running;
             tokio::select! {
                 Some(event) = inbox.recv() => self.handle(event)?,
+                Ok(()) = self.seeds.changed() => self.apply_seeds(),
                 () = time::sleep(timeout) => {}
-                () = stop.cancelled() => break,
+                () = signals.stop.cancelled(), if is_running => self.stop(),
+                () = signals.closed.cancelled() => return Ok(()),
             }
             let mut events = 1;
             while events < MAX_BATCH
@@ -184,20 +200,22 @@
                 events += 1;
             }
             self.advance()?;
+            if self.stage == stopping::Stage::Resigned {
+                signals.resigned.cancel();
+            }
         }
-        if self.leader.take().is_some() {
-            tracing::info!("transferring leadership");
-            let now = clock::Instant::now();
-            self.driver.step(now, log::Event::Transfer);
-            self.flush(now)?;
-        }
-        Ok(())
     }
 
     fn next_deadline(&self) -> clock::Instant {
-        let replica = self.driver.replica().next_deadline();
+        let log = self
+            .has_timers()
+            .then(|| self.driver.replica().next_deadline());
         let leader = self.leader.as_ref().map(leader::Leader::next_deadline);
-        leader.map_or(replica, |leader| leader.min(replica))
+        let order = self.pending_orders.next_deadline();
+        let stop = self.stage.deadline();
+        let deadlines = [log, leader, order, stop].into_iter().flatten();
+        let latest = clock::Instant::now() + MAX_WAIT;
+        deadlines.fold(latest, clock::Instant::min)
     }
 
     fn handle(&mut self, event: Event) -> supervisor::Outcome {
@@ -242,22 +260,21 @@
                     leader.node_down(session);
                 }
             }
-            Event::Seeds(seeds) => {
-                if self.seeds != seeds {
-                    tracing::info!(?seeds, "changed settings are in force");
-                    self.seeds = seeds;
-                    self.announce();
-                }
-            }
             Event::Operator(call, reply) => self.handle_operator(now, call, reply),
         }
         Ok(())
     }
 
+    fn apply_seeds(&mut self) {
+        let seeds = self.seeds.borrow_and_update().clone();
+        tracing::info!(?seeds, "changed settings are in force");
+        self.announce();
+    }
+
     /// Publishes this replica's introduction and the replicas to connect to.
     fn announce(&self) {
         let members = self.driver.replica().members();
-        let mut replicas: collections::BTreeSet<_> = self.seeds.iter().copied().collect();
+        let mut replicas: collections::BTreeSet<_> = self.seeds.borrow().iter().copied().collect();
         replicas.extend(members.all().filter_map(|id| self.directory.address(id)));
         replicas.extend(self.directory.current().keys());
         replicas.remove(&self.own_address);
@@ -273,9 +290,7 @@
         send(&queue, &session::FromControl::Replicas(replicas));
         let session = self.leader.as_mut().and_then(leader::Leader::node_up);
         let Some(session) = session else {
-            let leader = self.leader_address();
-            let address =
-                leader.map(|address| net::SocketAddr::new(address.ip(), self.session_port));
+            let address = self.to_session_address(self.leader_address());
             send(&queue, &session::FromControl::Redirect(address));
             return;
         };
@@ -293,6 +308,17 @@
             .collect()
     }
 
+    /// Returns the address for nodes of the replica with this address for operators.
+    fn to_session_address(&self, operator: Option<net::SocketAddr>) -> Option<net::SocketAddr> {
+        operator.map(|address| net::SocketAddr::new(address.ip(), self.session_port))
+    }
+
+    /// Returns the address of the leader, if it is known and not this replica.
+    fn other_leader_address(&self) -> Option<net::SocketAddr> {
+        let address = self.leader_address()?;
+        (address != self.own_address).then_some(address)
+    }
+
     fn leader_address(&self) -> Option<net::SocketAddr> {
         let leader = self.driver.replica().role().leader?;
         self.directory.address(leader)
@@ -302,9 +328,27 @@
     /// produced.
     fn advance(&mut self) -> supervisor::Outcome {
         let now = clock::Instant::now();
-        self.driver.step(now, log::Event::Tick);
+        if self.has_timers() {
+            self.driver.step(now, log::Event::Tick);
+        }
+        self.transfer_leadership(now);
         self.flush(now)?;
         self.check_leadership(now);
+        if self.stage == stopping::Stage::Running {
+            self.make_decisions(now)?;
+        }
+        self.send_effects();
+        for order in self.pending_orders.take_expired(now) {
+            // The order may still be committed, so its outcome is unknown; the operator retries it.
+            tracing::warn!(position = %order.position, "an order is not committed in time");
+            send_answer(order.reply, operator::Answer::Unavailable);
+        }
+        self.check_resignation(now);
+        Ok(())
+    }
+
+    /// Proposes what the leader has decided, and changes the members of the group.
+    fn make_decisions(&mut self, now: clock::Instant) -> supervisor::Outcome {
         if let Some(leader) = &mut self.leader {
             leader.tick(now, self.driver.machine());
             for command in leader.take_proposals() {
@@ -314,19 +358,7 @@
             }
         }
         self.flush(now)?;
-        self.check_members(now)?;
-        self.send_effects();
-        let expired = self
-            .pending_orders
-            .iter()
-            .position(|order| now.saturating_since(order.since) >= ORDER_TIMEOUT);
-        if let Some(index) = expired {
-            // The order may still be committed, so its outcome is unknown; the operator retries it.
-            let order = self.pending_orders.remove(index);
-            tracing::warn!(position = %order.position, "an order is not committed in time");
-            send_answer(order.reply, operator::Answer::Unavailable);
-        }
-        Ok(())
+        self.check_members(now)
     }
 
     fn flush(&mut self, now: clock::Instant) -> supervisor::Outcome {
@@ -369,20 +401,21 @@
     fn check_leadership(&mut self, now: clock::Instant) {
         let role = self.driver.replica().role();
         let is_leader = self.driver.replica().is_authoritative(now);
+        let is_running = self.stage == stopping::Stage::Running;
         match (is_leader, self.leader.is_some()) {
-            (true, false) => {
+            (true, false) if is_running => {
                 tracing::info!(term = %role.term, "this replica leads");
                 let leader = leader::Leader::new(self.lease, self.driver.machine(), now);
                 self.leader = Some(leader);
+                self.leads_since = now;
             }
             (false, true) => {
                 tracing::warn!(term = %role.term, "this replica no longer leads");
                 self.leader = None;
-                // Dropping the queues closes the sessions, and the nodes connect to the new leader.
-                self.node_queues.clear();
-                for order in self.pending_orders.drain(..) {
-                    send_answer(order.reply, operator::Answer::Unavailable);
+                if is_running {
+                    self.close_sessions();
                 }
+                self.give_up_orders();
             }
             _ => {}
         }
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -1,8 +1,11 @@
 //! Root supervisor: one control thread and one traffic thread.
 //!
 //! Neither child is restarted: a replica whose log failed has to recover from its disk, so the
-//! process ends with an error and is restarted.
+//! process ends with an error and is restarted. A replica that stops first gives up its leadership
+//! on the control thread; then the traffic thread answers the calls that it has read and closes the
+//! connections, and the control thread ends last.
 
+use std::convert;
 use std::net;
 use std::path;
 use std::sync;
@@ -16,6 +19,8 @@
 use sequoiayoke_supervise::{Stop, supervisor};
 use tokio::runtime;
 use tokio::sync::{mpsc, watch};
+use tokio::task;
+use tokio::time;
 
 use crate::coordinator;
 use crate::coordinator::directory;
@@ -23,6 +28,10 @@
 use crate::operator;
 use crate::traffic;
 
+/// Longest time in which the threads end after the replica was asked to stop, or after one of them has
+/// ended. A thread may hang in a write to a faulty disk; the process then ends without it.
+const STOP_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -65,25 +74,32 @@
     /// A child thread of the replica has failed.
     #[error("the {0} has failed")]
     Child(&'static str),
+    /// A child thread has not ended in time after the replica was asked to stop.
+    #[error("a thread has not ended {} s after the request to stop", STOP_TIMEOUT.as_secs())]
+    Stop,
 }
 
 /// Handle that applies changed settings.
 #[derive(Clone, Debug)]
-pub struct Reloader(mpsc::Sender<coordinator::Event>);
+pub struct Reloader(watch::Sender<Vec<net::SocketAddr>>);
 
 impl Reloader {
     /// Replaces the seeds, which the replica connects to besides the members of the group.
     pub fn reload(&self, seeds: Vec<net::SocketAddr>) {
-        if self.0.try_send(coordinator::Event::Seeds(seeds)).is_err() {
-            tracing::warn!("the control thread did not accept changed settings");
-        }
+        self.0.send_if_modified(|current| {
+            let is_changed = *current != seeds;
+            *current = seeds;
+            is_changed
+        });
     }
 }
 
 /// A running control replica.
 #[derive(Debug)]
 pub struct Director {
-    stop: Stop,
+    signals: coordinator::Signals,
+    /// Closed when both threads have ended.
+    threads: mpsc::Receiver<convert::Infallible>,
     reloader: Reloader,
     coordinator: thread::JoinHandle<supervisor::Outcome>,
     traffic: thread::JoinHandle<supervisor::Outcome>,
@@ -107,37 +123,42 @@
             session: bind(net::SocketAddr::new(ip, settings.session_port))?,
             metrics: settings.metrics.map(bind).transpose()?,
         };
-        let stop = Stop::new();
+        let signals = coordinator::Signals::default();
+        let (thread, threads) = mpsc::channel(1);
         let (events, inbox) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let (outgoing, frames) = mpsc::channel(coordinator::QUEUE_CAPACITY);
+        let (reload, seeds) = watch::channel(settings.seeds.clone());
         let (publisher, published) = watch::channel(coordinator::Published::default());
         let measure = sync::Arc::new(measure::Measure::new().change_context(Error::Start)?);
         let traffic_measure = sync::Arc::clone(&measure);
         let coordinator = {
-            let (settings, stop) = (settings.clone(), stop.clone());
-            spawn("coordinator", stop.clone(), async move || {
+            let (settings, signals) = (settings.clone(), signals.clone());
+            let ended = (signals.resigned.clone(), thread.clone());
+            spawn("coordinator", ended, async move || {
                 let outputs = coordinator::Outputs {
                     frames: outgoing,
                     published: publisher,
                     measure,
                 };
-                let coordinator = open(&settings, outputs)?;
-                coordinator.run(inbox, stop).await
+                let coordinator = open(&settings, seeds, outputs)?;
+                coordinator.run(inbox, signals).await
             })?
         };
-        let reloader = Reloader(events.clone());
         let config = traffic::Config {
             events,
             published,
             measure: traffic_measure,
             replica_port: settings.replica_port,
+            stop: signals.resigned.clone(),
         };
-        let traffic = spawn("traffic", stop.clone(), async move || {
+        let ended = (signals.closed.clone(), thread);
+        let traffic = spawn("traffic", ended, async move || {
             traffic::run(listeners, config, frames, frontend).await
         })?;
         Ok(Self {
-            stop,
-            reloader,
+            signals,
+            threads,
+            reloader: Reloader(reload),
             coordinator,
             traffic,
         })
@@ -145,7 +166,7 @@
 
     /// Returns the token that makes the replica transfer its leadership and stop.
     pub const fn stop(&self) -> &Stop {
-        &self.stop
+        &self.signals.stop
     }
 
     /// Returns the handle that applies changed settings.
@@ -157,47 +178,58 @@
     ///
     /// # Errors
     ///
-    /// Fails if a child thread of the replica has failed.
-    pub fn wait(self) -> Result<(), Report<Error>> {
+    /// Fails if a child thread of the replica has failed, or if one has not ended in time after the
+    /// request to stop.
+    pub fn wait(mut self) -> Result<(), Report<Error>> {
+        let runtime = new_runtime()?;
+        let signals = &self.signals;
+        let timeout = async {
+            tokio::select! {
+                () = signals.stop.cancelled() => {}
+                () = signals.resigned.cancelled() => {}
+                () = signals.closed.cancelled() => {}
+            }
+            time::sleep(STOP_TIMEOUT).await;
+        };
+        let threads = &mut self.threads;
+        let is_late = runtime.block_on(async {
+            tokio::select! {
+                _ = threads.recv() => false,
+                () = timeout => true,
+            }
+        });
+        if is_late {
+            return Err(Report::new(Error::Stop));
+        }
         let coordinator = join("coordinator", self.coordinator);
         coordinator.and(join("traffic", self.traffic))
     }
 }
 
-/// Runs a child on its own thread; all children are stopped when it ends.
+/// Runs a child on its own thread. When it has ended, for whatever reason, the token in `ended` is
+/// cancelled and the sender dropped.
 fn spawn<Run>(
     name: &'static str,
-    stop: Stop,
+    ended: (Stop, mpsc::Sender<convert::Infallible>),
     run: Run,
 ) -> Result<thread::JoinHandle<supervisor::Outcome>, Report<Error>>
 where
     Run: AsyncFnOnce() -> supervisor::Outcome + Send + 'static,
 {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .change_context(Error::Start)?;
+    let runtime = new_runtime()?;
     let body = move || {
-        let local = tokio::task::LocalSet::new();
-        let outcome = local.block_on(&runtime, async {
-            let stopped = stop.clone();
-            let child = run();
-            if name == "traffic" {
-                tokio::select! {
-                    outcome = child => outcome,
-                    () = stopped.cancelled() => Ok(()),
-                }
-            } else {
-                child.await
-            }
-        });
-        stop.cancel();
-        outcome
+        let _ended = (ended.0.drop_guard(), ended.1);
+        task::LocalSet::new().block_on(&runtime, run())
     };
     let thread = thread::Builder::new().name(name.to_owned());
     thread.spawn(body).change_context(Error::Start)
 }
 
+fn new_runtime() -> Result<runtime::Runtime, Report<Error>> {
+    let mut builder = runtime::Builder::new_current_thread();
+    builder.enable_all().build().change_context(Error::Start)
+}
+
 fn join(
     name: &'static str,
     child: thread::JoinHandle<supervisor::Outcome>,
@@ -223,6 +255,7 @@
 /// identity and joins as a new member.
 fn open(
     settings: &Settings,
+    seeds: watch::Receiver<Vec<net::SocketAddr>>,
     outputs: coordinator::Outputs,
 ) -> Result<coordinator::Coordinator, Report<supervisor::Error>> {
     let failed = supervisor::Error::Child("log");
@@ -259,7 +292,7 @@
     log.election_min = coordinator::ELECTION_MIN;
     log.election_max = coordinator::ELECTION_MAX;
     log.heartbeat = coordinator::HEARTBEAT_INTERVAL;
-    coordinator::Coordinator::new(settings, log, disk, stored, directory, outputs)
+    coordinator::Coordinator::new(settings, seeds, log, disk, stored, directory, outputs)
 }
 
 /// Returns the identity of a bootstrap replica with this address.
--- a/crates/http1/src/serve.rs
+++ b/crates/http1/src/serve.rs
@@ -2,27 +2,29 @@
 //!
 //! Requests of callers have their own listener.
 
+mod connection;
+
 use std::future;
 use std::io;
+use std::net;
 use std::rc;
+use std::sync;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use bytes::Bytes;
+use sequoiayoke_supervise::Stop;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::task;
+use tokio::time;
 
 use crate::request;
 
-/// Size limits of a request, in bytes. A configuration with thousands of routes fits.
-const LIMITS: request::Limits = request::Limits {
-    head: 16 * 1024,
-    body: 16 * 1024 * 1024,
-};
-/// Largest number of concurrent connections; further ones are closed when they are accepted.
-const MAX_CONNECTIONS: usize = 256;
-/// Longest time to wait for more bytes of a connection.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest number of concurrent connections. The request of a further one is refused with 503.
+pub const MAX_CONNECTIONS: usize = 256;
+/// Largest number of concurrent connections whose request is refused; further ones are closed when
+/// they are accepted.
+const MAX_REFUSALS: usize = 64;
 /// Delay after which accepting is retried when it fails.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -107,81 +109,139 @@
     Handler: Fn(request::Request) -> Answer + 'static,
     Answer: future::Future<Output = Reply> + 'static,
 {
-    let handler = rc::Rc::new(handler);
-    let connection_permits = rc::Rc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let permits = rc::Rc::clone(&connection_permits);
-        match listener.accept().await {
-            Ok((io, address)) => {
-                let handler = rc::Rc::clone(&handler);
-                tokio::task::spawn_local(async move {
-                    let Ok(_permit) = permits.try_acquire() else {
-                        tracing::warn!(%address, "too many connections, closing a new one");
-                        return;
-                    };
-                    if let Err(error) = serve_connection(io, &*handler).await {
-                        tracing::debug!(%address, %error, "a connection ended with an error");
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "no connection could be accepted");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+    Server::new(handler).run(listener).await
+}
+
+/// A server of one listener.
+#[derive(Debug)]
+pub struct Server<Handler> {
+    handler: rc::Rc<Handler>,
+    permits: sync::Arc<Semaphore>,
+    refusal_permits: sync::Arc<Semaphore>,
+    connections: task::JoinSet<()>,
+    stop: Stop,
+    close_timeout: Duration,
 }
 
-async fn serve_connection<Handler, Answer>(mut io: TcpStream, handler: &Handler) -> io::Result<()>
+impl<Handler, Answer> Server<Handler>
 where
-    Handler: Fn(request::Request) -> Answer,
-    Answer: future::Future<Output = Reply>,
+    Handler: Fn(request::Request) -> Answer + 'static,
+    Answer: future::Future<Output = Reply> + 'static,
 {
-    io.set_nodelay(true)?;
-    let mut input = BytesMut::new();
-    let mut decoder = request::Decoder::new();
-    loop {
-        match decoder.decode(&mut input, LIMITS) {
-            Ok(request::Event::Request(request)) => {
-                let keeps_alive = request.head.keeps_alive;
-                let reply = handler(request).await;
-                io.write_all(&encode(&reply, keeps_alive)).await?;
-                if !keeps_alive {
-                    return io.shutdown().await;
-                }
-            }
-            Ok(request::Event::Continue) => io.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?,
-            Ok(request::Event::More) => {
-                let read = tokio::time::timeout(IDLE_TIMEOUT, io.read_buf(&mut input)).await??;
-                if read == 0 {
-                    return Ok(());
-                }
-            }
-            Err(error) => {
-                let reply = Reply::new(400, "text/plain", error.to_string());
-                io.write_all(&encode(&reply, false)).await?;
-                return io.shutdown().await;
+    /// Creates a server that answers each request with `handler` and does not stop.
+    pub fn new(handler: Handler) -> Self {
+        Self {
+            handler: rc::Rc::new(handler),
+            permits: sync::Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            refusal_permits: sync::Arc::new(Semaphore::new(MAX_REFUSALS)),
+            connections: task::JoinSet::new(),
+            stop: Stop::new(),
+            close_timeout: Duration::ZERO,
+        }
+    }
+
+    /// Makes the server stop when `stop` is cancelled.
+    ///
+    /// It then accepts no more connections, answers the requests that have reached it and closes
+    /// their connections. Connections that are open after `close_timeout` are cut.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sequoiayoke_http1::{request, serve};
+    /// use sequoiayoke_supervise::Stop;
+    /// use tokio::{net, runtime, task};
+    ///
+    /// let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    /// task::LocalSet::new().block_on(&runtime, async {
+    ///     let stop = Stop::new();
+    ///     stop.cancel();
+    ///     let handler = |_: request::Request| async { serve::Reply::new(200, "text/plain", "ok") };
+    ///     let server = serve::Server::new(handler).with_stop(stop, Duration::from_secs(1));
+    ///     server.run(net::TcpListener::bind("127.0.0.1:0").await?).await
+    /// })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn with_stop(mut self, stop: Stop, close_timeout: Duration) -> Self {
+        (self.stop, self.close_timeout) = (stop, close_timeout);
+        self
+    }
+
+    /// Serves the connections of `listener` until the server has stopped; must run in a
+    /// `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used when the server stops. An error of one connection ends
+    /// only that connection, and accepting is retried when it fails.
+    pub async fn run(mut self, listener: TcpListener) -> io::Result<()> {
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((io, address)) => self.spawn(io, address),
+                    Err(error) => {
+                        tracing::warn!(%error, "no connection could be accepted");
+                        time::sleep(ACCEPT_RETRY_DELAY).await;
+                    }
+                },
+                Some(_) = self.connections.join_next() => {}
+                () = self.stop.cancelled() => break,
             }
         }
+        // The close of a listener resets the connections that were not accepted.
+        let listener = listener.into_std()?;
+        while let Ok((io, address)) = listener.accept() {
+            io.set_nonblocking(true)?;
+            self.spawn(TcpStream::from_std(io)?, address);
+        }
+        drop(listener);
+        let closed = async { while self.connections.join_next().await.is_some() {} };
+        if time::timeout(self.close_timeout, closed).await.is_err() {
+            let connections = self.connections.len();
+            tracing::warn!(connections, "cutting connections that are still open");
+        }
+        Ok(())
     }
-}
 
-fn encode(reply: &Reply, keeps_alive: bool) -> Vec<u8> {
-    let mut text = format!(
-        "HTTP/1.1 {} {}\r\ncontent-type: {}\r\ncontent-length: {}\r\n",
-        reply.status,
-        reason_phrase(reply.status),
-        reply.media_type,
-        reply.body.len()
-    );
-    for (name, value) in &reply.fields {
-        text.push_str(&format!("{name}: {value}\r\n"));
+    fn spawn(&mut self, io: TcpStream, address: net::SocketAddr) {
+        let handler = rc::Rc::clone(&self.handler);
+        let stop = self.stop.clone();
+        if let Ok(permit) = sync::Arc::clone(&self.permits).try_acquire_owned() {
+            self.connections.spawn_local(async move {
+                let _permit = permit;
+                let served = match connection::Connection::new(io, stop) {
+                    Ok(connection) => connection.run(&*handler).await,
+                    Err(error) => Err(error),
+                };
+                log_end(address, &served);
+            });
+            return;
+        }
+        let permit = sync::Arc::clone(&self.refusal_permits).try_acquire_owned();
+        let is_refused = permit.is_ok();
+        tracing::warn!(%address, is_refused, "too many connections");
+        if let Ok(permit) = permit {
+            self.connections.spawn_local(async move {
+                let _permit = permit;
+                log_end(address, &refuse(io).await);
+            });
+        }
     }
-    if !keeps_alive {
-        text.push_str("connection: close\r\n");
+}
+
+/// Refuses the next request of a connection, and closes it.
+async fn refuse(io: TcpStream) -> io::Result<()> {
+    // A connection of a server that has stopped is closed after its next request.
+    let stop = Stop::new();
+    stop.cancel();
+    let handler = |_| async { Reply::new(503, "text/plain", "too many connections") };
+    let connection = connection::Connection::new(io, stop)?;
+    connection.run(&handler).await
+}
+
+fn log_end(address: net::SocketAddr, served: &io::Result<()>) {
+    if let Err(error) = served {
+        tracing::debug!(%address, %error, "a connection ended with an error");
     }
-    text.push_str("\r\n");
-    let mut bytes = text.into_bytes();
-    bytes.extend_from_slice(&reply.body);
-    bytes
 }
