Refuse uploads whose transfer cannot begin in time

What callers saw: uploads that waited for seconds, up to their deadline of 8 s, at a node that had just started; such uploads were the ones that the end of their entry node dropped.

Cause: a node assumed a link of 1 Gbit/s until the first bodies had arrived, and accepted every body meanwhile. A body that was accepted waited for its turn up to the deadline of the request, whatever the expected time was when it was accepted.

Fix: the setting link_mbps gives the bandwidth of the VM's link, and a body whose transfer has not begun when it could still arrive in time is refused.

--- a/crates/dispatch/src/transfer.rs
+++ b/crates/dispatch/src/transfer.rs
@@ -9,8 +9,10 @@
 
 /// Maximum number of concurrent transfers: one uses the link while the next one is requested.
 pub const MAX_RUNNING: usize = 2;
-/// Time per byte assumed before the first transfer, in seconds: a link of 1 Gbit/s.
-const INITIAL_TIME_PER_BYTE_S: f64 = 8e-9;
+/// Bandwidth assumed before the first transfer, in bits per second.
+const DEFAULT_BANDWIDTH: f64 = 1e9;
+/// Bits of a byte.
+const BYTE_BITS: f64 = 8.0;
 /// Weight of a new observation in the moving average of the time per byte.
 const SMOOTHING_FACTOR: f64 = 0.2;
 /// Time limit of a late body, in multiples of its transfer time without others.
@@ -90,11 +92,29 @@
     pub const fn new() -> Self {
         Self {
             pending_bytes: 0,
-            time_per_byte_s: INITIAL_TIME_PER_BYTE_S,
+            time_per_byte_s: BYTE_BITS / DEFAULT_BANDWIDTH,
             min_part_s: f64::INFINITY,
         }
     }
 
+    /// Sets the bandwidth that is assumed before the first transfer, in bits per second.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sequoiayoke_dispatch::transfer;
+    ///
+    /// let link = transfer::Link::new().with_bandwidth(8e6);
+    /// assert_eq!(link.expected_time(1_000), Duration::from_millis(1));
+    /// ```
+    pub fn with_bandwidth(self, bandwidth: f64) -> Self {
+        Self {
+            time_per_byte_s: BYTE_BITS / bandwidth,
+            ..self
+        }
+    }
+
     /// Returns the load that is reported to other nodes.
     pub fn load(&self) -> Load {
         Load {
@@ -110,24 +130,41 @@
         )
     }
 
-    /// Returns the retry delay of a body that would arrive too late.
+    /// Returns the transfer time of a body of `bytes` without others.
+    pub fn transfer_time(&self, bytes: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(bytes) * self.time_per_byte_s)
+    }
+
+    /// Returns the time by which a body that is requested now must arrive: by `useful_until`, or if
+    /// it could not even without others, within `LATE_TRANSFER_TIMES` times its transfer time, and
+    /// in any case by `deadline`.
     ///
-    /// A body must arrive by `useful_until`, or if it could not even without others, within
-    /// `LATE_TRANSFER_TIMES` times its transfer time, and in any case by `deadline`. A body whose
-    /// response is late anyway must not delay those behind it past their targets.
-    pub fn refusal(
+    /// A body whose response is late anyway must not delay those behind it past their targets.
+    pub fn latest_arrival(
         &self,
         now: clock::Instant,
         useful_until: clock::Instant,
         deadline: clock::Instant,
         bytes: u32,
-    ) -> Option<Duration> {
-        let transfer_time = Duration::from_secs_f64(f64::from(bytes) * self.time_per_byte_s);
+    ) -> clock::Instant {
+        let transfer_time = self.transfer_time(bytes);
         let limit = match now + transfer_time <= useful_until {
             true => useful_until,
             false => now + transfer_time * LATE_TRANSFER_TIMES,
         };
-        let (arrival, limit) = (now + self.expected_time(bytes), limit.min(deadline));
+        limit.min(deadline)
+    }
+
+    /// Returns the retry delay of a body that would arrive too late.
+    pub fn refusal(
+        &self,
+        now: clock::Instant,
+        useful_until: clock::Instant,
+        deadline: clock::Instant,
+        bytes: u32,
+    ) -> Option<Duration> {
+        let limit = self.latest_arrival(now, useful_until, deadline, bytes);
+        let arrival = now + self.expected_time(bytes);
         // An earlier retry would find the link still occupied by the pending bodies.
         (arrival > limit).then(|| {
             let excess = arrival.saturating_since(limit);
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -385,6 +385,23 @@
     assert_eq!(refusal(&transfer::Link::new(), 0), None);
 }
 
+/// Guards against a node that has just started behind a slow link, accepts every body, and lets
+/// them wait for seconds.
+#[test]
+fn a_started_node_accepts_as_many_bodies_as_its_link_can_carry() {
+    let admitted = |mut link: transfer::Link| {
+        let mut admitted = 0;
+        while admitted < 100 && link.refusal(at(0), at(600), at(8_000), 60_000).is_none() {
+            link.begin(60_000);
+            admitted += 1;
+        }
+        admitted
+    };
+    // A link of 6 Mbit/s takes 80 ms for each body.
+    assert_eq!(admitted(transfer::Link::new().with_bandwidth(6e6)), 7);
+    assert_eq!(admitted(transfer::Link::new()), 100);
+}
+
 /// Guards against uploads from a failure domain with few backend servers that overload the links of
 /// that domain while links in others have capacity.
 #[test]
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -43,6 +43,8 @@
     pub lease: Duration,
     /// Longest grant that a backend server accepts.
     pub max_hold: Duration,
+    /// Bandwidth of the VM's link, in bits per second.
+    pub bandwidth: f64,
     /// Bounds on retries.
     pub budget: budget::Config,
     /// Time for which a draining backend server still accepts requests for its keys.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -184,7 +184,7 @@
         TcpListener::from_std(listeners.announcements).change_context_lazy(error)?;
     let peers = TcpListener::from_std(listeners.peers).change_context_lazy(error)?;
     let context = rc::Rc::new(Context {
-        backend: backend::Backend::new(settings.backend),
+        backend: backend::Backend::new(settings.backend, settings.bandwidth),
         settings,
         frontend,
         shared,
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -137,14 +137,16 @@
 }
 
 impl Backend {
-    pub(super) fn new(address: net::SocketAddr) -> Self {
+    /// Creates the backend server at `address`, to whose VM a link with this bandwidth leads, in
+    /// bits per second.
+    pub(super) fn new(address: net::SocketAddr, bandwidth: f64) -> Self {
         Self {
             address,
             gate: cell::RefCell::new(admission::Gate::new(1)),
             waiting: cell::RefCell::default(),
             idle: cell::RefCell::default(),
             usage: cell::RefCell::default(),
-            transfers: bodies::Transfers::default(),
+            transfers: bodies::Transfers::new(bandwidth),
             outcomes: cell::RefCell::default(),
         }
     }
--- a/crates/gateway/src/traffic/backend/bodies.rs
+++ b/crates/gateway/src/traffic/backend/bodies.rs
@@ -9,6 +9,7 @@
 use sequoiayoke_link::peer;
 use sequoiayoke_model::clock;
 use tokio::sync::Semaphore;
+use tokio::time;
 
 use super::Backend;
 use crate::traffic::serving;
@@ -20,16 +21,15 @@
     permits: Semaphore,
 }
 
-impl Default for Transfers {
-    fn default() -> Self {
+impl Transfers {
+    /// Creates the state of transfers over a link with this bandwidth, in bits per second.
+    pub(super) fn new(bandwidth: f64) -> Self {
         Self {
-            link: cell::RefCell::default(),
+            link: cell::RefCell::new(transfer::Link::new().with_bandwidth(bandwidth)),
             permits: Semaphore::new(transfer::MAX_RUNNING),
         }
     }
-}
 
-impl Transfers {
     /// Records the transfer time of one part of a body; returns the delay before the next part.
     pub(super) fn record_part(&self, took: Duration) -> Duration {
         self.link.borrow_mut().record_part(took)
@@ -94,25 +94,32 @@
         if let Some(retry_after) = link_refusal {
             return Err(Refusal::LinkFull(retry_after));
         }
+        let latest_begin = {
+            let link = link.borrow();
+            let latest = link.latest_arrival(now + service, useful_until, deadline, length);
+            latest - service - link.transfer_time(length)
+        };
         link.borrow_mut().begin(length);
         let mut transfer = Transfer {
             link,
             bytes: length,
             took: None,
         };
-        let fetched = async {
-            let permit = self.transfers.permits.acquire().await.ok()?;
-            let start = clock::Instant::now();
-            let body = pull.fetch(length).await?;
-            let took = clock::Instant::now().saturating_since(start);
-            let available = self.transfers.permits.available_permits();
-            transfer.took = Some((took, transfer::MAX_RUNNING - available));
-            drop(permit);
-            Some(body)
+        // The transfers ahead may take longer than was expected when the body was accepted.
+        let max_wait = now.saturating_until(latest_begin);
+        let permit = time::timeout(max_wait, self.transfers.permits.acquire()).await;
+        let Ok(Ok(permit)) = permit else {
+            return Err(Refusal::LinkFull(link.borrow().expected_time(0)));
         };
+        let start = clock::Instant::now();
         let latest_start = self.gate.borrow().latest_start(offer);
-        let time_left = now.saturating_until(latest_start);
-        let body = tokio::time::timeout(time_left, fetched).await;
-        body.ok().flatten().map(Some).ok_or(Refusal::Missing)
+        let time_left = start.saturating_until(latest_start);
+        let body = time::timeout(time_left, pull.fetch(length)).await;
+        let body = body.ok().flatten().ok_or(Refusal::Missing)?;
+        let took = clock::Instant::now().saturating_since(start);
+        let available = self.transfers.permits.available_permits();
+        transfer.took = Some((took, transfer::MAX_RUNNING - available));
+        drop(permit);
+        Ok(Some(body))
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -21,6 +21,9 @@
     pub control: Control,
     /// Lease and grants.
     pub lease: Lease,
+    /// Bandwidth of the link of this VM, in Mbit/s.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Bounds on retries.
     pub retries: Retries,
     /// Time for which a backend server may get requests after it announced that it leaves.
@@ -32,6 +35,10 @@
     pub log: common::Log,
 }
 
+fn default_link_mbps() -> f64 {
+    1_000.0
+}
+
 /// Addresses on which a node listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
@@ -171,6 +178,13 @@
                     "time",
                     "Longest grant that a backend server accepts.",
                 ),
+                field::Field::new(
+                    "link_mbps",
+                    "Mbit/s",
+                    "1000",
+                    "above 0",
+                    "Bandwidth of the link of this VM, assumed until the first bodies have arrived.",
+                ),
                 field::Field::new(
                     "retries.ratio",
                     "part",
@@ -224,6 +238,11 @@
             "lease.length",
             "must be at least 1s, the time between two renewals",
         );
+        problems.require(
+            self.link_mbps > 0.0 && self.link_mbps.is_finite(),
+            "link_mbps",
+            "must be positive",
+        );
         problems.require(
             (0.0..=1.0).contains(&self.retries.ratio),
             "retries.ratio",
