Keep idle connections open while callers still use a stopping node

What callers saw: a request on an idle connection that crossed the SIGTERM of its node got no answer.

Cause: a stopping node closed idle connections at the signal, though callers use it for two more seconds, until its readiness checks have failed. It now closes them with the listener, and serves a request that arrives before that as the last one of its connection.

--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -223,7 +223,8 @@
                 }
                 return Ok(Some(Close::Stopping));
             }
-            if phase >= shutdown::Phase::Leaving && !is_partly_read && !is_new {
+            // Until the phase `Closed`, callers may still use the node.
+            if phase >= shutdown::Phase::Closed && !is_partly_read && !is_new {
                 return Ok(Some(Close::Stopping));
             }
         }
