Bound a response's head whether it is complete or not, with interim responses

Bytes that are no answer may come without end, until the caller closes. A request then waited for its deadline, and the node read all that time.

The limit of a head was checked only while the head was incomplete, so a long one that arrived in one read passed, and each interim response and each empty line before the status line started anew: their number had no bound. A head with too many fields was reported as malformed instead of too long.

The decoder now counts all bytes before the body of a response, including interim responses and empty lines, and fails once they exceed the limit.

The bounds of requests held: a complete head, the number of fields and a body while it arrives have a test.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -2,7 +2,7 @@
 
 use std::ops;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Largest number of header fields of one message.
 pub(crate) const MAX_FIELDS: usize = 64;
@@ -20,6 +20,20 @@
     "upgrade",
 ];
 
+/// Removes the line ends at the start of the input and returns their number of bytes.
+pub(crate) fn skip_line_ends(input: &mut BytesMut) -> usize {
+    let mut count = 0;
+    loop {
+        count += match &input[count..] {
+            [b'\n', ..] => 1,
+            [b'\r', b'\n', ..] => 2,
+            _ => break,
+        };
+    }
+    input.advance(count);
+    count
+}
+
 /// Header fields, stored as ranges of the received bytes.
 #[derive(Clone, Debug, Default)]
 pub struct Fields {
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -145,9 +145,7 @@
 
 fn parse_head(input: &mut BytesMut, limits: Limits) -> Result<Option<Head>, Error> {
     // Some callers send an extra CRLF after a body.
-    while input.starts_with(b"\r\n") {
-        let _ = input.split_to(2);
-    }
+    head::skip_line_ends(input);
     if input.is_empty() {
         return Ok(None);
     }
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -22,7 +22,7 @@
 /// Size limits of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Largest head, in bytes.
+    /// Largest head, in bytes, with the interim responses before it.
     pub head: usize,
     /// Largest body, in bytes.
     pub body: u64,
@@ -45,12 +45,17 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     open: Option<(Response, body::Body)>,
+    /// Number of bytes before the head of the final response.
+    skipped: usize,
 }
 
 impl Decoder {
     /// Creates a decoder.
     pub const fn new() -> Self {
-        Self { open: None }
+        Self {
+            open: None,
+            skipped: 0,
+        }
     }
 
     /// Consumes the available input; `is_closed` means that no more input follows.
@@ -66,7 +71,7 @@
         is_closed: bool,
     ) -> Result<Option<Response>, Error> {
         if self.open.is_none() {
-            self.open = parse_final_head(input, limits)?;
+            self.open = self.decode_final_head(input, limits)?;
         }
         let Some((_, body)) = &mut self.open else {
             return match is_closed {
@@ -83,36 +88,50 @@
         });
         Ok(response)
     }
-}
 
-/// Parses the head of the final response, and creates the decoder of its body.
-fn parse_final_head(
-    input: &mut BytesMut,
-    limits: Limits,
-) -> Result<Option<(Response, body::Body)>, Error> {
-    loop {
-        let Some(response) = parse_head(input, limits)? else {
-            return Ok(None);
-        };
-        // Skips interim responses, which precede the final one.
-        if (100..200).contains(&response.status) && response.status != 101 {
-            continue;
+    /// Decodes the head of the final response, and creates the decoder of its body.
+    fn decode_final_head(
+        &mut self,
+        input: &mut BytesMut,
+        limits: Limits,
+    ) -> Result<Option<(Response, body::Body)>, Error> {
+        loop {
+            // `httparse` skips empty lines too, but without a bound.
+            self.skipped += head::skip_line_ends(input);
+            let Some((response, length)) = parse_head(input)? else {
+                return match self.skipped + input.len() > limits.head {
+                    true => Err(Error::HeadTooLong),
+                    false => Ok(None),
+                };
+            };
+            self.skipped += length;
+            if self.skipped > limits.head {
+                return Err(Error::HeadTooLong);
+            }
+            // Skips interim responses, which precede the final one.
+            if (100..200).contains(&response.status) && response.status != 101 {
+                continue;
+            }
+            self.skipped = 0;
+            let framing = match response.status {
+                204 | 304 => body::Framing::None,
+                _ => {
+                    body::Framing::declared(&response.fields)?.unwrap_or(body::Framing::UntilClose)
+                }
+            };
+            let keeps_alive = response.keeps_alive && framing != body::Framing::UntilClose;
+            let body = body::Body::new(framing, limits.body)?;
+            let response = Response {
+                keeps_alive,
+                ..response
+            };
+            return Ok(Some((response, body)));
         }
-        let framing = match response.status {
-            204 | 304 => body::Framing::None,
-            _ => body::Framing::declared(&response.fields)?.unwrap_or(body::Framing::UntilClose),
-        };
-        let keeps_alive = response.keeps_alive && framing != body::Framing::UntilClose;
-        let body = body::Body::new(framing, limits.body)?;
-        let response = Response {
-            keeps_alive,
-            ..response
-        };
-        return Ok(Some((response, body)));
     }
 }
 
-fn parse_head(input: &mut BytesMut, limits: Limits) -> Result<Option<Response>, Error> {
+/// Parses a head and returns it with its length in bytes, if it is complete.
+fn parse_head(input: &mut BytesMut) -> Result<Option<(Response, usize)>, Error> {
     if input.is_empty() {
         return Ok(None);
     }
@@ -120,10 +139,8 @@
     let mut parsed = httparse::Response::new(&mut headers);
     let length = match parsed.parse(input) {
         Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) if input.len() > limits.head => {
-            return Err(Error::HeadTooLong);
-        }
         Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLong),
         Err(_) => return Err(Error::Head),
     };
     let raw = input.split_to(length).freeze();
@@ -137,10 +154,11 @@
         0 => fields.has_token("connection", "keep-alive"),
         _ => !fields.has_token("connection", "close"),
     };
-    Ok(Some(Response {
+    let response = Response {
         status,
         fields,
         body: Bytes::new(),
         keeps_alive,
-    }))
+    };
+    Ok(Some((response, length)))
 }
