Parse a head that arrives in small reads in linear time

A peer that sends a long head byte by byte kept the only traffic thread busy, and with it all other requests of the node.

Each read parsed the head anew from its start, so the cost was quadratic. It is now parsed when a line is complete or when the input has doubled: with 64 fields at most, the number of attempts is bounded, and a malformed line is still refused at its end.

a_long_head_in_small_reads_takes_linear_time decodes heads of 512 KiB byte by byte.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -20,6 +20,38 @@
     "upgrade",
 ];
 
+/// Progress of a head that arrives in several reads.
+///
+/// Each attempt to parse begins at the start of the head. An attempt is made when a line is complete
+/// or the input has doubled, so that a long head in small reads costs a bounded number of attempts.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progress {
+    /// Length of the input at the last attempt.
+    parsed: usize,
+    /// Length of the input that was searched for line ends.
+    searched: usize,
+}
+
+impl Progress {
+    pub(crate) const fn new() -> Self {
+        Self {
+            parsed: 0,
+            searched: 0,
+        }
+    }
+
+    /// Returns whether the head at the start of `input` is to be parsed now.
+    pub(crate) fn is_due(&mut self, input: &[u8]) -> bool {
+        let added = input.get(self.searched..).unwrap_or(input);
+        let is_due = input.len() >= self.parsed * 2 || added.contains(&b'\n');
+        self.searched = input.len();
+        if is_due {
+            self.parsed = input.len();
+        }
+        is_due
+    }
+}
+
 /// Removes the line ends at the start of the input and returns their number of bytes.
 pub(crate) fn skip_line_ends(input: &mut BytesMut) -> usize {
     let mut count = 0;
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -74,12 +74,16 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     open: Option<(Head, body::Body)>,
+    progress: head::Progress,
 }
 
 impl Decoder {
     /// Creates a decoder.
     pub const fn new() -> Self {
-        Self { open: None }
+        Self {
+            open: None,
+            progress: head::Progress::new(),
+        }
     }
 
     /// Returns whether the head of a request has been decoded, but not yet all of its body.
@@ -116,9 +120,19 @@
     /// closed.
     pub fn decode(&mut self, input: &mut BytesMut, limits: Limits) -> Result<Event, Error> {
         if self.open.is_none() {
-            let Some(head) = parse_head(input, limits)? else {
-                return Ok(Event::More);
+            // Some callers send an extra CRLF after a body.
+            head::skip_line_ends(input);
+            let parsed = match self.progress.is_due(input) {
+                true => parse_head(input, limits)?,
+                false => None,
+            };
+            let Some(head) = parsed else {
+                return match input.len() > limits.head {
+                    true => Err(Error::HeadTooLong),
+                    false => Ok(Event::More),
+                };
             };
+            self.progress = head::Progress::new();
             let framing = body::Framing::declared(&head.fields)?.unwrap_or(body::Framing::None);
             let body = body::Body::new(framing, limits.body)?;
             let is_waiting = head.fields.has_token("expect", "100-continue") && input.is_empty();
@@ -144,8 +158,6 @@
 }
 
 fn parse_head(input: &mut BytesMut, limits: Limits) -> Result<Option<Head>, Error> {
-    // Some callers send an extra CRLF after a body.
-    head::skip_line_ends(input);
     if input.is_empty() {
         return Ok(None);
     }
@@ -153,9 +165,6 @@
     let mut parsed = httparse::Request::new(&mut headers);
     let length = match parsed.parse(input) {
         Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) if input.len() > limits.head => {
-            return Err(Error::HeadTooLong);
-        }
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLong),
         Err(_) => return Err(Error::Head),
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     open: Option<(Response, body::Body)>,
+    progress: head::Progress,
     /// Number of bytes before the head of the final response.
     skipped: usize,
 }
@@ -54,6 +55,7 @@
     pub const fn new() -> Self {
         Self {
             open: None,
+            progress: head::Progress::new(),
             skipped: 0,
         }
     }
@@ -98,12 +100,17 @@
         loop {
             // `httparse` skips empty lines too, but without a bound.
             self.skipped += head::skip_line_ends(input);
-            let Some((response, length)) = parse_head(input)? else {
+            let parsed = match self.progress.is_due(input) {
+                true => parse_head(input)?,
+                false => None,
+            };
+            let Some((response, length)) = parsed else {
                 return match self.skipped + input.len() > limits.head {
                     true => Err(Error::HeadTooLong),
                     false => Ok(None),
                 };
             };
+            self.progress = head::Progress::new();
             self.skipped += length;
             if self.skipped > limits.head {
                 return Err(Error::HeadTooLong);
--- a/crates/http1/tests/bounds.rs
+++ b/crates/http1/tests/bounds.rs
@@ -1,5 +1,9 @@
 //! Bounds on what a peer may send that is no message, or a message without end.
 
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
 use bytes::BytesMut;
 use sequoiayoke_http1::{Error, request, response};
 
@@ -13,6 +17,8 @@
 };
 /// Largest number of bytes that a decoder may take from a sender without end.
 const MAX_BYTES: usize = 64 * 1024;
+/// Time after which a decoder is considered to take quadratic time; it needs some milliseconds.
+const MAX_TIME: Duration = Duration::from_secs(60);
 
 /// Decodes `start`, then `rest` again and again, in reads of `size` bytes; returns the error that
 /// ends it and the number of bytes that were read.
@@ -120,3 +126,47 @@
     };
     assert_eq!((error, count), (Error::BodyTooLong, 1_024));
 }
+
+/// Guards against parsing a long head from its start at each read: one that arrives byte by byte
+/// would take some minutes of the only traffic thread.
+#[test]
+fn a_long_head_in_small_reads_takes_linear_time() {
+    const HEAD: usize = 1 << 19;
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let long = "x".repeat(HEAD - 100);
+        let mut decoder = response::Decoder::new();
+        let mut input = BytesMut::new();
+        let limits = response::Limits {
+            head: HEAD,
+            body: 0,
+        };
+        let text = format!("HTTP/1.1 200 OK\r\nname: {long}\r\ncontent-length: 0\r\n\r\n");
+        let mut response = None;
+        for byte in text.bytes() {
+            input.extend_from_slice(&[byte]);
+            response = decoder
+                .decode(&mut input, limits, false)
+                .expect("it is well formed");
+        }
+        assert!(response.is_some());
+        let mut decoder = request::Decoder::new();
+        let limits = request::Limits {
+            head: HEAD,
+            body: 0,
+        };
+        let text = format!("GET /{long} HTTP/1.1\r\n\r\n");
+        let mut event = request::Event::More;
+        for byte in text.bytes() {
+            input.extend_from_slice(&[byte]);
+            event = decoder
+                .decode(&mut input, limits)
+                .expect("it is well formed");
+        }
+        sender
+            .send(matches!(event, request::Event::Request(_)))
+            .expect("the test waits");
+    });
+    let result = receiver.recv_timeout(MAX_TIME);
+    assert_eq!(result, Ok(true), "not decoded in time");
+}
