Bound the extensions of chunks, and refuse an oversized chunk at its size

A sender of one-byte chunks with long extensions made a node read some 250 times the limit of a body. A chunk whose declared size exceeds the limit was read up to the limit before it was refused.

The extensions of one body may take 16 KiB together, and a chunk that does not fit is refused as soon as its size is known. Empty chunks end a body, so that there is no series of them; trailers and size lines had bounds.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -7,6 +7,8 @@
 
 /// Longest chunk-size line, in bytes.
 const MAX_CHUNK_LINE: usize = 256;
+/// Largest total size of the extensions of the chunks of one body, in bytes.
+const MAX_EXTENSIONS: usize = 16 * 1024;
 /// Largest total size of the trailers, in bytes.
 const MAX_TRAILERS: usize = 8 * 1024;
 
@@ -68,6 +70,8 @@
     framing: Framing,
     content: BytesMut,
     limit: u64,
+    /// Number of bytes that extensions of chunks may still take.
+    extensions_left: usize,
     state: State,
 }
 
@@ -93,6 +97,7 @@
             framing,
             content: BytesMut::new(),
             limit,
+            extensions_left: MAX_EXTENSIONS,
             state,
         })
     }
@@ -150,6 +155,13 @@
                     Ok(httparse::Status::Complete((_, size))) => size,
                     _ => return Err(Error::Chunk),
                 };
+                if size > self.limit - self.content.len() as u64 {
+                    return Err(Error::BodyTooLong);
+                }
+                let digits = line.iter().take_while(|byte| byte.is_ascii_hexdigit());
+                let extension = line.len() - digits.count() - "\r\n".len();
+                let extensions_left = self.extensions_left.checked_sub(extension);
+                self.extensions_left = extensions_left.ok_or(Error::Chunk)?;
                 self.state = match size {
                     0 => State::Trailers(MAX_TRAILERS),
                     size => State::Data(size),
--- a/crates/http1/tests/bounds.rs
+++ b/crates/http1/tests/bounds.rs
@@ -51,6 +51,11 @@
         ("", "HTTP/1.1 103 Early\r\na: b\r\n\r\n", Error::HeadTooLong),
         ("HTTP/1.1 200 OK\r\n\r\n", "x", Error::BodyTooLong),
         (chunked, "5\r\nhello\r\n", Error::BodyTooLong),
+        (
+            chunked,
+            "1;extension=0123456789012345678901234567890123456789\r\nx\r\n",
+            Error::Chunk,
+        ),
         (chunked, "0", Error::Chunk),
         (chunked, "x", Error::Chunk),
         (
@@ -66,6 +71,21 @@
     }
 }
 
+/// Guards against the bytes of a body that are read although its declared length is over the limit.
+#[test]
+fn a_body_over_the_limit_is_refused_at_its_declared_length() {
+    for text in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 1025\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551615\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n401\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n400\r\n",
+    ] {
+        let result = response::Decoder::new().decode(&mut BytesMut::from(text), RESPONSE, false);
+        assert_eq!(result.expect_err(text), Error::BodyTooLong, "{text}");
+    }
+}
+
 /// Guards against a limit that holds only while a head is incomplete.
 #[test]
 fn a_head_that_is_complete_in_one_read_is_bounded() {
