Do not wait for the body of a response to HEAD

A caller of HEAD got 504 at its deadline if the backend server stated the content-length that GET would have: the decoder did not know the method and waited for a body. The slot was taken all that time.

The decoder is told the method; a response to HEAD ends with its head, and bytes after it belong to no request. 204 and 304 were handled already.

--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -64,7 +64,7 @@
     {
         let mut written = 0;
         let mut stray = 0;
-        let mut decoder = response::Decoder::new();
+        let mut decoder = response::Decoder::new().with_method(method(&request));
         let Connection { io, input, .. } = &mut connection;
         let response = loop {
             let (mut reader, mut writer) = io.split();
@@ -231,3 +231,9 @@
         }
     }
 }
+
+/// Returns the method of an encoded request.
+fn method(request: &[u8]) -> &str {
+    let end = request.iter().position(|byte| *byte == b' ');
+    std::str::from_utf8(&request[..end.unwrap_or(0)]).unwrap_or_default()
+}
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     open: Option<(Response, body::Body)>,
+    is_head: bool,
     progress: head::Progress,
     /// Number of bytes before the head of the final response.
     skipped: usize,
@@ -55,11 +56,33 @@
     pub const fn new() -> Self {
         Self {
             open: None,
+            is_head: false,
             progress: head::Progress::new(),
             skipped: 0,
         }
     }
 
+    /// Sets the method of the requests, since a response to HEAD has no body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bytes::BytesMut;
+    /// use sequoiayoke_http1::response;
+    ///
+    /// let mut decoder = response::Decoder::new().with_method("HEAD");
+    /// let mut input = BytesMut::from("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n");
+    /// let limits = response::Limits { head: 1_024, body: 1_024 };
+    /// let response = decoder.decode(&mut input, limits, false).expect("it is well formed");
+    /// assert!(response.is_some());
+    /// ```
+    pub fn with_method(self, method: &str) -> Self {
+        Self {
+            is_head: method == "HEAD",
+            ..self
+        }
+    }
+
     /// Consumes the available input; `is_closed` means that no more input follows.
     ///
     /// # Errors
@@ -121,6 +144,7 @@
             }
             self.skipped = 0;
             let framing = match response.status {
+                _ if self.is_head => body::Framing::None,
                 204 | 304 => body::Framing::None,
                 _ => {
                     body::Framing::declared(&response.fields)?.unwrap_or(body::Framing::UntilClose)
