Treat a status that is no answer as a malformed response

A backend server's status such as 007 was passed on to the caller as "7", and 101 as a switch to another protocol that no request had asked for. Neither is an answer in the protocol.

The decoder accepts the classes 1xx to 5xx, without 101; anything else is a malformed response, and callers get 502.

Before: tests/status.rs, a_status_that_is_no_answer_is_malformed failed with status 0.

--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -1,11 +1,16 @@
 //! Decoding of responses.
 
+use std::ops;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::Error;
 use crate::body;
 use crate::head;
 
+/// Status codes that the protocol defines the classes of.
+const STATUS_CODES: ops::RangeInclusive<u16> = 100..=599;
+
 /// A complete response.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -139,7 +144,7 @@
                 return Err(Error::HeadTooLong);
             }
             // Skips interim responses, which precede the final one.
-            if (100..200).contains(&response.status) && response.status != 101 {
+            if (100..200).contains(&response.status) {
                 continue;
             }
             self.skipped = 0;
@@ -179,6 +184,10 @@
     let mut parsed = httparse::Response::new(&mut headers);
     parsed.parse(&raw).map_err(|_| Error::Head)?;
     let status = parsed.code.ok_or(Error::Head)?;
+    // No request asks for another protocol, which 101 would switch to.
+    if !STATUS_CODES.contains(&status) || status == 101 {
+        return Err(Error::Head);
+    }
     let minor = parsed.version.ok_or(Error::Head)?;
     let fields = head::Fields::new(raw.clone(), parsed.headers);
     let keeps_alive = match minor {
--- a/crates/http1/tests/status.rs
+++ b/crates/http1/tests/status.rs
@@ -1,7 +1,7 @@
 //! Responses whose method or status decides whether a body follows.
 
 use bytes::BytesMut;
-use sequoiayoke_http1::response;
+use sequoiayoke_http1::{Error, response};
 
 const LIMITS: response::Limits = response::Limits {
     head: 1_024,
@@ -53,3 +53,15 @@
         assert!(response.body.is_empty() && response.keeps_alive, "{status}");
     }
 }
+
+/// Guards against a response that a caller cannot read as an answer: a status that the protocol does
+/// not have, or a switch to another protocol that nobody asked for.
+#[test]
+fn a_status_that_is_no_answer_is_malformed() {
+    for status in ["000", "007", "099", "101", "600", "999"] {
+        let text = format!("HTTP/1.1 {status} Status\r\ncontent-length: 0\r\n\r\n");
+        let mut input = BytesMut::from(text.as_str());
+        let result = response::Decoder::new().decode(&mut input, LIMITS, false);
+        assert_eq!(result.expect_err(status), Error::Head, "{status}");
+    }
+}
