Close a connection to the backend server on which a stray response arrived

A faulty backend server repeated an earlier refusal on a kept connection. The repeated one was discarded by its id, but the connection was kept, so that the next copy met the next request. Of several responses in one read only one more was looked at, and a second stray one was dropped without being counted.

The exchange now decodes all responses that have arrived, counts each stray one, and does not keep the connection after one.

--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -6,6 +6,7 @@
 
 mod bodies;
 mod connections;
+mod exchange;
 mod slots;
 
 use std::cell;
@@ -19,7 +20,6 @@
 use sequoiayoke_http1::response;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::clock;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use super::{Context, peers, serving};
@@ -27,17 +27,10 @@
 use crate::frontend;
 use crate::view;
 
-/// Size limits of a response, in bytes.
-const LIMITS: response::Limits = response::Limits {
-    head: 64 * 1024,
-    body: 16 * 1024 * 1024,
-};
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest idle time of a kept connection, unless the backend server names a shorter one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
-/// Percentage of the backend server's own idle timeout after which a connection is not reused.
-const IDLE_TIMEOUT_PERCENT: u32 = 80;
 /// Longest idle time of a connection that may carry a non-idempotent request: the backend server
 /// may have dropped the connection.
 const NON_IDEMPOTENT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -48,10 +41,6 @@
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Time beyond the deadline in which the backend server's own final response may arrive.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
-/// Longest time to write the remainder of a body after an early answer.
-const REMAINDER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest number of responses to other requests that are discarded during one exchange.
-const MAX_STRAY_RESPONSES: usize = 4;
 /// Largest number of key ranges in a report of load.
 const MAX_USAGE_PARTS: usize = 24;
 /// Percentage of the drain time for which a draining backend server still accepts requests for its
@@ -274,7 +263,7 @@
         let request = self.encode(&context.frontend, open, body.as_deref(), left);
         stage.set(Stage::Running);
         slot.start = now;
-        let exchange = self.exchange(&context.frontend, connection, request, &open.id);
+        let exchange = self.exchange(context, connection, request, &open.id);
         let timeout = left + RESPONSE_MARGIN;
         let result = tokio::time::timeout(timeout, exchange).await;
         match result.unwrap_or(Err(Error::Timeout)) {
@@ -479,25 +468,3 @@
         idle: IDLE_TIMEOUT,
     })
 }
-
-/// Writes the remainder of a body that was answered early: the backend server reads it before the
-/// next request on the connection.
-fn write_remainder(mut connection: Connection, request: Vec<u8>, written: usize) {
-    tokio::task::spawn_local(async move {
-        let write = connection.io.write_all(&request[written..]);
-        match tokio::time::timeout(REMAINDER_TIMEOUT, write).await {
-            Ok(Ok(())) => tracing::debug!("wrote the rest of a body that was answered early"),
-            Ok(Err(error)) => tracing::debug!(%error, "the rest of a body could not be written"),
-            Err(_) => tracing::debug!("the rest of a body was not read in time"),
-        }
-    });
-}
-
-/// Parses the timeout of a `Keep-Alive` field.
-fn parse_keep_alive(field: &str) -> Option<Duration> {
-    let parameters = field.split(',').map(str::trim);
-    let seconds = parameters
-        .filter_map(|parameter| parameter.strip_prefix("timeout="))
-        .find_map(|seconds| seconds.parse().ok());
-    seconds.map(Duration::from_secs)
-}
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -1,4 +1,4 @@
-//! Connections to the backend server, and single exchanges over them.
+//! Connections to the backend server, and the requests that the node itself makes.
 
 use std::io;
 use std::time::Duration;
@@ -6,13 +6,11 @@
 use sequoiayoke_catalog::server;
 use sequoiayoke_http1::response;
 use sequoiayoke_model::clock;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::oneshot;
 
 use super::{
-    Backend, Connection, Context, Error, IDENTIFY_TIMEOUT, IDLE_TIMEOUT, IDLE_TIMEOUT_PERCENT,
-    LIMITS, MAX_IDLE_CONNECTIONS, MAX_STRAY_RESPONSES, NON_IDEMPOTENT_IDLE_TIMEOUT, connect,
-    parse_keep_alive, write_remainder,
+    Backend, Connection, Context, Error, IDENTIFY_TIMEOUT, MAX_IDLE_CONNECTIONS,
+    NON_IDEMPOTENT_IDLE_TIMEOUT, connect,
 };
 use crate::coordinator;
 use crate::frontend;
@@ -51,67 +49,6 @@
         }
     }
 
-    /// Writes a request and reads its response; the connection is kept if it can be reused.
-    pub(super) async fn exchange<Frontend>(
-        &self,
-        frontend: &Frontend,
-        mut connection: Connection,
-        request: Vec<u8>,
-        id: &str,
-    ) -> Result<response::Response, Error>
-    where
-        Frontend: frontend::Frontend,
-    {
-        let mut written = 0;
-        let mut stray = 0;
-        let mut decoder = response::Decoder::new().with_method(method(&request));
-        let Connection { io, input, .. } = &mut connection;
-        let response = loop {
-            let (mut reader, mut writer) = io.split();
-            let read = tokio::select! {
-                biased;
-                read = reader.read_buf(input) => read.map_err(Error::Broken)?,
-                count = writer.write(&request[written..]), if written < request.len() => {
-                    written += count.map_err(Error::Broken)?;
-                    continue;
-                }
-            };
-            if let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
-                if frontend
-                    .response_metadata(&response)
-                    .id
-                    .is_none_or(|answered| answered == id)
-                {
-                    break response;
-                }
-                stray += 1;
-                tracing::warn!(id, "discarding a response to another request");
-                if stray > MAX_STRAY_RESPONSES || read == 0 {
-                    return Err(Error::Stray);
-                }
-                // The awaited response may have arrived in the same read.
-                if let Some(next) = decoder.decode(input, LIMITS, false)?
-                    && frontend.response_metadata(&next).id == Some(id)
-                {
-                    break next;
-                }
-            }
-        };
-        if response.keeps_alive && connection.input.is_empty() {
-            let idle_timeout = response.fields.get("keep-alive").and_then(parse_keep_alive);
-            if let Some(idle_timeout) = idle_timeout {
-                connection.idle = IDLE_TIMEOUT.min(idle_timeout * IDLE_TIMEOUT_PERCENT / 100);
-            }
-            connection.used = clock::Instant::now();
-            if written == request.len() {
-                self.check_in(connection);
-            } else {
-                write_remainder(connection, request, written);
-            }
-        }
-        Ok(response)
-    }
-
     /// Sends a command about keys.
     pub(in crate::traffic) async fn send_command<Frontend>(
         &self,
@@ -159,7 +96,7 @@
         }
         request.extend_from_slice(b"\r\n");
         request.extend_from_slice(body);
-        let exchange = self.exchange(&context.frontend, connection, request, "");
+        let exchange = self.exchange(context, connection, request, "");
         let result = tokio::time::timeout(timeout, exchange).await;
         result.unwrap_or(Err(Error::Timeout))
     }
@@ -231,9 +168,3 @@
         }
     }
 }
-
-/// Returns the method of an encoded request.
-fn method(request: &[u8]) -> &str {
-    let end = request.iter().position(|byte| *byte == b' ');
-    std::str::from_utf8(&request[..end.unwrap_or(0)]).unwrap_or_default()
-}
--- /dev/null
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -0,0 +1,119 @@
+//! Single exchanges with the backend server: a request and the response to it.
+
+use std::time::Duration;
+
+use sequoiayoke_http1::response;
+use sequoiayoke_model::clock;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::{Backend, Connection, Context, Error, IDLE_TIMEOUT};
+use crate::frontend;
+
+/// Size limits of a response, in bytes.
+const LIMITS: response::Limits = response::Limits {
+    head: 64 * 1024,
+    body: 16 * 1024 * 1024,
+};
+/// Percentage of the backend server's own idle timeout after which a connection is not reused.
+const IDLE_TIMEOUT_PERCENT: u32 = 80;
+/// Longest time to write the remainder of a body after an early answer.
+const REMAINDER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest number of responses to other requests that are discarded during one exchange.
+const MAX_STRAY_RESPONSES: usize = 4;
+
+impl Backend {
+    /// Writes a request and reads its response; the connection is kept if it can be reused.
+    ///
+    /// Responses to other requests are discarded: a faulty backend server may repeat an earlier
+    /// response on the connection.
+    pub(super) async fn exchange<Frontend>(
+        &self,
+        context: &Context<Frontend>,
+        mut connection: Connection,
+        request: Vec<u8>,
+        id: &str,
+    ) -> Result<response::Response, Error>
+    where
+        Frontend: frontend::Frontend,
+    {
+        let mut written = 0;
+        let mut stray = 0;
+        let mut decoder = response::Decoder::new().with_method(method(&request));
+        let Connection { io, input, .. } = &mut connection;
+        let response = 'read: loop {
+            let (mut reader, mut writer) = io.split();
+            let read = tokio::select! {
+                biased;
+                read = reader.read_buf(input) => read.map_err(Error::Broken)?,
+                count = writer.write(&request[written..]), if written < request.len() => {
+                    written += count.map_err(Error::Broken)?;
+                    continue;
+                }
+            };
+            // Several responses may arrive in one read.
+            while let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
+                if is_answer(context, &response, id) {
+                    break 'read response;
+                }
+                stray += 1;
+                if context.may_log() {
+                    tracing::warn!(id, "discarding a response to another request");
+                }
+                if stray > MAX_STRAY_RESPONSES || (read == 0 && input.is_empty()) {
+                    return Err(Error::Stray);
+                }
+            }
+        };
+        let is_reusable = response.keeps_alive && stray == 0 && connection.input.is_empty();
+        if is_reusable {
+            let idle_timeout = response.fields.get("keep-alive").and_then(parse_keep_alive);
+            if let Some(idle_timeout) = idle_timeout {
+                connection.idle = IDLE_TIMEOUT.min(idle_timeout * IDLE_TIMEOUT_PERCENT / 100);
+            }
+            connection.used = clock::Instant::now();
+            if written == request.len() {
+                self.check_in(connection);
+            } else {
+                write_remainder(connection, request, written);
+            }
+        }
+        Ok(response)
+    }
+}
+
+/// Returns whether a response answers the request with this id.
+fn is_answer<Frontend>(context: &Context<Frontend>, response: &response::Response, id: &str) -> bool
+where
+    Frontend: frontend::Frontend,
+{
+    let metadata = context.frontend.response_metadata(response);
+    metadata.id.is_none_or(|answered| answered == id)
+}
+
+/// Returns the method of an encoded request.
+fn method(request: &[u8]) -> &str {
+    let end = request.iter().position(|byte| *byte == b' ');
+    std::str::from_utf8(&request[..end.unwrap_or(0)]).unwrap_or_default()
+}
+
+/// Writes the remainder of a body that was answered early: the backend server reads it before the
+/// next request on the connection.
+fn write_remainder(mut connection: Connection, request: Vec<u8>, written: usize) {
+    tokio::task::spawn_local(async move {
+        let write = connection.io.write_all(&request[written..]);
+        match tokio::time::timeout(REMAINDER_TIMEOUT, write).await {
+            Ok(Ok(())) => tracing::debug!("wrote the rest of a body that was answered early"),
+            Ok(Err(error)) => tracing::debug!(%error, "the rest of a body could not be written"),
+            Err(_) => tracing::debug!("the rest of a body was not read in time"),
+        }
+    });
+}
+
+/// Parses the timeout of a `Keep-Alive` field.
+fn parse_keep_alive(field: &str) -> Option<Duration> {
+    let parameters = field.split(',').map(str::trim);
+    let seconds = parameters
+        .filter_map(|parameter| parameter.strip_prefix("timeout="))
+        .find_map(|seconds| seconds.parse().ok());
+    seconds.map(Duration::from_secs)
+}
