Accept only a response with the request's id as its answer

Clients were told "not run, try again" for requests that a server had run or was running, or such a request ran at a second server: a faulty backend server repeated an earlier refusal without an id on a kept connection, and a response without an id passed for the answer to any request.

Backend servers echo the id of a request, so a response without one belongs to a request of the node itself, or to none. It is discarded now, as one with another id is; if the real answer does not follow, the outcome is unknown. The node's own requests, which have no id, accept only responses without one.

Before: a_repeated_refusal_is_not_the_answer_to_a_later_request failed with "anonymous: NotRun { reason: RefusedByServer, .. }" for a request that ran, a_repeated_answer_is_not_the_answer_to_a_later_request with the body of another answer (platform/tests/deployment/answers.rs).

--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -263,7 +263,7 @@
         let request = self.encode(&context.frontend, open, body.as_deref(), left);
         stage.set(Stage::Running);
         slot.start = now;
-        let exchange = self.exchange(context, connection, request, &open.id);
+        let exchange = self.exchange(context, connection, request, Some(&open.id));
         let timeout = left + RESPONSE_MARGIN;
         let result = tokio::time::timeout(timeout, exchange).await;
         match result.unwrap_or(Err(Error::Timeout)) {
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -96,7 +96,7 @@
         }
         request.extend_from_slice(b"\r\n");
         request.extend_from_slice(body);
-        let exchange = self.exchange(context, connection, request, "");
+        let exchange = self.exchange(context, connection, request, None);
         let result = tokio::time::timeout(timeout, exchange).await;
         result.unwrap_or(Err(Error::Timeout))
     }
--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -24,14 +24,15 @@
 impl Backend {
     /// Writes a request and reads its response; the connection is kept if it can be reused.
     ///
-    /// Responses to other requests are discarded: a faulty backend server may repeat an earlier
-    /// response on the connection.
+    /// Only a response with the `id` of the request answers it, and only one without an id answers a
+    /// request that the node itself makes. Other responses are discarded: a faulty backend server
+    /// may repeat an earlier response on the connection.
     pub(super) async fn exchange<Frontend>(
         &self,
         context: &Context<Frontend>,
         mut connection: Connection,
         request: Vec<u8>,
-        id: &str,
+        id: Option<&str>,
     ) -> Result<response::Response, Error>
     where
         Frontend: frontend::Frontend,
@@ -52,7 +53,7 @@
             };
             // Several responses may arrive in one read.
             while let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
-                if is_answer(context, &response, id) {
+                if context.frontend.response_metadata(&response).id == id {
                     break 'read response;
                 }
                 stray += 1;
@@ -81,15 +82,6 @@
     }
 }
 
-/// Returns whether a response answers the request with this id.
-fn is_answer<Frontend>(context: &Context<Frontend>, response: &response::Response, id: &str) -> bool
-where
-    Frontend: frontend::Frontend,
-{
-    let metadata = context.frontend.response_metadata(response);
-    metadata.id.is_none_or(|answered| answered == id)
-}
-
 /// Returns the method of an encoded request.
 fn method(request: &[u8]) -> &str {
     let end = request.iter().position(|byte| *byte == b' ');
