Do not send a refused request again on the connection that refused it

A keyed request that was refused is sent again to the owner of its key, mostly on the connection that had just become idle. A faulty backend server that repeats the first refusal there gives it the request's own id, so the request was reported as not run while it ran: REFUSED, or TWICE once the client had sent it again.

No field of the protocol tells the two refusals apart, so the second sending uses another connection.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod outcomes;
 pub mod probe;
 pub mod quota;
+pub mod refusals;
 pub mod route;
 pub mod shutdown;
 pub mod transfer;
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use sequoiayoke_dispatch::{admission, outcomes, transfer, usage};
+use sequoiayoke_dispatch::{admission, outcomes, refusals, transfer, usage};
 use sequoiayoke_http1::response;
 use sequoiayoke_link::peer;
 use sequoiayoke_model::clock;
@@ -64,6 +64,7 @@
     input: BytesMut,
     used: clock::Instant,
     idle: Duration,
+    refusals: refusals::Refusals,
 }
 
 /// Progress of a request at the node of the backend server.
@@ -244,7 +245,7 @@
             false => NON_IDEMPOTENT_IDLE_TIMEOUT,
         };
         stage.set(Stage::Connecting);
-        let connection = match self.checkout(max_idle).await {
+        let connection = match self.checkout(Some(&open.id), max_idle).await {
             Ok(connection) => connection,
             Err(error) => {
                 tracing::info!(id = open.id, %error, "cannot connect to the backend server");
@@ -466,5 +467,6 @@
         input: BytesMut::new(),
         used: clock::Instant::now(),
         idle: IDLE_TIMEOUT,
+        refusals: refusals::Refusals::new(),
     })
 }
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -16,20 +16,14 @@
 use crate::frontend;
 
 impl Backend {
-    /// Returns the most recently used idle connection, or opens one.
-    pub(super) async fn checkout(&self, max_idle: Duration) -> Result<Connection, Error> {
-        let now = clock::Instant::now();
-        loop {
-            let newest = self.idle.borrow_mut().pop();
-            let Some(mut connection) = newest else {
-                return connect(self.address).await;
-            };
-            let age = now.saturating_since(connection.used);
-            if age >= connection.idle.min(max_idle) {
-                // All other idle connections are older.
-                self.idle.borrow_mut().clear();
-                continue;
-            }
+    /// Returns the most recently used idle connection on which the request with this id was not
+    /// refused, or opens one.
+    pub(super) async fn checkout(
+        &self,
+        id: Option<&str>,
+        max_idle: Duration,
+    ) -> Result<Connection, Error> {
+        while let Some(mut connection) = self.take_idle(id, max_idle) {
             // Bytes that arrive while no request is open belong to none; a closed connection shows
             // here too.
             match connection.io.try_read_buf(&mut connection.input) {
@@ -40,6 +34,23 @@
                 Err(error) => tracing::debug!(%error, "an idle connection has failed"),
             }
         }
+        connect(self.address).await
+    }
+
+    /// Removes the idle connection for [`Backend::checkout`] from the kept ones.
+    fn take_idle(&self, id: Option<&str>, max_idle: Duration) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let index = idle
+            .iter()
+            .rposition(|connection| id.is_none_or(|id| !connection.refusals.contains(id)))?;
+        let connection = idle.remove(index);
+        let age = clock::Instant::now().saturating_since(connection.used);
+        if age < connection.idle.min(max_idle) {
+            return Some(connection);
+        }
+        // The connections before it are older.
+        idle.drain(..index);
+        None
     }
 
     pub(super) fn check_in(&self, connection: Connection) {
@@ -78,7 +89,7 @@
     where
         Frontend: frontend::Frontend,
     {
-        let connection = self.checkout(NON_IDEMPOTENT_IDLE_TIMEOUT).await;
+        let connection = self.checkout(None, NON_IDEMPOTENT_IDLE_TIMEOUT).await;
         let connection = connection.inspect_err(|error| {
             if matches!(error, Error::Refused) {
                 context.send_event(coordinator::Event::Ended(instance.clone()));
--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -65,7 +65,16 @@
                 }
             }
         };
-        let is_reusable = response.keeps_alive && stray == 0 && connection.input.is_empty();
+        let metadata = context.frontend.response_metadata(&response);
+        if let Some(id) = id
+            && (metadata.is_refusal || metadata.is_misdirected)
+        {
+            connection.refusals.add(id);
+        }
+        let is_reusable = response.keeps_alive
+            && stray == 0
+            && connection.input.is_empty()
+            && !connection.refusals.is_full();
         if is_reusable {
             let idle_timeout = response.fields.get("keep-alive").and_then(parse_keep_alive);
             if let Some(idle_timeout) = idle_timeout {
