Keep answers to commands apart that have no id

A faulty backend server that repeats the answer to an earlier command on a kept connection made a node take it for the answer to a later one: a grant counted as confirmed, or a release as final, though the server had not applied it. Two servers could then hold the same keys.

Neither the commands nor the health check have an id. The answer to a caller's request can be told by its id, its stamp or its mark as a refusal; it is discarded now. The answers to two commands cannot be told apart, so a kept connection carries commands about one grant only, and a release or a health check needs a connection without earlier commands. Callers' requests still share all connections.

Weighed: a new connection for each command. What remains: the repeated answer to a renewal hides that a later renewal of the same grant was lost, until the next one; requests meanwhile get 421, which is "not run".

--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -65,6 +65,8 @@
     used: clock::Instant,
     idle: Duration,
     refusals: refusals::Refusals,
+    /// What the requests of the node itself on this connection were about, if there were any.
+    subject: Option<connections::Subject>,
 }
 
 /// Progress of a request at the node of the backend server.
@@ -245,7 +247,7 @@
             false => NON_IDEMPOTENT_IDLE_TIMEOUT,
         };
         stage.set(Stage::Connecting);
-        let connection = match self.checkout(Some(&open.id), max_idle).await {
+        let connection = match self.checkout(&open.id, max_idle).await {
             Ok(connection) => connection,
             Err(error) => {
                 tracing::info!(id = open.id, %error, "cannot connect to the backend server");
@@ -468,5 +470,6 @@
         used: clock::Instant::now(),
         idle: IDLE_TIMEOUT,
         refusals: refusals::Refusals::new(),
+        subject: None,
     })
 }
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use sequoiayoke_catalog::server;
+use sequoiayoke_catalog::{server, slice};
 use sequoiayoke_http1::response;
 use sequoiayoke_model::clock;
 use tokio::sync::oneshot;
@@ -15,15 +15,53 @@
 use crate::coordinator;
 use crate::frontend;
 
+/// What a request of the node itself is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Subject {
+    /// A grant or its renewal.
+    Grant(slice::Range, slice::Fence),
+    /// A release.
+    Release(slice::Range, slice::Fence),
+    /// The identity of the backend server.
+    Identity,
+}
+
+impl Subject {
+    const fn new(command: &frontend::Command<'_>) -> Self {
+        match command {
+            frontend::Command::Grant { range, fence, .. } => Self::Grant(*range, *fence),
+            frontend::Command::Release { range, fence } => Self::Release(*range, *fence),
+        }
+    }
+
+    /// Returns whether a request about this may use a connection with this subject.
+    ///
+    /// The answer has no id. Only that to another subject can be mistaken for it, or an earlier one
+    /// to the same subject, which is harmless for a renewal.
+    fn allows(self, connection: Option<Self>) -> bool {
+        let is_grant = matches!(self, Self::Grant(..));
+        connection.is_none_or(|subject| is_grant && subject == self)
+    }
+}
+
 impl Backend {
     /// Returns the most recently used idle connection on which the request with this id was not
     /// refused, or opens one.
-    pub(super) async fn checkout(
+    pub(super) async fn checkout(&self, id: &str, max_idle: Duration) -> Result<Connection, Error> {
+        let is_usable = |connection: &Connection| !connection.refusals.contains(id);
+        self.checkout_if(max_idle, is_usable).await
+    }
+
+    /// Returns the most recently used idle connection that is usable, or opens one.
+    async fn checkout_if<IsUsable>(
         &self,
-        id: Option<&str>,
         max_idle: Duration,
-    ) -> Result<Connection, Error> {
-        while let Some(mut connection) = self.take_idle(id, max_idle) {
+        is_usable: IsUsable,
+    ) -> Result<Connection, Error>
+    where
+        IsUsable: Fn(&Connection) -> bool,
+    {
+        while let Some(mut connection) = self.take_idle(max_idle, &is_usable) {
             // Bytes that arrive while no request is open belong to none; a closed connection shows
             // here too.
             match connection.io.try_read_buf(&mut connection.input) {
@@ -37,12 +75,13 @@
         connect(self.address).await
     }
 
-    /// Removes the idle connection for [`Backend::checkout`] from the kept ones.
-    fn take_idle(&self, id: Option<&str>, max_idle: Duration) -> Option<Connection> {
+    /// Removes the most recently used idle connection that is usable from the kept ones.
+    fn take_idle<IsUsable>(&self, max_idle: Duration, is_usable: IsUsable) -> Option<Connection>
+    where
+        IsUsable: Fn(&Connection) -> bool,
+    {
         let mut idle = self.idle.borrow_mut();
-        let index = idle
-            .iter()
-            .rposition(|connection| id.is_none_or(|id| !connection.refusals.contains(id)))?;
+        let index = idle.iter().rposition(is_usable)?;
         let connection = idle.remove(index);
         let age = clock::Instant::now().saturating_since(connection.used);
         if age < connection.idle.min(max_idle) {
@@ -60,41 +99,51 @@
         }
     }
 
-    /// Sends a command about keys.
+    /// Sends a command about keys, which `call` encodes.
     pub(in crate::traffic) async fn send_command<Frontend>(
         &self,
         context: &Context<Frontend>,
         instance: &server::Instance,
+        command: &frontend::Command<'_>,
         call: &frontend::Call,
         timeout: Duration,
     ) -> Result<response::Response, Error>
     where
         Frontend: frontend::Frontend,
     {
-        let body = [call.media_type.as_bytes(), &call.body];
-        self.send_request(context, instance, "POST", call.path, body, timeout)
+        let request =
+            self.encode_request("POST", call.path, [call.media_type.as_bytes(), &call.body]);
+        self.send_request(context, instance, Subject::new(command), request, timeout)
             .await
     }
 
-    /// Sends a request that the node itself makes, with a media type and a body.
+    /// Sends a request that the node itself makes.
     async fn send_request<Frontend>(
         &self,
         context: &Context<Frontend>,
         instance: &server::Instance,
-        method: &str,
-        path: &str,
-        [media_type, body]: [&[u8]; 2],
+        subject: Subject,
+        request: Vec<u8>,
         timeout: Duration,
     ) -> Result<response::Response, Error>
     where
         Frontend: frontend::Frontend,
     {
-        let connection = self.checkout(None, NON_IDEMPOTENT_IDLE_TIMEOUT).await;
-        let connection = connection.inspect_err(|error| {
+        let is_usable = |connection: &Connection| subject.allows(connection.subject);
+        let connection = self.checkout_if(NON_IDEMPOTENT_IDLE_TIMEOUT, is_usable);
+        let mut connection = connection.await.inspect_err(|error| {
             if matches!(error, Error::Refused) {
                 context.send_event(coordinator::Event::Ended(instance.clone()));
             }
         })?;
+        connection.subject = Some(subject);
+        let exchange = self.exchange(context, connection, request, None);
+        let result = tokio::time::timeout(timeout, exchange).await;
+        result.unwrap_or(Err(Error::Timeout))
+    }
+
+    /// Encodes a request that the node itself makes, with a media type and a body.
+    fn encode_request(&self, method: &str, path: &str, [media_type, body]: [&[u8]; 2]) -> Vec<u8> {
         let mut request = format!("{method} {path} HTTP/1.1\r\nhost: {}\r\n", self.address);
         if !body.is_empty() {
             let length = body.len();
@@ -107,9 +156,7 @@
         }
         request.extend_from_slice(b"\r\n");
         request.extend_from_slice(body);
-        let exchange = self.exchange(context, connection, request, None);
-        let result = tokio::time::timeout(timeout, exchange).await;
-        result.unwrap_or(Err(Error::Timeout))
+        request
     }
 
     /// Announces the instance that the leader knows as running if it answers under its name.
@@ -126,9 +173,10 @@
         };
         let path = &service.health_path;
         let instance = &known.instance;
-        let request =
-            self.send_request(context, instance, "GET", path, [&[], &[]], IDENTIFY_TIMEOUT);
-        match request.await {
+        let request = self.encode_request("GET", path, [&[], &[]]);
+        let subject = Subject::Identity;
+        let response = self.send_request(context, instance, subject, request, IDENTIFY_TIMEOUT);
+        match response.await {
             Ok(response) if context.frontend.identity(&response) == Some(&instance.name) => {
                 tracing::info!(
                     instance = instance.name,
--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -53,7 +53,7 @@
             };
             // Several responses may arrive in one read.
             while let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
-                if context.frontend.response_metadata(&response).id == id {
+                if is_answer(&context.frontend.response_metadata(&response), id) {
                     break 'read response;
                 }
                 stray += 1;
@@ -91,6 +91,13 @@
     }
 }
 
+/// Returns whether a response answers the request with this id, or a request without one. The answer
+/// to the latter has none of the fields of an answer to a caller's request.
+fn is_answer(metadata: &frontend::Metadata<'_>, id: Option<&str>) -> bool {
+    let is_for_caller = metadata.is_refusal || metadata.is_misdirected || metadata.has_stamp;
+    metadata.id == id && (id.is_some() || !is_for_caller)
+}
+
 /// Returns the method of an encoded request.
 fn method(request: &[u8]) -> &str {
     let end = request.iter().position(|byte| *byte == b' ');
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -308,7 +308,7 @@
     };
     let response = context
         .backend
-        .send_command(context, instance, &call, timeout);
+        .send_command(context, instance, command, &call, timeout);
     match response.await {
         Ok(response) => Some(response),
         Err(error) => {
