Read responses of the backend server in pieces of 8 KiB

A body of 16 MiB took more than 2 s to read, in which the traffic thread did little else. The buffer of a connection grows by 64 bytes when it is full and is empty after each read, so that each read took 64 bytes at most; a usual answer took several reads too.

8 KiB are reserved before each read, as for callers. A kept connection holds its buffer: 256 KiB for all 32.

No test of its own: only the time differs.

--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -14,6 +14,8 @@
     head: 64 * 1024,
     body: 16 * 1024 * 1024,
 };
+/// Smallest size of the buffer for one read, in bytes.
+const READ_BYTES: usize = 8 * 1024;
 /// Percentage of the backend server's own idle timeout after which a connection is not reused.
 const IDLE_TIMEOUT_PERCENT: u32 = 80;
 /// Longest time to write the remainder of a body after an early answer.
@@ -42,6 +44,8 @@
         let mut decoder = response::Decoder::new().with_method(method(&request));
         let Connection { io, input, .. } = &mut connection;
         let response = 'read: loop {
+            // Without a reservation, each read takes 64 bytes at most.
+            input.reserve(READ_BYTES);
             let (mut reader, mut writer) = io.split();
             let read = tokio::select! {
                 biased;
