Bound the memory of all responses that a node reads together

Bytes that are no answer may come without end. Each response was bounded by 16 MiB, but as many were read at once as the backend server has slots, and a process over the memory of its VM is killed, with all its requests.

The responses being read share 40 MiB (MAX_READING). dispatch::memory lets a response grow while it is no larger than what is left beside it: one of 16 MiB fits, n without end are cut at 40 / (n + 1) MiB each, and small ones always have room. A response without room is cut: its connection is closed at once and its outcome is unknown. The time is bounded by the request's deadline as before. The metric response_bytes_peak shows how close a node has come.

The exchange reads before it writes, so a sender that is faster than the node can keep a request from being written until it is cut; the outcome is unknown then as well. Other tasks are not starved: the runtime makes a task yield after 128 operations.

--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -27,6 +27,7 @@
     cancelled: metrics::Counter,
     in_progress: metrics::Gauge,
     partly_read: metrics::Gauge,
+    response_peak: metrics::Gauge,
     index: metrics::Gauge,
     version: metrics::Gauge,
     labels: cell::RefCell<collections::HashMap<(String, &'static str), label::Set>>,
@@ -87,6 +88,10 @@
                 "connections_partly_read",
                 "Connections of callers on which a part of a request was read.",
             ),
+            response_peak: metrics.gauge(
+                "response_bytes_peak",
+                "Largest size of all responses that were read at the same time.",
+            ),
             index: metrics.gauge(
                 "view_index",
                 "Log index of the view that requests are routed by.",
@@ -143,6 +148,10 @@
         self.partly_read.set(connections as f64, &labels);
     }
 
+    pub(crate) fn set_response_peak(&self, bytes: usize) {
+        self.response_peak.set(bytes as f64, &label::Set::empty());
+    }
+
     pub(crate) fn set_earned_retries(&self, service: &str, earned: f64) {
         let labels = label::Set::new([label::Label::Service(service)]);
         self.earned_retries.set(earned, &labels);
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -56,6 +56,7 @@
     usage: cell::RefCell<usage::Usage>,
     transfers: bodies::Transfers,
     outcomes: cell::RefCell<outcomes::Outcomes>,
+    memory: exchange::Memory,
 }
 
 #[derive(Debug)]
@@ -115,6 +116,9 @@
     /// The response answers another request.
     #[error("received only responses to other requests")]
     Stray,
+    /// The responses that are being read fill the memory for them.
+    #[error("the responses that are being read fill the memory for them")]
+    Memory,
     /// There was no response in time.
     #[error("there was no response in time")]
     Timeout,
@@ -138,6 +142,7 @@
             usage: cell::RefCell::default(),
             transfers: bodies::Transfers::default(),
             outcomes: cell::RefCell::default(),
+            memory: exchange::Memory::default(),
         }
     }
 
--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -1,7 +1,9 @@
 //! Single exchanges with the backend server: a request and the response to it.
 
+use std::cell;
 use std::time::Duration;
 
+use sequoiayoke_dispatch::memory;
 use sequoiayoke_http1::response;
 use sequoiayoke_model::clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,6 +18,9 @@
 };
 /// Smallest size of the buffer for one read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
+/// Largest size of all responses that are read at the same time, in bytes. A response of the largest
+/// size fits beside small ones; see [`memory::Pool`].
+const MAX_READING: usize = 40 * 1024 * 1024;
 /// Percentage of the backend server's own idle timeout after which a connection is not reused.
 const IDLE_TIMEOUT_PERCENT: u32 = 80;
 /// Longest time to write the remainder of a body after an early answer.
@@ -23,6 +28,41 @@
 /// Largest number of responses to other requests that are discarded during one exchange.
 const MAX_STRAY_RESPONSES: usize = 4;
 
+/// Memory for the responses that are being read.
+#[derive(Debug)]
+pub(super) struct Memory(cell::RefCell<memory::Pool>);
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self(cell::RefCell::new(memory::Pool::new(MAX_READING)))
+    }
+}
+
+/// Memory of one response; it is returned when dropped.
+struct Share<'a> {
+    memory: &'a Memory,
+    bytes: usize,
+}
+
+impl Share<'_> {
+    /// Changes the size; returns the new peak of the size of all responses, if there is one.
+    fn resize(&mut self, bytes: usize) -> Result<Option<usize>, Error> {
+        let mut pool = self.memory.0.borrow_mut();
+        let before = pool.peak();
+        if !pool.resize(self.bytes, bytes) {
+            return Err(Error::Memory);
+        }
+        self.bytes = bytes;
+        Ok(Some(pool.peak()).filter(|peak| *peak > before))
+    }
+}
+
+impl Drop for Share<'_> {
+    fn drop(&mut self) {
+        self.memory.0.borrow_mut().resize(self.bytes, 0);
+    }
+}
+
 impl Backend {
     /// Writes a request and reads its response; the connection is kept if it can be reused.
     ///
@@ -41,6 +81,10 @@
     {
         let mut written = 0;
         let mut stray = 0;
+        let mut share = Share {
+            memory: &self.memory,
+            bytes: 0,
+        };
         let mut decoder = response::Decoder::new().with_method(method(&request));
         let Connection { io, input, .. } = &mut connection;
         let response = 'read: loop {
@@ -55,6 +99,9 @@
                     continue;
                 }
             };
+            if let Some(peak) = share.resize(input.len() + decoder.body_len())? {
+                context.measure.set_response_peak(peak);
+            }
             // Several responses may arrive in one read.
             while let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
                 if is_answer(&context.frontend.response_metadata(&response), id) {
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Returns the number of bytes that were decoded.
+    pub(crate) fn len(&self) -> usize {
+        self.content.len()
+    }
+
     pub(crate) fn finish(self) -> Bytes {
         self.content.freeze()
     }
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -88,6 +88,24 @@
         }
     }
 
+    /// Returns the number of bytes of the open response's body that were decoded.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bytes::BytesMut;
+    /// use sequoiayoke_http1::response;
+    ///
+    /// let mut decoder = response::Decoder::new();
+    /// let mut input = BytesMut::from("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nab");
+    /// let limits = response::Limits { head: 1_024, body: 1_024 };
+    /// decoder.decode(&mut input, limits, false).expect("it is well formed");
+    /// assert_eq!(decoder.body_len(), 2);
+    /// ```
+    pub fn body_len(&self) -> usize {
+        self.open.as_ref().map_or(0, |(_, body)| body.len())
+    }
+
     /// Consumes the available input; `is_closed` means that no more input follows.
     ///
     /// # Errors
