Treat a head that contains another status line as malformed

A faulty backend server may send a part of an earlier answer again. If that part ended in the reason phrase or in the value of a field, the head of the awaited answer continued it: a 200 became a 503 with the id and the stamp of the answer, and with a field that marks a refusal it was "not run" for a request that ran.

A status line within a head now makes it malformed; callers get 502. In any other place the decoder refused it already.

Before: tests/truncation.rs, a_response_after_a_part_of_a_head_is_not_mixed_with_it failed with "HTTP/1.1 503 HTTP/1.1 200 OK"; it tries a part of each length.

--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -11,6 +11,9 @@
 /// Status codes that the protocol defines the classes of.
 const STATUS_CODES: ops::RangeInclusive<u16> = 100..=599;
 
+/// Start of a status line, up to the minor version.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+
 /// A complete response.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -207,6 +210,9 @@
         return Err(Error::Head);
     }
     let minor = parsed.version.ok_or(Error::Head)?;
+    if has_status_line(&raw[1..]) {
+        return Err(Error::Head);
+    }
     let fields = head::Fields::new(raw.clone(), parsed.headers);
     let keeps_alive = match minor {
         0 => fields.has_token("connection", "keep-alive"),
@@ -220,3 +226,14 @@
     };
     Ok(Some((response, length)))
 }
+
+/// Returns whether a part of a head contains a status line.
+///
+/// In the reason phrase or in a field, it shows that the bytes of a response without end are followed
+/// by another response.
+fn has_status_line(part: &[u8]) -> bool {
+    part.windows(STATUS_LINE_START.len() + 3).any(|window| {
+        let rest = window.strip_prefix(STATUS_LINE_START);
+        matches!(rest, Some([minor, b' ', code]) if minor.is_ascii_digit() && code.is_ascii_digit())
+    })
+}
--- a/crates/http1/tests/truncation.rs
+++ b/crates/http1/tests/truncation.rs
@@ -101,3 +101,18 @@
         }
     }
 }
+
+/// Guards against a response whose head begins with a part of another one: bytes after an earlier
+/// response may end anywhere in a head, and the awaited response follows them.
+#[test]
+fn a_response_after_a_part_of_a_head_is_not_mixed_with_it() {
+    let other = "HTTP/1.1 503 Busy\r\nid: other\r\nrefusal: 1\r\ncontent-length: 0\r\n\r\n";
+    let awaited = "HTTP/1.1 200 OK\r\nid: awaited\r\ncontent-length: 5\r\n\r\nhello";
+    for end in 1..other.len() {
+        for size in READ_SIZES {
+            let text = format!("{}{awaited}", &other[..end]);
+            let result = decode(text.as_bytes(), size);
+            assert_eq!(result.err(), Some(Error::Head), "{text:?}");
+        }
+    }
+}
