Bound the bodies that are still written after an early answer

A backend server that refuses uploads before it has read them, and then does not read on, made its node hold each body for 1 s after the answer. The slot of the request was free by then, so that their number had no bound.

They share the memory of the responses being read (40 MiB, now MAX_MEMORY). Without room the rest of the body is not written and the connection is closed, which a backend server may not take for other bytes.

Before: cuts::bodies_that_were_answered_early_share_their_memory failed with the bound taken out of the pool: 50,332,240 bytes for 6 bodies of 12 MiB.

--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -90,7 +90,7 @@
             ),
             response_peak: metrics.gauge(
                 "response_bytes_peak",
-                "Largest size of all responses that were read at the same time.",
+                "Largest size of all responses that were read and requests that were answered early at the same time.",
             ),
             index: metrics.gauge(
                 "view_index",
--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -1,6 +1,7 @@
 //! Single exchanges with the backend server: a request and the response to it.
 
 use std::cell;
+use std::rc;
 use std::time::Duration;
 
 use sequoiayoke_dispatch::memory;
@@ -10,6 +11,7 @@
 
 use super::{Backend, Connection, Context, Error, IDLE_TIMEOUT};
 use crate::frontend;
+use crate::measure;
 
 /// Size limits of a response, in bytes.
 const LIMITS: response::Limits = response::Limits {
@@ -18,9 +20,9 @@
 };
 /// Smallest size of the buffer for one read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
-/// Largest size of all responses that are read at the same time, in bytes. A response of the largest
-/// size fits beside small ones; see [`memory::Pool`].
-const MAX_READING: usize = 40 * 1024 * 1024;
+/// Largest size of all responses that are read at the same time and of all requests that were
+/// answered early, in bytes. One of the largest size fits beside small ones; see [`memory::Pool`].
+const MAX_MEMORY: usize = 40 * 1024 * 1024;
 /// Percentage of the backend server's own idle timeout after which a connection is not reused.
 const IDLE_TIMEOUT_PERCENT: u32 = 80;
 /// Longest time to write the remainder of a body after an early answer.
@@ -28,36 +30,44 @@
 /// Largest number of responses to other requests that are discarded during one exchange.
 const MAX_STRAY_RESPONSES: usize = 4;
 
-/// Memory for the responses that are being read.
-#[derive(Debug)]
-pub(super) struct Memory(cell::RefCell<memory::Pool>);
+/// Memory for responses that are being read and requests that were answered early.
+#[derive(Clone, Debug)]
+pub(super) struct Memory(rc::Rc<cell::RefCell<memory::Pool>>);
 
 impl Default for Memory {
     fn default() -> Self {
-        Self(cell::RefCell::new(memory::Pool::new(MAX_READING)))
+        let pool = memory::Pool::new(MAX_MEMORY);
+        Self(rc::Rc::new(cell::RefCell::new(pool)))
     }
 }
 
-/// Memory of one response; it is returned when dropped.
-struct Share<'a> {
-    memory: &'a Memory,
+/// Memory of one response or request; it is returned when dropped.
+struct Share {
+    memory: Memory,
     bytes: usize,
 }
 
-impl Share<'_> {
-    /// Changes the size; returns the new peak of the size of all responses, if there is one.
-    fn resize(&mut self, bytes: usize) -> Result<Option<usize>, Error> {
+impl Share {
+    const fn new(memory: Memory) -> Self {
+        Self { memory, bytes: 0 }
+    }
+
+    /// Changes the size, and records a new peak of the size of all shares.
+    fn resize(&mut self, measure: &measure::Measure, bytes: usize) -> Result<(), Error> {
         let mut pool = self.memory.0.borrow_mut();
-        let before = pool.peak();
+        let peak = pool.peak();
         if !pool.resize(self.bytes, bytes) {
             return Err(Error::Memory);
         }
         self.bytes = bytes;
-        Ok(Some(pool.peak()).filter(|peak| *peak > before))
+        if pool.peak() > peak {
+            measure.set_response_peak(pool.peak());
+        }
+        Ok(())
     }
 }
 
-impl Drop for Share<'_> {
+impl Drop for Share {
     fn drop(&mut self) {
         self.memory.0.borrow_mut().resize(self.bytes, 0);
     }
@@ -81,10 +91,7 @@
     {
         let mut written = 0;
         let mut stray = 0;
-        let mut share = Share {
-            memory: &self.memory,
-            bytes: 0,
-        };
+        let mut share = Share::new(self.memory.clone());
         let mut decoder = response::Decoder::new().with_method(method(&request));
         let Connection { io, input, .. } = &mut connection;
         let response = 'read: loop {
@@ -99,9 +106,7 @@
                     continue;
                 }
             };
-            if let Some(peak) = share.resize(input.len() + decoder.body_len())? {
-                context.measure.set_response_peak(peak);
-            }
+            share.resize(&context.measure, input.len() + decoder.body_len())?;
             // Several responses may arrive in one read.
             while let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
                 if is_answer(&context.frontend.response_metadata(&response), id) {
@@ -134,8 +139,10 @@
             connection.used = clock::Instant::now();
             if written == request.len() {
                 self.check_in(connection);
+            } else if share.resize(&context.measure, request.len()).is_ok() {
+                write_remainder(connection, request, written, share);
             } else {
-                write_remainder(connection, request, written);
+                tracing::debug!("no memory for the rest of a body that was answered early");
             }
         }
         Ok(response)
@@ -157,8 +164,9 @@
 
 /// Writes the remainder of a body that was answered early: the backend server reads it before the
 /// next request on the connection.
-fn write_remainder(mut connection: Connection, request: Vec<u8>, written: usize) {
+fn write_remainder(mut connection: Connection, request: Vec<u8>, written: usize, share: Share) {
     tokio::task::spawn_local(async move {
+        let _share = share;
         let write = connection.io.write_all(&request[written..]);
         match tokio::time::timeout(REMAINDER_TIMEOUT, write).await {
             Ok(Ok(())) => tracing::debug!("wrote the rest of a body that was answered early"),
