Give requests an outcome before a node that drains ends

What callers saw: a request whose deadline was later than the end of a node that had got SIGTERM ended with a closed connection, with neither an answer nor a refusal. It waited for a body, an owner, a slot, or for the node to which it had been forwarded.

Cause: at the end of `timing.drain_ms` the traffic threads dropped all tasks. Nothing bounded a request by the time that its process has left.

Change: the last second of the drain time (at most a quarter) is for outcomes. `Path::cutoff` then cancels each wait: before the dispatch the request is `not-run`, after it `unknown`, with the reason `draining`. A forwarded request is cancelled by the frame `Reset`. The owner's node does not abort the task any more but lets it report its outcome, so that a request that waited there for a slot is reported as `not-run`; without a report within 100 ms it is `unknown`. A request that arrives after the cutoff is refused at once.

--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -234,12 +234,12 @@
         .build()
         .change_context(Error::Start)?;
     let run = move || {
-        let (drain_expired, stopped) = (shutdown.drain_expired.clone(), stop.clone());
-        runtime.spawn(async move {
-            stopped.cancelled().await;
-            tokio::time::sleep(drain).await;
-            drain_expired.cancel();
-        });
+        runtime.spawn(traffic::run_deadlines(
+            sync::Arc::clone(&path),
+            stop.clone(),
+            drain,
+            shutdown.clone(),
+        ));
         let running = traffic::run(listeners, config, path, announce, &shutdown);
         let outcome = runtime.block_on(running);
         shutdown.ended.cancel();
--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -28,11 +28,15 @@
 use sequoiayoke_model::clock;
 use sequoiayoke_supervise::{Stop, Supervisor, budget, policy, supervisor};
 use tokio::net::TcpListener;
+use tokio::time;
 
 /// Maximum number of restarts of the listeners within [`WINDOW`].
 pub const RESTARTS: usize = 5;
 /// Time window in which [`RESTARTS`] are counted.
 pub const WINDOW: Duration = Duration::from_secs(10);
+/// Last part of the drain time, in which the requests without an answer get their outcome and
+/// all answers are written; at most a quarter of the drain time.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
 
 /// The request path with the system clock and the HTTP backend server.
 pub type Path = path::Path<clock::Boot, server::Http>;
@@ -68,13 +72,27 @@
 pub struct Shutdown {
     /// All slices are released: the listeners close, and requests in flight complete.
     pub close: Stop,
-    /// The drain time has passed; requests that are still in flight are interrupted.
+    /// The drain time has passed; answers that are still being written are interrupted.
     pub drain_expired: Stop,
     /// The traffic threads have stopped.
     pub ended: Stop,
 }
 
-/// Runs the listeners until the shutdown, and logs the requests that it interrupts.
+/// Bounds a shutdown that begins with `stop` by the time `drain`.
+///
+/// Requests whose deadline is later than the end of the process get their outcome before it.
+pub async fn run_deadlines(path: sync::Arc<Path>, stop: Stop, drain: Duration, shutdown: Shutdown) {
+    stop.cancelled().await;
+    let answer_time = ANSWER_TIME.min(drain / 4);
+    time::sleep(drain - answer_time).await;
+    log_interrupted(&path);
+    path.cutoff().cancel();
+    shutdown.close.cancel();
+    time::sleep(answer_time).await;
+    shutdown.drain_expired.cancel();
+}
+
+/// Runs the listeners until the shutdown.
 ///
 /// # Errors
 ///
@@ -135,14 +153,9 @@
             supervisor.run("peers", policy::Policy::Permanent, peer),
         )
     };
-    let drain_expired = async {
-        shutdown.drain_expired.cancelled().await;
-        // Must run before `select!` drops the other branch, which ends the requests.
-        log_interrupted(&path);
-    };
     tokio::select! {
         outcome = running => outcome.map(|_| ()),
-        () = drain_expired => Ok(()),
+        () = shutdown.drain_expired.cancelled() => Ok(()),
     }
 }
 
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -170,6 +170,7 @@
             scope: &subject.scope,
             idempotent: subject.idempotent,
             forwarded: None,
+            cancel: self.path.cutoff(),
         };
         if matches!(target, parse::Target::RequestId { .. }) {
             return self.issue(&view).await;
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -9,6 +9,7 @@
 mod issue;
 mod local;
 mod record;
+mod source;
 
 use std::io;
 use std::sync;
@@ -17,10 +18,11 @@
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use futures_util::{Stream, StreamExt};
+use futures_util::Stream;
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::outcome;
+use sequoiayoke_supervise::Stop;
 use sequoiayoke_traffic::health;
 use sequoiayoke_traffic::retry;
 use sequoiayoke_traffic::route;
@@ -38,8 +40,6 @@
 use crate::measure;
 use crate::published;
 
-/// Size in bytes up to which a body is buffered, so that its request can be retried.
-const MAX_BUFFERED_BODY: u64 = 64 * 1024;
 /// Time for which a forwarded request waits for the view that its entry node had; well
 /// above the few milliseconds between the arrivals of a view at different nodes.
 const MAX_VIEW_WAIT: Duration = Duration::from_millis(500);
@@ -76,57 +76,13 @@
     limits: Limits,
     waiting: atomic::AtomicUsize,
     in_flight: sync::Arc<in_flight::Registry>,
+    cutoff: Stop,
     // Locked for one decision, never across an `await`.
     budget: sync::Mutex<retry::Budget>,
     evidence: sync::Arc<evidence::Evidence>,
     measure: Option<sync::Arc<measure::Measure>>,
 }
 
-/// Body of a request: buffered for several attempts, or streamed for a single one.
-enum Source<B> {
-    Buffered(Bytes),
-    Streamed(Option<B>),
-}
-
-/// Body of one attempt.
-enum AttemptBody<B> {
-    Buffered(Option<Bytes>),
-    Streamed(B),
-}
-
-impl<B> Stream for AttemptBody<B>
-where
-    B: Stream<Item = io::Result<Bytes>> + Unpin,
-{
-    type Item = io::Result<Bytes>;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        match &mut *self {
-            Self::Buffered(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                std::task::Poll::Ready(bytes.map(Ok))
-            }
-            Self::Streamed(body) => body.poll_next_unpin(context),
-        }
-    }
-}
-
-impl<B> Source<B> {
-    fn next_attempt(&mut self) -> Option<AttemptBody<B>> {
-        match self {
-            Self::Buffered(bytes) => Some(AttemptBody::Buffered(Some(bytes.clone()))),
-            Self::Streamed(body) => body.take().map(AttemptBody::Streamed),
-        }
-    }
-
-    const fn can_attempt(&self) -> bool {
-        matches!(self, Self::Buffered(_) | Self::Streamed(Some(_)))
-    }
-}
-
 impl<C, S> Path<C, S>
 where
     C: clock::Clock + Send + Sync + 'static,
@@ -149,6 +105,7 @@
             limits,
             waiting: atomic::AtomicUsize::new(0),
             in_flight: sync::Arc::default(),
+            cutoff: Stop::new(),
             budget,
             evidence,
             measure: None,
@@ -197,6 +154,19 @@
         &self.in_flight
     }
 
+    /// Returns the token that ends all requests without an answer, and refuses new ones.
+    pub const fn cutoff(&self) -> &Stop {
+        &self.cutoff
+    }
+
+    /// Returns the reason for which a request is cancelled.
+    fn cancel_reason(&self) -> outcome::Reason {
+        match self.cutoff.is_cancelled() {
+            true => outcome::Reason::Draining,
+            false => outcome::Reason::Cancelled,
+        }
+    }
+
     /// Sets the backend server.
     pub fn set_target(&self, target: Option<sync::Arc<Target<S>>>) {
         self.target.store(target);
@@ -232,10 +202,12 @@
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
     {
         let left = view.left(self.clock.now());
-        let mut source = match tokio::time::timeout(left, buffer_body(view, body)).await {
-            Ok(Ok(source)) => source,
-            Ok(Err(_)) => return answer::Answer::not_run(outcome::Reason::Cancelled),
-            Err(_) => return answer::Answer::not_run(outcome::Reason::Deadline),
+        let buffering = tokio::time::timeout(left, source::buffer(view, body));
+        let mut source = match view.until_cancelled(buffering).await {
+            Some(Ok(Ok(source))) => source,
+            Some(Ok(Err(_))) => return answer::Answer::not_run(outcome::Reason::Cancelled),
+            Some(Err(_)) => return answer::Answer::not_run(outcome::Reason::Deadline),
+            None => return answer::Answer::not_run(self.cancel_reason()),
         };
         self.lock_budget()
             .deposit(self.clock.now(), view.caller, view.service);
@@ -244,7 +216,8 @@
         let mut uncertain = None;
         loop {
             let mut changed = self.published.subscribe();
-            let answer = match self.decide(view).await {
+            let decision = view.until_cancelled(self.decide(view)).await;
+            let answer = match decision.unwrap_or_else(|| Err(self.cancel_reason())) {
                 Ok(decision) => match source.next_attempt() {
                     Some(body) => {
                         self.reissue(view);
@@ -284,14 +257,15 @@
                 }
             }
         };
-        let _ = tokio::time::timeout(backoff, owner_changed).await;
+        let waiting = tokio::time::timeout(backoff, owner_changed);
+        let _ = view.until_cancelled(waiting).await;
     }
 
     fn may_retry<B>(
         &self,
         view: &request::View<'_>,
         answer: &answer::Answer,
-        source: &Source<B>,
+        source: &source::Source<B>,
         number: u32,
         now: clock::Instant,
     ) -> bool {
@@ -350,7 +324,9 @@
     ///
     /// Returns the reason why a request for the key would not run.
     pub async fn wait_for_owner(&self, view: &request::View<'_>) -> Result<(), outcome::Reason> {
-        self.decide(view).await.map(|_| ())
+        let decision = view.until_cancelled(self.decide(view)).await;
+        let decision = decision.unwrap_or_else(|| Err(self.cancel_reason()));
+        decision.map(|_| ())
     }
 
     fn decide_now(&self, view: &request::View<'_>) -> Result<route::Decision, outcome::Reason> {
@@ -394,7 +370,7 @@
         &self,
         view: &request::View<'_>,
         decision: route::Decision,
-        body: AttemptBody<B>,
+        body: source::Attempt<B>,
     ) -> answer::Answer
     where
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
@@ -416,7 +392,7 @@
         view: &request::View<'_>,
         address: std::net::SocketAddr,
         epoch: id::Epoch,
-        body: AttemptBody<B>,
+        body: source::Attempt<B>,
     ) -> answer::Answer
     where
         B: Stream<Item = io::Result<Bytes>> + Send + Unpin + 'static,
@@ -427,9 +403,16 @@
         };
         let open = self.open_message(view, hop, epoch);
         self.count_forward(view);
-        let reply = tokio::time::timeout(left, self.peers.forward(address, open, body)).await;
+        let forward = self.peers.forward(address, open, body, view.cancel);
+        let reply = tokio::time::timeout(left, forward).await;
         match reply {
             Ok(Ok(reply)) => answer_from_reply(reply),
+            Ok(Err(outcome::Outcome::NotRun(outcome::Reason::Cancelled))) => {
+                answer::Answer::not_run(self.cancel_reason())
+            }
+            Ok(Err(outcome::Outcome::Unknown(outcome::Reason::Cancelled))) => {
+                answer::Answer::unknown(self.cancel_reason())
+            }
             Ok(Err(outcome)) => answer::Answer::new(outcome),
             Err(_) => answer::Answer::unknown(outcome::Reason::Deadline),
         }
@@ -486,24 +469,6 @@
     }
 }
 
-/// Buffers a short body, so that its request can be retried.
-async fn buffer_body<B>(view: &request::View<'_>, mut body: B) -> io::Result<Source<B>>
-where
-    B: Stream<Item = io::Result<Bytes>> + Unpin,
-{
-    match view.body_bytes() {
-        None if !view.is_chunked() => Ok(Source::Buffered(Bytes::new())),
-        Some(size) if size <= MAX_BUFFERED_BODY => {
-            let mut buffer = bytes::BytesMut::with_capacity(size as usize);
-            while let Some(part) = body.next().await {
-                buffer.extend_from_slice(&part?);
-            }
-            Ok(Source::Buffered(buffer.freeze()))
-        }
-        _ => Ok(Source::Streamed(Some(body))),
-    }
-}
-
 fn answer_from_reply(reply: dial::Reply) -> answer::Answer {
     let outcome = convert::outcome(&reply.head);
     let headers = reply.head.headers.into_iter();
--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -35,7 +35,11 @@
         let Some(target) = target else {
             return answer::Answer::not_run(outcome::Reason::Unreachable);
         };
-        let mut permit = match target.admission.acquire(&admission_ticket(view)).await {
+        let ticket = admission_ticket(view);
+        let admitted = view
+            .until_cancelled(target.admission.acquire(&ticket))
+            .await;
+        let mut permit = match admitted.unwrap_or_else(|| Err(self.cancel_reason())) {
             Ok(permit) => permit,
             Err(reason) => return answer::Answer::not_run(reason),
         };
@@ -56,7 +60,16 @@
             end(run, window::End::NotRun);
             return answer::Answer::not_run(outcome::Reason::Deadline);
         }
-        let response = target.server.dispatch(view, fence, body).await;
+        if view.cancel.is_cancelled() {
+            end(run, window::End::NotRun);
+            return answer::Answer::not_run(self.cancel_reason());
+        }
+        let dispatch = target.server.dispatch(view, fence, body);
+        let Some(response) = view.until_cancelled(dispatch).await else {
+            let reason = self.cancel_reason();
+            end(run, window::End::Unknown(reason));
+            return answer::Answer::unknown(reason);
+        };
         let response = match response {
             Ok(response) if response.refused => {
                 permit.refused();
@@ -76,10 +89,14 @@
             .is_some_and(|length| length <= self.limits.answer_bytes as u64);
         let body = answer::Body::Server(body, guard);
         let body = match run {
-            Some(run) if is_short => match store_answer(run, status, &headers, body).await {
-                Ok(bytes) => answer::Body::Whole(bytes),
-                Err(reason) => return answer::Answer::unknown(reason),
-            },
+            Some(run) if is_short => {
+                let storing = store_answer(run, status, &headers, body);
+                let stored = view.until_cancelled(storing).await;
+                match stored.unwrap_or_else(|| Err(self.cancel_reason())) {
+                    Ok(bytes) => answer::Body::Whole(bytes),
+                    Err(reason) => return answer::Answer::unknown(reason),
+                }
+            }
             run => {
                 end(run, window::End::Answered(None));
                 body
--- a/crates/node/src/traffic/peers/dial.rs
+++ b/crates/node/src/traffic/peers/dial.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, Stream, StreamExt};
 use sequoiayoke_model::outcome;
+use sequoiayoke_supervise::Stop;
 use sequoiayoke_wire::auth;
 use sequoiayoke_wire::convert;
 use sequoiayoke_wire::frame;
@@ -27,6 +28,8 @@
 
 /// Time after which a connection without streams is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time that the peer has to report the outcome of a request that is cancelled.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Configuration of the connections to other nodes.
 #[derive(Clone, Debug)]
@@ -114,15 +117,18 @@
     fn drop(&mut self) {
         let entry = self.connection.lock().streams.remove(&self.number);
         if entry.is_some() {
-            let reason = convert::encode_reason(outcome::Reason::Cancelled);
-            let reset = stream::Body::Reset(stream::Reset { reason });
             // If the queue is full, the peer ends the request at its deadline.
-            let frame = stream::Frame::new(self.number, reset);
-            let _ = self.connection.frames.try_send(frame);
+            let _ = self.connection.frames.try_send(reset(self.number));
         }
     }
 }
 
+/// Returns the frame that cancels the request of a stream.
+fn reset(number: u64) -> stream::Frame {
+    let reason = convert::encode_reason(outcome::Reason::Cancelled);
+    stream::Frame::new(number, stream::Body::Reset(stream::Reset { reason }))
+}
+
 /// Task that sends the body of the request; aborted when dropped.
 #[derive(Debug)]
 struct Upload(task::JoinHandle<outgoing::End>);
@@ -142,23 +148,27 @@
         }
     }
 
-    /// Forwards a request and waits for the head of its answer.
+    /// Forwards a request and waits for the head of its answer, or until `cancel` is cancelled.
     ///
     /// # Errors
     ///
-    /// Returns `NotRun` only if the head of the request was never written.
+    /// Returns `NotRun` only if the head of the request was never written, or if the peer
+    /// reports that the cancelled request did not run.
     pub async fn forward<B>(
         &self,
         address: net::SocketAddr,
         open: stream::Open,
         body: B,
+        cancel: &Stop,
     ) -> Result<Reply, outcome::Outcome>
     where
         B: Stream<Item = io::Result<Bytes>> + Send + 'static,
     {
         let connection = self.connection(address);
         let unreachable = outcome::Outcome::NotRun(outcome::Reason::Unreachable);
-        let permit = connection.frames.reserve().await;
+        let permit = cancel.run_until_cancelled(connection.frames.reserve());
+        let not_opened = outcome::Outcome::NotRun(outcome::Reason::Cancelled);
+        let permit = permit.await.ok_or(not_opened)?;
         let permit = permit.map_err(|_| unreachable)?;
         let opened = connection.open(permit, open, self.config.streams)?;
         let (number, incoming, credit) = (opened.number, opened.incoming, opened.credit);
@@ -178,6 +188,7 @@
             Ok(outgoing::End::Truncated) = &mut upload.0 => {
                 return Err(outcome::Outcome::Unknown(outcome::Reason::Cancelled));
             }
+            () = cancel.cancelled() => return Err(connection.cancel(number, head).await),
         };
         Ok(Reply {
             head,
@@ -258,6 +269,29 @@
         })
     }
 
+    /// Cancels the request of a stream, and returns the outcome that the peer reports for it.
+    async fn cancel(
+        &self,
+        number: u64,
+        head: oneshot::Receiver<Result<stream::Head, outcome::Outcome>>,
+    ) -> outcome::Outcome {
+        let reported = async {
+            let _ = self.frames.send(reset(number)).await;
+            head.await
+        };
+        let reported = tokio::time::timeout(CANCEL_TIMEOUT, reported).await;
+        let unknown = outcome::Outcome::Unknown(outcome::Reason::Cancelled);
+        match reported {
+            Ok(Ok(Ok(head))) => match convert::outcome(&head) {
+                // The peer stops sending the body of an answer to a cancelled request.
+                outcome::Outcome::Answered(_) => unknown,
+                outcome => outcome,
+            },
+            Ok(Ok(Err(outcome))) => outcome,
+            Ok(Err(_)) | Err(_) => unknown,
+        }
+    }
+
     async fn run(
         &self,
         address: net::SocketAddr,
--- a/crates/node/src/traffic/peers/serve.rs
+++ b/crates/node/src/traffic/peers/serve.rs
@@ -52,6 +52,10 @@
 struct Entry {
     feed: incoming::Feed,
     credit: outgoing::Credit,
+    // Ends the request with the outcome that it has by then.
+    cancel: Stop,
+    // Ends the sending of its answer.
+    reset: Stop,
     task: task::AbortHandle,
 }
 
@@ -177,9 +181,13 @@
                 }
             }
             Some(stream::Body::Reset(reset)) => {
-                if let Some(entry) = table.0.remove(&frame.stream) {
+                // The request reports its outcome, which the peer may still wait for.
+                if let Some(entry) = table.0.get(&frame.stream)
+                    && !entry.reset.is_cancelled()
+                {
+                    entry.cancel.cancel();
+                    entry.reset.cancel();
                     entry.feed.truncate(convert::decode_reason(reset.reason));
-                    entry.task.abort();
                 }
             }
             Some(stream::Body::Head(_)) | None => return Err(violation("unexpected frame type")),
@@ -208,14 +216,19 @@
     let credit = outgoing::Credit::new();
     let (path, frames, ended) = (path.clone(), frames.clone(), ended.clone());
     let response_credit = credit.clone();
+    let cancel = path.cutoff().child_token();
+    let reset = Stop::new();
+    let (is_cancelled, is_reset) = (cancel.clone(), reset.clone());
     let task = tokio::spawn(async move {
-        let answer = serve_request(&path, open, body).await;
-        respond(number, answer, &response_credit, &frames).await;
+        let answer = serve_request(&path, open, body, &is_cancelled).await;
+        respond(number, answer, &response_credit, &frames, &is_reset).await;
         let _ = ended.send(number).await;
     });
     Entry {
         feed,
         credit,
+        cancel,
+        reset,
         task: task.abort_handle(),
     }
 }
@@ -224,6 +237,7 @@
     path: &path::Path<C, S>,
     open: stream::Open,
     body: incoming::Incoming,
+    cancel: &Stop,
 ) -> answer::Answer
 where
     C: clock::Clock + Send + Sync + 'static,
@@ -252,6 +266,7 @@
         scope: &open.scope,
         idempotent: open.idempotent,
         forwarded: Some(id::Epoch(open.epoch)),
+        cancel,
     };
     path.serve(&mut view, body).await
 }
@@ -261,6 +276,7 @@
     answer: answer::Answer,
     credit: &outgoing::Credit,
     frames: &mpsc::Sender<stream::Frame>,
+    reset: &Stop,
 ) {
     let headers = answer.headers.into_iter();
     let mut head = stream::Head {
@@ -275,14 +291,16 @@
     convert::set_outcome(&mut head, answer.outcome);
     let frame = stream::Frame::new(number, stream::Body::Head(head));
     if frames.send(frame).await.is_ok() {
-        outgoing::send(number, answer.body, credit, frames).await;
+        let sending = outgoing::send(number, answer.body, credit, frames);
+        let _ = reset.run_until_cancelled(sending).await;
         drop(answer.in_flight);
     }
 }
 
 async fn refuse(number: u64, reason: outcome::Reason, frames: &mpsc::Sender<stream::Frame>) {
     let answer = answer::Answer::not_run(reason);
-    respond(number, answer, &outgoing::Credit::new(), frames).await;
+    let (credit, reset) = (outgoing::Credit::new(), Stop::new());
+    respond(number, answer, &credit, frames, &reset).await;
 }
 
 fn violation(text: &'static str) -> io::Error {
--- a/crates/node/src/traffic/request.rs
+++ b/crates/node/src/traffic/request.rs
@@ -1,5 +1,6 @@
 //! Requests as the path handles them, independent of the front end that received them.
 
+use std::future;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use sequoiayoke_model::id;
 use sequoiayoke_model::key;
 use sequoiayoke_model::request;
+use sequoiayoke_supervise::Stop;
 
 /// Borrowed view of the head of a request.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +37,8 @@
     pub idempotent: bool,
     /// For a forwarded request, the epoch of the grant in the entry node's view.
     pub forwarded: Option<id::Epoch>,
+    /// Token whose cancellation ends the request with the outcome that it has by then.
+    pub cancel: &'a Stop,
 }
 
 impl View<'_> {
@@ -43,6 +47,14 @@
         now.saturating_until(self.deadline)
     }
 
+    /// Waits for `wait`, or returns `None` when the request is cancelled first.
+    pub async fn until_cancelled<F>(&self, wait: F) -> Option<F::Output>
+    where
+        F: future::Future,
+    {
+        self.cancel.run_until_cancelled(wait).await
+    }
+
     /// Returns whether the body is sent in chunks, so that its size is not known in advance.
     pub fn is_chunked(&self) -> bool {
         let mut headers = self.headers.iter();
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use sequoiayoke_node::traffic::peers::dial;
+use sequoiayoke_supervise::Stop;
 use sequoiayoke_wire::{auth, frame, stream};
 use tokio::net::TcpListener;
 use tokio_util::codec;
@@ -47,7 +48,10 @@
 async fn forward(pool: &dial::Pool, address: net::SocketAddr) {
     let body = futures_util::stream::empty::<std::io::Result<Bytes>>();
     let open = stream::Open::default();
-    let reply = pool.forward(address, open, body).await.unwrap();
+    let reply = pool
+        .forward(address, open, body, &Stop::new())
+        .await
+        .unwrap();
     let parts: Vec<_> = reply.body.collect().await;
     assert!(parts.iter().all(Result::is_ok), "{parts:?}");
 }
--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -3,6 +3,8 @@
 //! It writes raw bytes, since an HTTP library would not write an incomplete answer. It records
 //! each step of a request as an event, so that tests can wait for it.
 
+#![allow(dead_code)]
+
 use std::io;
 use std::path::Path;
 use std::time::Duration;
@@ -121,6 +123,33 @@
         );
     }
 
+    /// Waits until the server has recorded an event that contains `text`.
+    pub(crate) async fn wait_event_containing(&self, text: &str) {
+        let mut events = self.events.subscribe();
+        let recorded = events.wait_for(|events| events.iter().any(|event| event.contains(text)));
+        let recorded = tokio::time::timeout(deployment::MAX_WAIT, recorded).await;
+        assert!(recorded.is_ok(), "{} has not recorded `{text}`", self.name);
+    }
+
+    /// Waits until the node reports that it is draining.
+    pub(crate) async fn wait_draining(&self, deployment: &Deployment) {
+        let url = format!("http://{}/v1/ready", self.caller());
+        let draining = async {
+            loop {
+                let answer = deployment.http().get(&url).send().await.unwrap();
+                if answer.text().await.unwrap() == "draining" {
+                    return;
+                }
+            }
+        };
+        let draining = tokio::time::timeout(deployment::MAX_WAIT, draining).await;
+        assert!(
+            draining.is_ok(),
+            "{} does not report that it is draining",
+            self.name
+        );
+    }
+
     /// Returns the events recorded so far, oldest first.
     pub(crate) fn events(&self) -> Vec<String> {
         self.events.borrow().clone()
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -147,25 +147,6 @@
     assert!(!has_new_work, "{events:?}");
 }
 
-/// Waits until a node reports that it is draining.
-async fn wait_draining(deployment: &Deployment, vm: &backend::Vm) {
-    let url = format!("http://{}/v1/ready", vm.caller());
-    let draining = async {
-        loop {
-            let answer = deployment.http().get(&url).send().await.unwrap();
-            if answer.text().await.unwrap() == "draining" {
-                return;
-            }
-        }
-    };
-    let draining = time::timeout(deployment::MAX_WAIT, draining).await;
-    assert!(
-        draining.is_ok(),
-        "{} does not report that it is draining",
-        vm.name
-    );
-}
-
 /// Shuts down the owner's node during an upload through VM `entry`, and asserts that the upload
 /// completes.
 async fn check_shutdown_during_upload(entry: usize) {
@@ -174,7 +155,7 @@
     let upload = Upload::start(vms[entry].caller(), &key).await;
     vms[0].wait_event_count(&format!("started {key}"), 2).await;
     vms[0].node.signal(Signal::TERM);
-    wait_draining(&deployment, &vms[0]).await;
+    vms[0].wait_draining(&deployment).await;
     // The node that is stopping still forwards requests of its callers.
     let entries: Vec<_> = vms.iter().collect();
     check_served(&deployment, &entries, &vms[0], &key).await;
