Serve the connections of callers at a shutdown until they are quiet

What callers saw: a caller that connected to a node between the close of its listeners and its end was accepted and got nothing. A caller that had a request waiting behind an answer on its connection got no answer to it.

Cause: the listening socket was cloned for each listener and the original stayed open until the process ended, so the kernel went on accepting connections that nobody served. The HTTP library closes connections between two requests as soon as the shutdown begins, also if bytes of a request wait in the socket, and does not look at requests behind the current one.

Change: `traffic::socket` closes the original sockets with the listeners. The acceptor accepts the connections that are established, then closes. An open connection goes on serving requests, answers carry `connection: close` from the beginning of the drain, and a connection without a request ends after 200 ms without a byte. At the end of the drain time the HTTP library closes the rest. A connection that is established in the microseconds between the last accept and the close of the socket is still reset by the kernel; nothing of it is read.

--- a/crates/node/src/traffic.rs
+++ b/crates/node/src/traffic.rs
@@ -18,7 +18,9 @@
 pub mod request;
 pub mod scrape;
 pub mod server;
+mod socket;
 
+use std::future;
 use std::io;
 use std::net;
 use std::sync;
@@ -27,7 +29,6 @@
 use poem::listener;
 use sequoiayoke_model::clock;
 use sequoiayoke_supervise::{Stop, Supervisor, budget, policy, supervisor};
-use tokio::net::TcpListener;
 use tokio::time;
 
 /// Maximum number of restarts of the listeners within [`WINDOW`].
@@ -111,10 +112,18 @@
         stop.clone(),
     );
     // Outlives restarts of the listener, so that the limit still counts its connections.
-    let connections = callers::connection::Connections::new(config.connections);
+    let closing = stop.clone();
+    let connections = callers::connection::Connections::with_closing(config.connections, closing);
     let connections = sync::Arc::new(connections);
+    let closed = || {
+        let (connections, cutoff) = (connections.clone(), path.cutoff().clone());
+        async move {
+            let _ = cutoff.run_until_cancelled(connections.closed()).await;
+        }
+    };
+    let listeners = socket::Sockets::new(listeners);
     let caller = || async {
-        let listener = clone_listener(&listeners.caller)?;
+        let listener = listeners.caller.open()?;
         let acceptor = callers::connection::Acceptor::new(listener, connections.clone());
         let endpoint = callers::Callers::new(
             path.clone(),
@@ -122,14 +131,14 @@
             config.signer.clone(),
             connections.clone(),
         );
-        serve_http(acceptor, endpoint, stop.clone()).await
+        serve_http(acceptor, endpoint, closed()).await
     };
     let backend = || async {
         let acceptor = tcp_acceptor(&listeners.backend)?;
-        serve_http(acceptor, announce.clone(), stop.clone()).await
+        serve_http(acceptor, announce.clone(), stop.clone().cancelled_owned()).await
     };
     let peer = || async {
-        let listener = clone_listener(&listeners.peer)?;
+        let listener = listeners.peer.open()?;
         peers::serve::run(listener, config.serve.clone(), path.clone(), stop.clone()).await;
         Ok(())
     };
@@ -139,7 +148,12 @@
         };
         let serve = || async {
             let endpoint = scrape::Scrape::new(path.clone());
-            serve_http(tcp_acceptor(listener)?, endpoint, stop.clone()).await
+            serve_http(
+                tcp_acceptor(listener)?,
+                endpoint,
+                stop.clone().cancelled_owned(),
+            )
+            .await
         };
         supervisor
             .run("metrics", policy::Policy::Permanent, serve)
@@ -153,7 +167,13 @@
             supervisor.run("peers", policy::Policy::Permanent, peer),
         )
     };
+    let close = async {
+        stop.cancelled().await;
+        listeners.close();
+        future::pending::<()>().await;
+    };
     tokio::select! {
+        () = close => Ok(()),
         outcome = running => outcome.map(|_| ()),
         () = shutdown.drain_expired.cancelled() => Ok(()),
     }
@@ -174,33 +194,24 @@
     }
 }
 
-fn clone_listener(
-    listener: &net::TcpListener,
-) -> Result<TcpListener, error_stack::Report<supervisor::Error>> {
-    let cloned = listener.try_clone().and_then(|listener| {
-        listener.set_nonblocking(true)?;
-        TcpListener::from_std(listener)
-    });
-    cloned.map_err(listener_error)
-}
-
 fn tcp_acceptor(
-    listener: &net::TcpListener,
+    socket: &socket::Socket,
 ) -> Result<listener::TcpAcceptor, error_stack::Report<supervisor::Error>> {
-    listener::TcpAcceptor::from_tokio(clone_listener(listener)?).map_err(listener_error)
+    listener::TcpAcceptor::from_tokio(socket.open()?).map_err(listener_error)
 }
 
 fn listener_error(error: io::Error) -> error_stack::Report<supervisor::Error> {
     error_stack::Report::new(error).change_context(supervisor::Error::Child("listener"))
 }
 
-async fn serve_http<A, E>(acceptor: A, endpoint: E, stop: Stop) -> supervisor::Outcome
+async fn serve_http<A, E, F>(acceptor: A, endpoint: E, stop: F) -> supervisor::Outcome
 where
+    F: future::Future<Output = ()>,
     A: listener::Acceptor + 'static,
     E: poem::Endpoint<Output = poem::Response> + 'static,
 {
     poem::Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), None)
+        .run_with_graceful_shutdown(endpoint, stop, None)
         .await
         .map_err(listener_error)
 }
--- a/crates/node/src/traffic/callers.rs
+++ b/crates/node/src/traffic/callers.rs
@@ -15,7 +15,7 @@
 use std::sync;
 use std::time::Duration;
 
-use poem::http::StatusCode;
+use poem::http::{HeaderValue, StatusCode, header};
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
 use sequoiayoke_model::key;
@@ -109,6 +109,22 @@
             return reply::cancelled();
         };
         let exchange = outgoing::Exchange::new(sync::Arc::clone(&state), http.version());
+        let is_http1 = exchange.is_http1();
+        let mut response = self.respond(http, exchange, &state).await;
+        // A node that shuts down asks its callers to use another one.
+        if is_http1 && self.path.published().load().stopping {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    async fn respond(
+        &self,
+        http: poem::Request,
+        exchange: outgoing::Exchange,
+        state: &connection::State,
+    ) -> poem::Response {
         if http.uri().path() == "/v1/ready" {
             return self.ready();
         }
--- a/crates/node/src/traffic/callers/connection.rs
+++ b/crates/node/src/traffic/callers/connection.rs
@@ -8,27 +8,35 @@
 //! which resets the connection. The stream also limits how long it waits for a
 //! caller.
 
+mod state;
+mod timer;
+
+use std::future;
 use std::io;
 use std::net;
 use std::pin::Pin;
 use std::sync;
-use std::sync::atomic;
 use std::task;
 use std::time::Duration;
 
 use poem::http::uri;
 use poem::web;
+use sequoiayoke_supervise::Stop;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time;
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::WaitForCancellationFutureOwned;
 
 use super::refusal;
+pub(super) use state::{Running, State};
 
 /// Scheme of the custom address that carries the key of a connection.
 const ADDRESS_SCHEME: &str = "connection";
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time without a byte after which a connection without a request is closed at a shutdown.
+const QUIET_TIME: Duration = Duration::from_millis(200);
 
 slotmap::new_key_type! {
     /// Key of an open connection.
@@ -55,68 +63,34 @@
     // Locked to look up, add or remove one connection, never across an `await`.
     states: sync::Mutex<slotmap::SlotMap<Key, sync::Arc<State>>>,
     refusals: refusal::Refusals,
-}
-
-/// State that a connection shares with its requests.
-#[derive(Debug, Default)]
-pub(super) struct State {
-    disconnected: CancellationToken,
-    aborted: atomic::AtomicBool,
-    started: atomic::AtomicU64,
-    running: atomic::AtomicUsize,
-}
-
-/// Counts a request as running on a connection until it is dropped.
-#[derive(Debug)]
-pub(super) struct Running(sync::Arc<State>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, atomic::Ordering::AcqRel);
-    }
-}
-
-impl State {
-    /// Records that a request has started.
-    pub(super) fn start(self: &sync::Arc<Self>) -> Running {
-        self.running.fetch_add(1, atomic::Ordering::AcqRel);
-        self.started.fetch_add(1, atomic::Ordering::AcqRel);
-        Running(sync::Arc::clone(self))
-    }
-
-    /// Requests a reset of the connection, without writing more of an answer.
-    pub(super) fn abort(&self) {
-        self.aborted.store(true, atomic::Ordering::Release);
-    }
-
-    /// Returns the token that is cancelled when the caller has disconnected.
-    pub(super) const fn disconnected(&self) -> &CancellationToken {
-        &self.disconnected
-    }
-
-    fn is_aborted(&self) -> bool {
-        self.aborted.load(atomic::Ordering::Acquire)
-    }
-
-    fn is_running(&self) -> bool {
-        self.running.load(atomic::Ordering::Acquire) > 0
-    }
-
-    fn started(&self) -> u64 {
-        self.started.load(atomic::Ordering::Acquire)
-    }
+    closing: Stop,
+    // Each acceptor with an open listener and each connection holds a receiver.
+    open: watch::Sender<()>,
 }
 
 impl Connections {
     /// Creates a registry without connections.
     pub fn new(limits: Limits) -> Self {
+        Self::with_closing(limits, Stop::new())
+    }
+
+    /// Creates a registry whose acceptors and connections close once `closing` is cancelled.
+    pub fn with_closing(limits: Limits, closing: Stop) -> Self {
         Self {
             limits,
             states: sync::Mutex::default(),
             refusals: refusal::Refusals::new(),
+            closing,
+            open: watch::Sender::new(()),
         }
     }
 
+    /// Waits until the listeners and all connections have been closed at a shutdown.
+    pub async fn closed(&self) {
+        self.closing.cancelled().await;
+        self.open.closed().await;
+    }
+
     /// Returns the state of the connection on which a request arrived.
     pub(super) fn state(&self, remote: &web::RemoteAddr) -> Option<sync::Arc<State>> {
         let poem::Addr::Custom(ADDRESS_SCHEME, number) = &remote.0 else {
@@ -141,10 +115,14 @@
             connections: sync::Arc::clone(self),
             key,
             state,
-            reading: Reading::Head,
+            reading: Reading::Start,
             seen_started: 0,
-            read_limit: Timer::default(),
-            write_limit: Timer::default(),
+            closing: Box::pin(self.closing.clone().cancelled_owned()),
+            quiet_limit: timer::Timer::default(),
+            has_ended: false,
+            _open: self.open.subscribe(),
+            read_limit: timer::Timer::default(),
+            write_limit: timer::Timer::default(),
         })
     }
 
@@ -158,19 +136,35 @@
 /// Accepts connections of callers.
 #[derive(Debug)]
 pub struct Acceptor {
-    listener: TcpListener,
+    // `None` once it has been closed at a shutdown.
+    listener: Option<(TcpListener, watch::Receiver<()>)>,
     connections: sync::Arc<Connections>,
 }
 
 impl Acceptor {
     /// Creates an acceptor whose connections are registered in `connections`.
-    pub const fn new(listener: TcpListener, connections: sync::Arc<Connections>) -> Self {
+    pub fn new(listener: TcpListener, connections: sync::Arc<Connections>) -> Self {
+        let open = connections.open.subscribe();
         Self {
-            listener,
+            listener: Some((listener, open)),
             connections,
         }
     }
 
+    /// Accepts the next connection. At a shutdown it accepts those that are already established,
+    /// then closes the listener and waits forever.
+    async fn accept_socket(&mut self) -> io::Result<TcpStream> {
+        if let Some((listener, _)) = &self.listener {
+            tokio::select! {
+                biased;
+                accepted = listener.accept() => return accepted.map(|(socket, _)| socket),
+                () = self.connections.closing.cancelled() => {}
+            }
+        }
+        self.listener = None;
+        future::pending().await
+    }
+
     fn register(&self, socket: TcpStream) -> io::Result<Option<(Stream, net::SocketAddr)>> {
         socket.set_nodelay(true)?;
         let local = socket.local_addr()?;
@@ -182,7 +176,8 @@
     type Io = Stream;
 
     fn local_addr(&self) -> Vec<web::LocalAddr> {
-        let address = self.listener.local_addr().ok();
+        let listener = self.listener.as_ref();
+        let address = listener.and_then(|(listener, _)| listener.local_addr().ok());
         address
             .map(|address| web::LocalAddr(address.into()))
             .into_iter()
@@ -193,8 +188,8 @@
         &mut self,
     ) -> io::Result<(Stream, web::LocalAddr, web::RemoteAddr, uri::Scheme)> {
         loop {
-            let socket = match self.listener.accept().await {
-                Ok((socket, _)) => socket,
+            let socket = match self.accept_socket().await {
+                Ok(socket) => socket,
                 Err(error) => {
                     tracing::warn!(%error, "failed to accept a connection from a caller");
                     time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -220,39 +215,14 @@
 /// What a connection without a running request is waiting for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reading {
+    /// The first byte of the first request.
+    Start,
     /// The rest of a head.
     Head,
     /// The first byte of the next request.
     Nothing,
 }
 
-/// Timeout of one wait, armed at its start.
-#[derive(Debug, Default)]
-struct Timer {
-    sleep: Option<Pin<Box<time::Sleep>>>,
-    armed: bool,
-}
-
-impl Timer {
-    fn arm(&mut self, limit: Duration) {
-        let end = time::Instant::now() + limit;
-        match &mut self.sleep {
-            Some(sleep) => sleep.as_mut().reset(end),
-            None => self.sleep = Some(Box::pin(time::sleep_until(end))),
-        }
-        self.armed = true;
-    }
-
-    const fn disarm(&mut self) {
-        self.armed = false;
-    }
-
-    fn has_ended(&mut self, context: &mut task::Context<'_>) -> bool {
-        let sleep = self.sleep.as_mut().filter(|_| self.armed);
-        sleep.is_some_and(|sleep| sleep.as_mut().poll(context).is_ready())
-    }
-}
-
 /// The connection of one caller.
 #[derive(Debug)]
 pub struct Stream {
@@ -265,8 +235,14 @@
     reading: Reading,
     // Number of requests that had started when the current wait for a request began.
     seen_started: u64,
-    read_limit: Timer,
-    write_limit: Timer,
+    read_limit: timer::Timer,
+    write_limit: timer::Timer,
+    // Completes when the listener closes at a shutdown.
+    closing: Pin<Box<WaitForCancellationFutureOwned>>,
+    quiet_limit: timer::Timer,
+    // Whether the connection was closed at a shutdown, because no request arrived.
+    has_ended: bool,
+    _open: watch::Receiver<()>,
 }
 
 impl Stream {
@@ -289,7 +265,7 @@
     }
 
     fn reset(&mut self) {
-        self.state.disconnected.cancel();
+        self.state.disconnected().cancel();
         if let Some(socket) = self.socket.take() {
             // Without a reset, an answer that ends with the connection would appear complete.
             let _ = socket.set_zero_linger();
@@ -314,12 +290,33 @@
         self.read_limit.has_ended(context)
     }
 
+    /// Returns whether, in a shutdown, no request has begun to arrive for [`QUIET_TIME`] and no
+    /// answer is being written.
+    fn is_quiet(&mut self, context: &mut task::Context<'_>) -> bool {
+        if self.closing.as_mut().poll(context).is_pending()
+            || self.state.is_running()
+            || self.reading == Reading::Head
+            || self.write_limit.armed
+        {
+            self.quiet_limit.disarm();
+            return false;
+        }
+        if !self.quiet_limit.armed {
+            self.quiet_limit.arm(QUIET_TIME);
+        }
+        self.quiet_limit.has_ended(context)
+    }
+
     /// Records received bytes; only the first ones of a request start the timeout of its head.
     fn record_bytes(&mut self) {
-        if self.reading == Reading::Nothing && !self.state.is_running() {
-            self.reading = Reading::Head;
+        self.quiet_limit.disarm();
+        if self.state.is_running() {
+            return;
+        }
+        if self.reading == Reading::Nothing {
             self.read_limit.arm(self.connections.limits.head);
         }
+        self.reading = Reading::Head;
     }
 }
 
@@ -328,7 +325,7 @@
         if self.state.is_aborted() {
             self.reset();
         }
-        self.state.disconnected.cancel();
+        self.state.disconnected().cancel();
         self.connections.lock().remove(self.key);
     }
 }
@@ -340,6 +337,9 @@
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         let (before, capacity) = (buffer.filled().len(), buffer.remaining());
+        if self.has_ended {
+            return task::Poll::Ready(Ok(()));
+        }
         let Some(socket) = self.live_socket() else {
             return task::Poll::Ready(Ok(()));
         };
@@ -348,12 +348,16 @@
                 self.reset();
                 return task::Poll::Ready(Ok(()));
             }
+            if self.is_quiet(context) {
+                self.has_ended = true;
+                return task::Poll::Ready(Ok(()));
+            }
             return task::Poll::Pending;
         };
         if buffer.filled().len() > before {
             self.record_bytes();
         } else if result.is_err() || capacity > 0 {
-            self.state.disconnected.cancel();
+            self.state.disconnected().cancel();
         }
         task::Poll::Ready(result)
     }
@@ -407,6 +411,10 @@
             self.reset();
             context.waker().wake_by_ref();
         }
+        if flushed.is_ready() && !self.has_ended && self.is_quiet(context) {
+            self.has_ended = true;
+            context.waker().wake_by_ref();
+        }
         flushed
     }
 
--- a/crates/node/src/traffic/callers/outgoing.rs
+++ b/crates/node/src/traffic/callers/outgoing.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Returns whether the request arrived over HTTP/1.
+    pub(super) const fn is_http1(&self) -> bool {
+        self.is_http1
+    }
+
     /// Converts the body into one that resets the connection instead of ending truncated.
     pub(super) fn body(self, body: answer::Body, guard: Option<in_flight::Guard>) -> poem::Body {
         match body {
--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -20,6 +20,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Size of the body of a large answer.
 pub(crate) const LARGE_BODY_BYTES: usize = 300_000;
+/// Size of the body of a huge answer; larger than all buffers on its path.
+pub(crate) const HUGE_BODY_BYTES: usize = 32 << 20;
 
 /// A node and its scripted backend server.
 #[derive(Debug)]
@@ -252,6 +254,11 @@
             .write_all(&encode_response(&large_body(key)))
             .await
             .map(|()| true),
+        "huge" => {
+            let body = vec![b'x'; HUGE_BODY_BYTES];
+            let written = reader.write_all(&encode_response(&body)).await;
+            written.map(|()| true)
+        }
         _ => {
             let mut body = (&mut *reader).take(head.content_length as u64);
             let read = tokio::io::copy(&mut body, &mut tokio::io::sink()).await?;
--- a/tests/shutdown_outcomes.rs
+++ b/tests/shutdown_outcomes.rs
@@ -11,7 +11,7 @@
 
 use rustix::process::Signal;
 use sequoiayoke_harness::Deployment;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time;
@@ -74,6 +74,24 @@
     socket
 }
 
+/// Sends a short request on a new connection, and asserts that it is answered.
+///
+/// Returns whether the node accepted the connection. One that is established while the listener
+/// closes may be reset; the node has not read its request.
+async fn is_answered(address: &str, key: &str) -> bool {
+    let Ok(mut socket) = TcpStream::connect(address).await else {
+        return false;
+    };
+    let head = format!("GET /s/desk/{key} HTTP/1.1\r\nhost: desk\r\n\r\n");
+    let mut byte = [0];
+    if socket.write_all(head.as_bytes()).await.is_err() || socket.peek(&mut byte).await.is_err() {
+        return false;
+    }
+    let answer = Answer::read(key, &mut socket).await;
+    assert_eq!(answer.outcome(), "answered", "{key}: {answer:?}");
+    true
+}
+
 /// Returns `count` keys with `prefix` that a VM owns.
 async fn find_keys(
     deployment: &Deployment,
@@ -181,3 +199,47 @@
         "the node did not exit in time"
     );
 }
+
+/// Guards against connections that a node accepts at its shutdown and never serves, and against one
+/// that is closed while an answer is written to a slow caller and a further request waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_at_a_node_that_stops_are_served() {
+    let timing = json!({ "drain_ms": 30_000 });
+    let (deployment, mut vms) = backend::start(bin(), 2, &timing).await;
+    let huge = find_keys(&deployment, &vms[1], "huge", 1).await.remove(0);
+    let short = find_keys(&deployment, &vms[1], "short", 1).await.remove(0);
+    // The caller reads nothing at first, so the node cannot write the first answer.
+    let mut slow = send(vms[0].caller(), "GET", &huge, 0, b"").await;
+    let second = format!("GET /s/desk/{short} HTTP/1.1\r\nhost: desk\r\n\r\n");
+    slow.write_all(second.as_bytes()).await.unwrap();
+    // The head of the first answer, which does not announce the end of the connection.
+    let first = time::timeout(MAX_EXIT, slow.peek(&mut [0])).await;
+    assert_eq!(first.unwrap().unwrap(), 1);
+    vms[0].node.signal(Signal::TERM);
+    let is_released = |status: &Value| {
+        let servers = status["servers"].as_array().unwrap();
+        servers
+            .iter()
+            .all(|server| server["name"] != json!(vms[0].name) || server["slices"] == json!(0))
+    };
+    deployment
+        .wait_status("all slices of the node are released", is_released)
+        .await
+        .unwrap();
+    let closed = async { while is_answered(vms[0].caller(), &short).await {} };
+    let closed = time::timeout(MAX_EXIT, closed).await;
+    assert!(closed.is_ok(), "the listener stays open");
+    let answers = Answer::read(&huge, &mut slow).await;
+    assert_eq!(answers.outcome(), "answered", "{}", answers.head);
+    assert!(answers.body.len() >= backend::HUGE_BODY_BYTES, "incomplete");
+    let (_, rest) = answers.body.split_at(backend::HUGE_BODY_BYTES);
+    let rest = String::from_utf8_lossy(rest);
+    assert!(rest.starts_with("HTTP/1.1 200 OK\r\n"), "{rest:?}");
+    assert!(rest.contains("sequoiayoke-outcome: answered\r\n"), "{rest}");
+    assert!(rest.contains("connection: close\r\n"), "{rest}");
+    assert!(rest.contains(&format!("\"key\":\"{short}\"")), "{rest}");
+    assert!(
+        vms[0].node.terminate(MAX_EXIT),
+        "the node did not exit in time"
+    );
+}
