Read a caller's connection for a while after its last answer

What callers saw: a refusal that was written while the rest of an upload was still arriving could be lost: the caller got a reset instead.

Cause: the connection was closed with unread bytes in the socket, which makes the kernel send a reset and discard the answer on the caller's side.

Change: after the sending half is shut down, the connection discards received bytes until the caller closes it, for at most 1 s.

--- a/crates/node/src/traffic/callers/connection.rs
+++ b/crates/node/src/traffic/callers/connection.rs
@@ -37,6 +37,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time without a byte after which a connection without a request is closed at a shutdown.
 const QUIET_TIME: Duration = Duration::from_millis(200);
+/// Maximum time for which a connection is read after its last answer. Closing a socket with
+/// unread bytes resets the connection, and the caller could lose the answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 
 slotmap::new_key_type! {
     /// Key of an open connection.
@@ -120,6 +123,7 @@
             closing: Box::pin(self.closing.clone().cancelled_owned()),
             quiet_limit: timer::Timer::default(),
             has_ended: false,
+            linger_limit: timer::Timer::default(),
             _open: self.open.subscribe(),
             read_limit: timer::Timer::default(),
             write_limit: timer::Timer::default(),
@@ -242,6 +246,7 @@
     quiet_limit: timer::Timer,
     // Whether the connection was closed at a shutdown, because no request arrived.
     has_ended: bool,
+    linger_limit: timer::Timer,
     _open: watch::Receiver<()>,
 }
 
@@ -318,6 +323,24 @@
         }
         self.reading = Reading::Head;
     }
+
+    /// Discards received bytes until the caller closes the connection, or for [`LINGER_TIME`].
+    fn poll_linger(&mut self, context: &mut task::Context<'_>) -> task::Poll<()> {
+        if !self.linger_limit.armed {
+            self.linger_limit.arm(LINGER_TIME);
+        }
+        let mut discarded = [0; 4096];
+        while let Some(socket) = &mut self.socket {
+            let mut buffer = ReadBuf::new(&mut discarded);
+            match Pin::new(socket).poll_read(context, &mut buffer) {
+                task::Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
+                task::Poll::Ready(_) => break,
+                task::Poll::Pending if self.linger_limit.has_ended(context) => break,
+                task::Poll::Pending => return task::Poll::Pending,
+            }
+        }
+        task::Poll::Ready(())
+    }
 }
 
 impl Drop for Stream {
@@ -422,9 +445,13 @@
         mut self: Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        match self.live_socket() {
-            Some(socket) => Pin::new(socket).poll_shutdown(context),
-            None => task::Poll::Ready(Ok(())),
+        let is_lingering = self.linger_limit.armed;
+        let Some(socket) = self.live_socket() else {
+            return task::Poll::Ready(Ok(()));
+        };
+        if !is_lingering {
+            task::ready!(Pin::new(socket).poll_shutdown(context))?;
         }
+        self.poll_linger(context).map(Ok)
     }
 }
--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -187,3 +187,21 @@
     let (io, _, _, _) = accepted.unwrap();
     assert!(io.nodelay().unwrap());
 }
+
+/// Guards against an answer that its caller loses because the connection is reset while the rest of
+/// an upload is still arriving.
+#[tokio::test]
+async fn an_answer_before_the_end_of_an_upload_is_delivered() {
+    let address = serve(limits(), endpoint::make(hello)).await;
+    let (mut reader, mut writer) = TcpStream::connect(address).await.unwrap().into_split();
+    let head = b"POST / HTTP/1.1\r\nhost: desk\r\ncontent-length: 16777216\r\n\r\n";
+    writer.write_all(head).await.unwrap();
+    let upload = writer.write_all(&[b'x'; 16 << 20]);
+    let uploaded = tokio::time::timeout(MAX_WAIT, upload).await;
+    uploaded.unwrap().unwrap();
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(MAX_WAIT, reader.read_to_end(&mut answer)).await;
+    read.unwrap().unwrap();
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.ends_with("\r\n\r\nhello"), "{answer}");
+}
