Complete proposals and the transfer before a control leader ends

What operators saw: a ticket that was in flight when the control leader got SIGTERM was answered with 504 `unknown`, and the other replicas waited for an election timeout and for the full lease.

Cause: the coordinator began the transfer of its leadership and returned at once. The transfer needs a successor that has the whole log, all of it committed, so with an entry in flight it never took place.

Change: the coordinator handles events until it no longer leads, for at most the election timeout, in which time the log refuses new proposals.

--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -9,6 +9,7 @@
 pub mod documents;
 pub mod event;
 mod figures;
+mod handover;
 pub mod leader;
 mod overview;
 pub mod publish;
@@ -171,20 +172,7 @@
             self.advance()?;
             warn_if_slow("round", start, events);
         }
-        self.hand_over()
-    }
-
-    fn hand_over(&mut self) -> supervisor::Outcome {
-        if let Some(leader) = self.leader.take() {
-            tracing::info!("transferring leadership");
-            leader.step_down();
-            let now = clock::Instant::now();
-            if let Some(driver) = &mut self.driver {
-                driver.step(now, log::Event::Transfer);
-            }
-            self.flush(now)?;
-        }
-        Ok(())
+        self.transfer_leadership(&mut inbox).await
     }
 
     fn next_deadline(&self) -> clock::Instant {
