Send queued frames to the replicas before a control process ends

What was seen: the request to take over the leadership of a control leader that stops could be dropped, and the other replicas waited for an election timeout.

Cause: a connection to a replica ended at the stop without looking at its queue, and the process did not wait for the connections.

Change: a connection sends its queue before it looks at the stop, and the traffic threads wait up to 1 s for the connections.

--- a/crates/control/src/traffic.rs
+++ b/crates/control/src/traffic.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task;
+use tokio::time;
 
 use crate::coordinator::event;
 use crate::measure;
@@ -26,6 +28,8 @@
 pub const RESTARTS: usize = 5;
 /// Time over which [`RESTARTS`] are counted.
 pub const WINDOW: Duration = Duration::from_secs(10);
+/// Longest time to send the frames that are queued when the replica stops.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Listeners, bound before any thread starts, so that an address in use fails the start.
 #[derive(Debug)]
@@ -80,9 +84,10 @@
         config.stop.clone(),
     );
     let config = sync::Arc::new(config);
+    let mut dials = task::JoinSet::new();
     for link in links {
         // A link reconnects until the stop, so it needs no supervision.
-        tokio::spawn(peers::dial(link, sync::Arc::clone(&config)));
+        dials.spawn(peers::dial(link, sync::Arc::clone(&config)));
     }
     let replica = || async {
         let listener = clone(&listeners.replica)?;
@@ -103,6 +108,8 @@
         supervisor.run("nodes", policy::Policy::Permanent, node),
         supervisor.run("operators", policy::Policy::Permanent, operator),
     )?;
+    // The process ends after this, so frames that are still queued must be sent first.
+    let _ = time::timeout(FLUSH_TIMEOUT, dials.join_all()).await;
     Ok(())
 }
 
--- a/crates/control/src/traffic/peers.rs
+++ b/crates/control/src/traffic/peers.rs
@@ -61,6 +61,8 @@
             is_hello_due = false;
         }
         tokio::select! {
+            // Queued frames are sent before a stop: the last one may ask the peer to take over.
+            biased;
             frame = link.queue.recv() => match frame {
                 Some(frame) => send(&mut frames, &frame).await?,
                 None => return Ok(()),
