Use a connection to the backend server no more after a refusal

What callers saw: a backend server repeated a refusal on its connection. The caller of the next request on the connection was told `not-run` although the server ran it, and the node retried it, so that it could run twice. It happens to the same request id, too, which is retried on the connection that refused it.

Cause: the HTTP library matches responses with requests by their order only. It notices bytes on an idle connection, but not those that arrive after the next request was written.

Change: after a refusal the connection is closed, so that each refusal is the first one on its connection. A retry costs a new connection.

--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -224,8 +224,7 @@
             Failure::Lost if has_body_failed.load(atomic::Ordering::Acquire) => Failure::BodyFailed,
             failure => failure,
         })?;
-        let refused = response.status() == hyper::StatusCode::CONFLICT
-            && response.headers().contains_key("sequoiayoke-refused");
+        let refused = connection::is_refusal(&response);
         let headers = response.headers().iter();
         let headers = headers.map(|(name, value)| {
             let value = Bytes::copy_from_slice(value.as_bytes());
--- a/crates/node/src/traffic/server/connection.rs
+++ b/crates/node/src/traffic/server/connection.rs
@@ -183,7 +183,11 @@
             Ok(Err(_)) => return Err(Failure::Lost),
             Err(_) => return Err(Failure::TimedOut),
         };
-        self.check_in(connection);
+        // A server could repeat a refusal on its connection, where it would be taken for the
+        // response to a request that has run.
+        if !is_refusal(&response) {
+            self.check_in(connection);
+        }
         let body = |incoming| Deadline {
             incoming,
             passed: Box::pin(time::sleep_until(deadline)),
@@ -241,6 +245,12 @@
     }
 }
 
+/// Returns whether the server states that it has not run the request.
+pub(super) fn is_refusal<B>(response: &hyper::Response<B>) -> bool {
+    response.status() == hyper::StatusCode::CONFLICT
+        && response.headers().contains_key("sequoiayoke-refused")
+}
+
 /// Why the body of a response failed.
 #[derive(Debug, thiserror::Error)]
 enum Broken {
