Check the lease only at the first bytes of a request

What callers saw: an upload that the backend server had started was reported as `not-run` with the reason `lease-expired`, and retried, if the server sent a byte before the end of the upload (an interim response, or an early answer) and the lease of the dispatch ended meanwhile. An early answer was cut off.

Cause: the socket took received bytes as the end of the exchange, so that the next write of the same upload counted as the start of a request.

Change: the pool arms the check for each request, and the first write ends it.

--- a/crates/node/src/traffic/server/connection.rs
+++ b/crates/node/src/traffic/server/connection.rs
@@ -28,17 +28,32 @@
 #[derive(Debug, Default)]
 struct Lease {
     until_us: atomic::AtomicU64,
+    // Whether the next write starts the request. The server may send before it has the whole
+    // request, so received bytes do not show that a request has ended.
+    starts_request: atomic::AtomicBool,
     has_refused: atomic::AtomicBool,
 }
 
+impl Lease {
+    /// Allows one request to start until `until`.
+    fn arm(&self, until: clock::Instant) {
+        let until_us = until.as_micros();
+        self.until_us.store(until_us, atomic::Ordering::Release);
+        self.starts_request.store(true, atomic::Ordering::Release);
+    }
+
+    /// Records that the request has started.
+    fn start(&self) {
+        self.starts_request.store(false, atomic::Ordering::Release);
+    }
+}
+
 /// A socket that checks the lease before the first bytes of each request.
 #[derive(Debug)]
 struct Socket<C> {
     io: TcpStream,
     clock: C,
     lease: sync::Arc<Lease>,
-    /// Whether the next write starts a request: nothing was written since the last read.
-    starts_request: bool,
 }
 
 impl<C> Socket<C>
@@ -47,7 +62,8 @@
 {
     fn check_lease(&self) -> io::Result<()> {
         let until = self.lease.until_us.load(atomic::Ordering::Acquire);
-        if !self.starts_request || self.clock.now() < clock::Instant::from_micros(until) {
+        let starts_request = self.lease.starts_request.load(atomic::Ordering::Acquire);
+        if !starts_request || self.clock.now() < clock::Instant::from_micros(until) {
             return Ok(());
         }
         self.lease
@@ -69,10 +85,7 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = task::ready!(Pin::new(&mut self.io).poll_read(context, buffer));
-        self.starts_request |= buffer.filled().len() > before;
-        task::Poll::Ready(read)
+        Pin::new(&mut self.io).poll_read(context, buffer)
     }
 }
 
@@ -87,7 +100,7 @@
     ) -> task::Poll<io::Result<usize>> {
         self.check_lease()?;
         let count = task::ready!(Pin::new(&mut self.io).poll_write(context, bytes))?;
-        self.starts_request = false;
+        self.lease.start();
         task::Poll::Ready(Ok(count))
     }
 
@@ -98,7 +111,7 @@
     ) -> task::Poll<io::Result<usize>> {
         self.check_lease()?;
         let count = task::ready!(Pin::new(&mut self.io).poll_write_vectored(context, parts))?;
-        self.starts_request = false;
+        self.lease.start();
         task::Poll::Ready(Ok(count))
     }
 
@@ -170,8 +183,7 @@
         let checkout = time::timeout_at(deadline, self.checkout());
         let mut connection = checkout.await.map_err(|_| Failure::NotSent)??;
         let lease = sync::Arc::clone(&connection.lease);
-        let until_us = lease_until.as_micros();
-        lease.until_us.store(until_us, atomic::Ordering::Release);
+        lease.arm(lease_until);
         let sent = time::timeout_at(deadline, connection.sender.send_request(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
@@ -212,7 +224,6 @@
             io,
             clock: self.clock.clone(),
             lease: sync::Arc::clone(&lease),
-            starts_request: true,
         };
         let (sender, driver) = http1::handshake(TokioIo::new(socket))
             .await
--- a/crates/node/tests/lease.rs
+++ b/crates/node/tests/lease.rs
@@ -67,3 +67,59 @@
     let seen = String::from_utf8(server.await.unwrap()).unwrap();
     assert_eq!(seen.matches("GET ").count(), 1, "{seen}");
 }
+
+/// Guards against "not run" for an upload that the backend server has started, if the server sends
+/// a byte before the end of the upload and the lease of its start ends meanwhile.
+#[tokio::test]
+async fn a_request_that_has_started_is_not_cut_when_the_lease_expires() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, body) = tokio::sync::mpsc::channel(1);
+    let clock = Fake::default();
+    let server_clock = clock.clone();
+    let server = tokio::spawn(async move {
+        let (mut io, _) = listener.accept().await.unwrap();
+        let mut seen = Vec::new();
+        let mut has_hinted = false;
+        while !seen.ends_with(b"0\r\n\r\n") {
+            assert_ne!(io.read_buf(&mut seen).await.unwrap(), 0, "cut");
+            if !has_hinted && seen.windows(5).any(|part| part == b"first") {
+                let hint = b"HTTP/1.1 103 Early Hints\r\n\r\n";
+                io.write_all(hint).await.unwrap();
+                has_hinted = true;
+                // The node reads the hint before the lease ends and the rest is sent.
+                for _ in 0..100 {
+                    tokio::task::yield_now().await;
+                }
+                server_clock.0.store(1_000, atomic::Ordering::SeqCst);
+                let rest = bytes::Bytes::from_static(b"second");
+                sender.send(Ok::<_, std::io::Error>(rest)).await.unwrap();
+                sender.closed().await;
+            }
+        }
+        io.write_all(ANSWER).await.unwrap();
+    });
+    let mut body = body;
+    let mut first = Some(Ok(bytes::Bytes::from_static(b"first")));
+    let mut has_second = false;
+    let body = futures_util::stream::poll_fn(move |context| {
+        if let Some(first) = first.take() {
+            return std::task::Poll::Ready(Some(first));
+        }
+        if has_second {
+            body.close();
+            return std::task::Poll::Ready(None);
+        }
+        let rest = body.poll_recv(context);
+        has_second = rest.is_ready();
+        rest
+    });
+    let builder = hyper::Request::builder().method("POST").uri("/s/refunds/1");
+    let request = builder.header("host", "refunds");
+    let request = request.body(reqwest::Body::wrap_stream(body)).unwrap();
+    let pool = connection::Pool::new(clock, address, LIMIT, 4);
+    let until = clock::Instant::from_micros(1_000);
+    let response = pool.send(request, until, LIMIT).await.unwrap();
+    assert_eq!(response.status().as_u16(), 200);
+    server.await.unwrap();
+}
