Match responses of the backend server with requests by number

What callers saw: a backend server wrote an earlier answer once more on its connection, after the next request had been sent, and the caller of that got the answer to another request.

Cause: HTTP/1.1 has no number for a response. The library notices extra bytes only on an idle connection.

Change: each request carries `sequoiayoke-exchange`, a number that is unique for the pool. A response that repeats another number is not delivered: the request is `unknown` with the reason `protocol`, and the connection is closed. The stand-in repeats the header. A server that doesn't repeat it is protected only as before; refusals need no number, since no request follows one on its connection.

--- a/crates/emulator/src/standin/traffic/endpoint.rs
+++ b/crates/emulator/src/standin/traffic/endpoint.rs
@@ -7,6 +7,9 @@
 
 use crate::standin::traffic;
 
+/// Header with the number that a node gives to an exchange.
+const EXCHANGE: &str = "sequoiayoke-exchange";
+
 /// Entry point of every HTTP request.
 #[derive(Clone, Debug)]
 pub(super) struct Endpoint {
@@ -26,11 +29,16 @@
         let path = request.uri().path().to_owned();
         let response = if let Some(path) = path.strip_prefix("/s/") {
             let closed = self.traffic.connections.closed(request.remote_addr());
-            tokio::select! {
+            let exchange = request.headers().get(EXCHANGE).cloned();
+            let mut response = tokio::select! {
                 response = self.traffic.run_request(path, request) => response,
                 // The client cannot receive this response; returning cancels the request.
                 () = closed.cancelled() => error(StatusCode::REQUEST_TIMEOUT, "cancelled", path),
+            };
+            if let Some(exchange) = exchange {
+                response.headers_mut().insert(EXCHANGE, exchange);
             }
+            response
         } else if let Some(name) = path.strip_prefix("/fault/v1/") {
             self.traffic.run_fault(name, request).await
         } else if let Some(name) = path.strip_prefix("/v1/") {
--- a/crates/node/src/traffic/path/local.rs
+++ b/crates/node/src/traffic/path/local.rs
@@ -200,7 +200,9 @@
 fn record_failure(permit: &mut permit::Permit, failure: server::Failure) {
     match failure {
         server::Failure::TimedOut => permit.timed_out(),
-        server::Failure::NotSent | server::Failure::Lost => permit.failed(),
+        server::Failure::NotSent | server::Failure::Lost | server::Failure::Mismatched => {
+            permit.failed();
+        }
         // These are not failures of the server; the permit counts as withdrawn.
         server::Failure::BodyFailed | server::Failure::LeaseExpired => {}
     }
--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -77,6 +77,8 @@
     TimedOut,
     /// The connection ended after something may have been sent.
     Lost,
+    /// The response belongs to another request.
+    Mismatched,
     /// The body of the request failed, which is not a failure of the server.
     BodyFailed,
 }
@@ -89,6 +91,7 @@
             Self::LeaseExpired => outcome::Outcome::NotRun(outcome::Reason::LeaseExpired),
             Self::TimedOut => outcome::Outcome::Unknown(outcome::Reason::Deadline),
             Self::Lost => outcome::Outcome::Unknown(outcome::Reason::ConnectionLost),
+            Self::Mismatched => outcome::Outcome::Unknown(outcome::Reason::Protocol),
             Self::BodyFailed => outcome::Outcome::Unknown(outcome::Reason::Cancelled),
         }
     }
--- a/crates/node/src/traffic/server/connection.rs
+++ b/crates/node/src/traffic/server/connection.rs
@@ -24,6 +24,11 @@
 
 use super::Failure;
 
+/// Header with the number of an exchange, which the server may repeat in its response. A response
+/// with another number belongs to another request.
+const EXCHANGE: hyper::header::HeaderName =
+    hyper::header::HeaderName::from_static("sequoiayoke-exchange");
+
 /// The lease under which the current request of a connection may start.
 #[derive(Debug, Default)]
 struct Lease {
@@ -148,6 +153,8 @@
     address: net::SocketAddr,
     connect: Duration,
     max_idle: usize,
+    // Number of the next exchange.
+    next: sync::Arc<atomic::AtomicU64>,
     // Locked to remove or add one connection, never across an `await`.
     idle: sync::Arc<sync::Mutex<Vec<Connection>>>,
 }
@@ -163,6 +170,7 @@
             address,
             connect,
             max_idle,
+            next: sync::Arc::default(),
             idle: sync::Arc::default(),
         }
     }
@@ -175,11 +183,14 @@
     /// mean that nothing was written.
     pub async fn send(
         &self,
-        request: hyper::Request<reqwest::Body>,
+        mut request: hyper::Request<reqwest::Body>,
         lease_until: clock::Instant,
         limit: Duration,
     ) -> Result<hyper::Response<reqwest::Body>, Failure> {
         let deadline = time::Instant::now() + limit;
+        let exchange = self.next.fetch_add(1, atomic::Ordering::Relaxed).into();
+        request.headers_mut().insert(EXCHANGE, exchange);
+        let exchange = request.headers().get(EXCHANGE).cloned();
         let checkout = time::timeout_at(deadline, self.checkout());
         let mut connection = checkout.await.map_err(|_| Failure::NotSent)??;
         let lease = sync::Arc::clone(&connection.lease);
@@ -195,6 +206,14 @@
             Ok(Err(_)) => return Err(Failure::Lost),
             Err(_) => return Err(Failure::TimedOut),
         };
+        // The connection is closed, since its further responses cannot be matched either.
+        if response
+            .headers()
+            .get(EXCHANGE)
+            .is_some_and(|repeated| Some(repeated) != exchange.as_ref())
+        {
+            return Err(Failure::Mismatched);
+        }
         // A server could repeat a refusal on its connection, where it would be taken for the
         // response to a request that has run.
         if !is_refusal(&response) {
--- a/crates/node/tests/responses.rs
+++ b/crates/node/tests/responses.rs
@@ -140,6 +140,41 @@
     assert_eq!(read_body(response).await, "run");
 }
 
+/// Guards against an earlier answer that is repeated on its connection after the next request was
+/// sent, and taken for the answer to that.
+#[tokio::test]
+async fn a_repeated_answer_reaches_no_other_request() {
+    let (listener, pool) = bind().await;
+    tokio::spawn(async move {
+        while let Ok((mut io, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut earlier = String::new();
+                while let Some(head) = read_request(&mut io).await {
+                    let path = head.split(' ').nth(1).unwrap();
+                    let own = answer(path, header(&head, "sequoiayoke-exchange"));
+                    let bytes = [earlier.as_str(), own.as_str()].concat();
+                    earlier = own;
+                    if io.write_all(bytes.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let response = pool.send(request(1), FOREVER, LIMIT).await.unwrap();
+    assert_eq!(read_body(response).await, "/s/refunds/1");
+    settle().await;
+    let failure = match pool.send(request(2), FOREVER, LIMIT).await {
+        Ok(response) => panic!("got the answer {}", read_body(response).await),
+        Err(failure) => failure,
+    };
+    assert_eq!(failure.outcome().as_str(), "unknown");
+    // The connection is not used again.
+    settle().await;
+    let response = pool.send(request(3), FOREVER, LIMIT).await.unwrap();
+    assert_eq!(read_body(response).await, "/s/refunds/3");
+}
+
 /// Guards against a response whose head is cut off, and that is taken for an answer without a body
 /// or for a refusal.
 #[tokio::test]
