Bound the answer of the health endpoint of the backend server

What was seen: a backend server whose answer to a health probe never ends made the node buffer all of it until the timeout of 500 ms.

Cause: the answer was read completely before it was parsed.

Change: at most 4,096 bytes are read; more is no answer.

--- a/crates/node/src/traffic/server/command.rs
+++ b/crates/node/src/traffic/server/command.rs
@@ -15,6 +15,8 @@
 
 /// Timeout for the response to a command or a health probe.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of the answer of the health endpoint, in bytes.
+const MAX_HEALTH_BYTES: usize = 4096;
 
 /// Sends commands to one backend server.
 #[derive(Clone, Debug)]
@@ -30,6 +32,18 @@
     healthy: bool,
 }
 
+/// Reads the answer of the health endpoint; `None` if it is malformed or too long.
+async fn read_health(mut response: reqwest::Response) -> Option<Health> {
+    let mut bytes = Vec::new();
+    while let Some(part) = response.chunk().await.ok()? {
+        if bytes.len() + part.len() > MAX_HEALTH_BYTES {
+            return None;
+        }
+        bytes.extend_from_slice(&part);
+    }
+    serde_json::from_slice(&bytes).ok()
+}
+
 /// The backend server did not acknowledge a command.
 #[derive(Clone, Debug, thiserror::Error)]
 #[error("the backend server did not acknowledge {command}: {detail}")]
@@ -115,10 +129,10 @@
         let Ok(response) = sent else {
             return health::Probe::Unresponsive;
         };
-        match response.json::<Health>().await {
-            Ok(Health { healthy: true }) => health::Probe::Healthy,
-            Ok(Health { healthy: false }) => health::Probe::Unhealthy,
-            Err(_) => health::Probe::Unresponsive,
+        match read_health(response).await {
+            Some(Health { healthy: true }) => health::Probe::Healthy,
+            Some(Health { healthy: false }) => health::Probe::Unhealthy,
+            None => health::Probe::Unresponsive,
         }
     }
 
