--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -201,7 +201,7 @@
             let key = format!("big-{number}");
             let url = format!("http://{address}/s/desk/{key}");
             let received = send(&http, reqwest::Method::GET, &url, 10_000).await;
-            assert_eq!(received.outcome, "answered", "{key}");
+            assert_eq!(received.outcome, "answered", "{key}: {}", received.reason);
             assert!(
                 received.body == Some(backend::large_body(&key)),
                 "{key}: the body differs"
