Reject requests that wait for a backend server that is gone

What callers saw: when a new run of the backend server announced itself, or the server stopped announcing itself, requests that waited for a slot of the former run waited on, even past their deadlines.

Cause: the task that ends waits at their deadlines belongs to the backend server and was aborted with it. The queue stayed with the former run, where a slot gets free only if one of its requests ends.

Change: when the target is replaced or removed, its admission rejects the waiting requests and later ones. They did not run, and are retried at the next owner.

--- a/crates/node/src/coordinator.rs
+++ b/crates/node/src/coordinator.rs
@@ -227,6 +227,10 @@
                 state::Effect::Send(frame) => self.send(frame),
                 state::Effect::Disconnect => self.outgoing = None,
                 state::Effect::UseBackend(backend) => self.use_backend(backend),
+                state::Effect::DropBackend => {
+                    self.backend_tasks.abort_all();
+                    self.path.set_target(None);
+                }
                 state::Effect::Prepare(service, range) => {
                     self.command(move |commander, _| async move {
                         if let Err(error) = commander.prepare(&service, range).await {
--- a/crates/node/src/coordinator/state.rs
+++ b/crates/node/src/coordinator/state.rs
@@ -60,6 +60,8 @@
     Disconnect,
     /// Replace the backend server that requests are dispatched to.
     UseBackend(sync::Arc<server::Backend>),
+    /// Dispatch no more requests to the backend server, which is gone.
+    DropBackend,
     /// Ask the backend server to warm up for a range.
     Prepare(String, range::Range),
     /// Grant a slice to the backend server.
@@ -212,6 +214,7 @@
             .is_some_and(|(_, seen)| now.saturating_since(*seen) >= ANNOUNCE_TIMEOUT);
         if is_stopped {
             self.backend = None;
+            self.effects.push(Effect::DropBackend);
             // Without a successor, a replaced run may serve again.
             self.replaced_instances.clear();
             self.abandon_run("the backend server no longer announces itself");
--- a/crates/node/src/traffic/path.rs
+++ b/crates/node/src/traffic/path.rs
@@ -167,9 +167,11 @@
         }
     }
 
-    /// Sets the backend server.
+    /// Sets the backend server. Requests that wait for a slot of the former one do not run.
     pub fn set_target(&self, target: Option<sync::Arc<Target<S>>>) {
-        self.target.store(target);
+        if let Some(former) = self.target.swap(target) {
+            former.admission.close();
+        }
     }
 
     /// Returns the id of the caller with this name, or 0.
--- a/crates/node/src/traffic/server/permit.rs
+++ b/crates/node/src/traffic/server/permit.rs
@@ -153,6 +153,11 @@
         self.update(|gate| gate.resize(now, slots));
     }
 
+    /// Rejects the waiting requests and all that arrive later, since the backend server is gone.
+    pub fn close(&self) {
+        self.update(gate::Gate::drain);
+    }
+
     /// Returns the number of running and of waiting requests.
     pub fn load(&self) -> (u32, u32) {
         let state = self.lock();
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -424,3 +424,42 @@
     socket.write_all(head.as_bytes()).await.unwrap();
     socket
 }
+
+/// Guards against requests that wait for a slot of a run of the backend server that was replaced:
+/// nothing frees a slot, and nothing ends their wait at their deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_for_a_replaced_server_get_an_outcome() {
+    let (deployment, vms) = backend::start(bin(), 1, &json!({})).await;
+    let address = vms[0].caller().to_owned();
+    let post = |key: String| {
+        let (http, url) = (
+            deployment.http().clone(),
+            format!("http://{address}/s/desk/{key}"),
+        );
+        task::spawn(async move { send(&http, reqwest::Method::POST, &url, 60_000).await })
+    };
+    // Each occupies a slot until its deadline.
+    let running: Vec<_> = (0..32)
+        .map(|number| post(format!("hang-{number}")))
+        .collect();
+    for number in 0..8 {
+        vms[0].wait_event(&format!("started hang-{number}")).await;
+    }
+    let waiting: Vec<_> = (0..8)
+        .map(|number| post(format!("wait-{number}")))
+        .collect();
+    vms[0].announce(&deployment, "second").await;
+    // Shorter than the time after which the client gives up the requests that occupy the slots.
+    let limit = tokio::time::Instant::now() + Duration::from_secs(8);
+    for request in waiting {
+        let received = tokio::time::timeout_at(limit, request).await;
+        let received = received.expect("no outcome").unwrap();
+        assert!(
+            ["answered", "not-run"].contains(&received.outcome.as_str()),
+            "{received:?}"
+        );
+    }
+    for request in running {
+        request.abort();
+    }
+}
--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -30,6 +30,7 @@
     pub(crate) name: String,
     /// The node.
     pub(crate) node: process::Process,
+    announcement: Value,
     events: watch::Sender<Vec<String>>,
     _tasks: task::JoinSet<()>,
 }
@@ -76,12 +77,13 @@
         let url = format!("http://{}/v1/announce", node.field("backend").unwrap());
         let (events, _) = watch::channel(Vec::new());
         let mut tasks = task::JoinSet::new();
+        let repeated = announcement.clone();
         tasks.spawn(async move {
             let http = reqwest::Client::builder().no_proxy().build().unwrap();
             let mut interval = tokio::time::interval(ANNOUNCE_INTERVAL);
             loop {
                 interval.tick().await;
-                let _ = http.post(&url).json(&announcement).send().await;
+                let _ = http.post(&url).json(&repeated).send().await;
             }
         });
         let accept_events = events.clone();
@@ -97,6 +99,7 @@
         Self {
             name: name.to_owned(),
             node,
+            announcement,
             events,
             _tasks: tasks,
         }
@@ -107,6 +110,15 @@
         self.node.field("caller").unwrap()
     }
 
+    /// Announces a further run of the server, which replaces the first one.
+    pub(crate) async fn announce(&self, deployment: &Deployment, instance: &str) {
+        let mut announcement = self.announcement.clone();
+        announcement["instance"] = json!(instance);
+        let url = format!("http://{}/v1/announce", self.node.field("backend").unwrap());
+        let announced = deployment.http().post(url).json(&announcement).send().await;
+        assert!(announced.unwrap().status().is_success());
+    }
+
     /// Waits until the server has recorded the event `text`.
     pub(crate) async fn wait_event(&self, text: &str) {
         self.wait_event_count(text, 1).await;
