Report an audit with gaps as not clean

What was seen: the load tool ended with success although a stand-in whose counts the audit needs had been restarted or had not answered, and named a stand-in that was silent at the start as restarted.

Cause: `is_clean` ignored the gaps, and an instance that was not known compared as another one.

--- a/crates/emulator/src/load/audit.rs
+++ b/crates/emulator/src/load/audit.rs
@@ -87,9 +87,12 @@
         result
     }
 
-    /// Returns whether the audit found no fault.
+    /// Returns whether the audit is complete and found no fault.
     pub const fn is_clean(&self) -> bool {
-        self.doubled.count == 0 && self.false_not_run.count == 0 && self.never_run.count == 0
+        self.doubled.count == 0
+            && self.false_not_run.count == 0
+            && self.never_run.count == 0
+            && self.gaps.is_empty()
     }
 }
 
@@ -133,8 +136,12 @@
         for (address, instance) in &self.standins {
             match fetch::<ledger::Executions>(&self.http, *address, "executions").await {
                 Ok(executions) => {
-                    if Some(&executions.instance) != instance.as_ref() {
-                        gaps.push(format!("{address} was restarted"));
+                    match instance {
+                        None => gaps.push(format!("{address} did not answer at the start")),
+                        Some(instance) if *instance != executions.instance => {
+                            gaps.push(format!("{address} was restarted"));
+                        }
+                        Some(_) => {}
                     }
                     if executions.summary.dropped > 0 {
                         gaps.push(format!("{address} has dropped records"));
--- a/crates/emulator/tests/load/response.rs
+++ b/crates/emulator/tests/load/response.rs
@@ -10,6 +10,8 @@
 use sequoiayoke_emulator::load::response;
 use sequoiayoke_emulator::load::response::Outcome;
 use sequoiayoke_emulator::load::tally;
+use sequoiayoke_emulator::standin;
+use sequoiayoke_emulator::standin::settings;
 
 const EXPECTED: response::Expected<'static> = response::Expected {
     mode: plan::Mode::Nodes,
@@ -146,3 +148,30 @@
     assert_eq!(result.never_run.count, 0);
     assert_eq!(result.doubled.count, 1);
 }
+
+/// Guards against an audit with incomplete counts that passes as clean.
+#[test]
+fn audit_with_gaps_is_not_clean() {
+    let statuses = [("answered".to_owned(), tally::Status::Answered)].into();
+    let gaps = vec!["a stand-in was restarted".to_owned()];
+    let result = audit::Result::new(&statuses, &audit::Counts::new(), gaps);
+    assert_eq!(result.never_run.count, 0);
+    assert!(!result.is_clean());
+}
+
+/// Guards against a stand-in that did not answer at the start of an audit and is reported as
+/// restarted.
+#[tokio::test(flavor = "multi_thread")]
+async fn standin_that_is_silent_at_the_start_is_named() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let audit = audit::Audit::start(&[address]).await;
+    let mut settings = settings::Settings::new("a");
+    settings.listen = address;
+    let standin = standin::Standin::start(settings).unwrap();
+    let result = audit.finish(&collections::HashMap::new()).await;
+    let expected = format!("{address} did not answer at the start");
+    assert_eq!(result.unwrap().gaps, [expected]);
+    standin.stop();
+}
