--- a/crates/emulator/tests/load/runs.rs
+++ b/crates/emulator/tests/load/runs.rs
@@ -230,5 +230,6 @@
     plan.connections = Some(1);
     let report = run(plan);
     assert!(report.is_clean());
-    assert_eq!(count(&report, "answered"), report.finished);
+    let answered = count(&report, "answered");
+    assert_eq!(answered, report.finished, "{:?}", report.outcomes);
 }
