Announce the end of HTTP/2 connections at a shutdown

What callers saw: since the connections of callers are served until they are quiet, an HTTP/2 connection without a request was kept open at a shutdown and then reset, as its frames without a request count as the beginning of a head.

Change: a connection that has carried an HTTP/2 request does not delay the shutdown of the HTTP library, which announces the end and lets its requests complete.

--- a/crates/node/src/traffic/callers/connection.rs
+++ b/crates/node/src/traffic/callers/connection.rs
@@ -67,7 +67,7 @@
     states: sync::Mutex<slotmap::SlotMap<Key, sync::Arc<State>>>,
     refusals: refusal::Refusals,
     closing: Stop,
-    // Each acceptor with an open listener and each connection holds a receiver.
+    // Each acceptor with an open listener and each HTTP/1 connection holds a receiver.
     open: watch::Sender<()>,
 }
 
@@ -88,7 +88,7 @@
         }
     }
 
-    /// Waits until the listeners and all connections have been closed at a shutdown.
+    /// Waits until the listeners and all HTTP/1 connections have been closed at a shutdown.
     pub async fn closed(&self) {
         self.closing.cancelled().await;
         self.open.closed().await;
@@ -124,7 +124,7 @@
             quiet_limit: timer::Timer::default(),
             has_ended: false,
             linger_limit: timer::Timer::default(),
-            _open: self.open.subscribe(),
+            open: Some(self.open.subscribe()),
             read_limit: timer::Timer::default(),
             write_limit: timer::Timer::default(),
         })
@@ -247,7 +247,8 @@
     // Whether the connection was closed at a shutdown, because no request arrived.
     has_ended: bool,
     linger_limit: timer::Timer,
-    _open: watch::Receiver<()>,
+    // `None` if the HTTP library announces the end of the connection to the caller itself.
+    open: Option<watch::Receiver<()>>,
 }
 
 impl Stream {
@@ -298,6 +299,10 @@
     /// Returns whether, in a shutdown, no request has begun to arrive for [`QUIET_TIME`] and no
     /// answer is being written.
     fn is_quiet(&mut self, context: &mut task::Context<'_>) -> bool {
+        if self.state.is_multiplexed() {
+            self.open = None;
+            return false;
+        }
         if self.closing.as_mut().poll(context).is_pending()
             || self.state.is_running()
             || self.reading == Reading::Head
--- a/crates/node/src/traffic/callers/connection/state.rs
+++ b/crates/node/src/traffic/callers/connection/state.rs
@@ -12,6 +12,7 @@
     aborted: atomic::AtomicBool,
     started: atomic::AtomicU64,
     running: atomic::AtomicUsize,
+    multiplexed: atomic::AtomicBool,
 }
 
 /// Counts a request as running on a connection until it is dropped.
@@ -32,6 +33,11 @@
         Running(sync::Arc::clone(self))
     }
 
+    /// Records that the connection carries several requests at a time.
+    pub(in crate::traffic::callers) fn set_multiplexed(&self) {
+        self.multiplexed.store(true, atomic::Ordering::Release);
+    }
+
     /// Requests a reset of the connection, without writing more of an answer.
     pub(in crate::traffic::callers) fn abort(&self) {
         self.aborted.store(true, atomic::Ordering::Release);
@@ -47,6 +53,11 @@
         self.aborted.load(atomic::Ordering::Acquire)
     }
 
+    /// Returns whether the connection carries several requests at a time.
+    pub(super) fn is_multiplexed(&self) -> bool {
+        self.multiplexed.load(atomic::Ordering::Acquire)
+    }
+
     /// Returns whether a request runs.
     pub(super) fn is_running(&self) -> bool {
         self.running.load(atomic::Ordering::Acquire) > 0
--- a/crates/node/src/traffic/callers/outgoing.rs
+++ b/crates/node/src/traffic/callers/outgoing.rs
@@ -27,10 +27,14 @@
     /// Records that a request has started on the connection of `state`.
     pub(super) fn new(state: sync::Arc<connection::State>, version: http::Version) -> Self {
         let running = state.start();
+        let is_http1 = version < http::Version::HTTP_2;
+        if !is_http1 {
+            state.set_multiplexed();
+        }
         Self {
             state,
             _running: running,
-            is_http1: version < http::Version::HTTP_2,
+            is_http1,
         }
     }
 
--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -205,3 +205,48 @@
     let answer = String::from_utf8(answer).unwrap();
     assert!(answer.ends_with("\r\n\r\nhello"), "{answer}");
 }
+
+/// Reads an HTTP/2 frame; returns its type.
+async fn read_frame(socket: &mut TcpStream) -> u8 {
+    let mut head = [0; 9];
+    let read = tokio::time::timeout(MAX_WAIT, socket.read_exact(&mut head)).await;
+    read.expect("no further frame")
+        .expect("the connection has ended");
+    let length = u32::from_be_bytes([0, head[0], head[1], head[2]]);
+    let mut payload = vec![0; length as usize];
+    socket.read_exact(&mut payload).await.unwrap();
+    head[3]
+}
+
+/// Guards against an HTTP/2 connection that is kept open at a shutdown, or closed without the frame
+/// that tells its caller which requests were served.
+#[tokio::test]
+async fn an_http2_connection_is_closed_at_a_shutdown() {
+    const DATA: u8 = 0;
+    const GOAWAY: u8 = 7;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let closing = sequoiayoke_supervise::Stop::new();
+    let connections = connection::Connections::with_closing(limits(), closing.clone());
+    let connections = sync::Arc::new(connections);
+    let acceptor = connection::Acceptor::new(listener, connections.clone());
+    let signer = traffic::ids::Signer::new(b"a shared secret");
+    let callers = callers::Callers::new(path(), CALLER_LIMITS, signer, connections.clone());
+    let server = poem::Server::new_with_acceptor(acceptor);
+    let closed = async move { connections.closed().await };
+    let server = tokio::spawn(server.run_with_graceful_shutdown(callers, closed, None));
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+    socket.write_all(preface).await.unwrap();
+    // `GET http://desk/v1/ready` with entries of the static table.
+    let request = b"\0\0\x13\x01\x05\0\0\0\x01\x82\x86\x04\x09/v1/ready\x41\x04desk";
+    socket.write_all(request).await.unwrap();
+    while read_frame(&mut socket).await != DATA {}
+    // Acknowledges the settings of the server, so that bytes arrive without a request.
+    socket.write_all(b"\0\0\0\x04\x01\0\0\0\0").await.unwrap();
+    closing.cancel();
+    while read_frame(&mut socket).await != GOAWAY {}
+    drop(socket);
+    let ended = tokio::time::timeout(MAX_WAIT, server).await;
+    ended.unwrap().unwrap().unwrap();
+}
