Shorten a status of the harness at a character boundary

Evidence: the example of `deployment::shorten` cuts within a character, where `String::truncate` panics by its documentation; the panic itself was not reproduced with a deployment.

--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -378,8 +378,8 @@
             }
             tokio::time::sleep(self.poll_interval).await;
         }
-        let mut last = last.to_string();
-        last.truncate(MAX_SHOWN_BYTES);
+        let last = last.to_string();
+        let last = shorten(&last, MAX_SHOWN_BYTES);
         Err(Error::Timeout(format!(
             "{description}; last status: {last}"
         )))
@@ -455,6 +455,21 @@
     }
 }
 
+/// Returns the longest start of `text` that has at most `max` bytes and whole characters.
+///
+/// # Examples
+///
+/// ```
+/// use sequoiayoke_harness::deployment;
+///
+/// assert_eq!(deployment::shorten("köşk", 2), "k");
+/// assert_eq!(deployment::shorten("köşk", 3), "kö");
+/// assert_eq!(deployment::shorten("desk", 100), "desk");
+/// ```
+pub fn shorten(text: &str, max: usize) -> &str {
+    &text[..text.floor_char_boundary(max)]
+}
+
 /// Returns a random loopback address, which another deployment is unlikely to use.
 fn random_ip() -> String {
     let octet = |low: u8| low + rand::random::<u8>() % 200;
