--- a/crates/emulator/tests/standin/protocol.rs
+++ b/crates/emulator/tests/standin/protocol.rs
@@ -244,3 +244,21 @@
     server.revoke(full_range, 4).await;
     assert_eq!(post().await.0, 504, "the range was revoked");
 }
+
+/// Guards against an answer or a refusal without the number by which a node matches it with its
+/// request.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_and_refusals_repeat_the_number_of_the_exchange() {
+    let server = Server::start(support::settings());
+    let exchange = async |number: &'static str| {
+        let request = server.post("/s/refunds/kiosk-17");
+        let request = request.header("sequoiayoke-exchange", number);
+        let response = request.send().await.unwrap();
+        assert_eq!(response.headers()["sequoiayoke-exchange"], number);
+        response.status().as_u16()
+    };
+    assert_eq!(exchange("17").await, 200);
+    let refusal = json!({ "reason": "overload" });
+    server.fault("refuse", refusal).await;
+    assert_eq!(exchange("18").await, 409);
+}
