--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -3,6 +3,8 @@
 //! It writes raw bytes, since an HTTP library would not write an incomplete answer. It records
 //! each step of a request as an event, so that tests can wait for it.
 
+#![allow(dead_code)]
+
 use std::io;
 use std::path::Path;
 use std::time::Duration;
@@ -18,6 +20,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Size of the body of a large answer.
 pub(crate) const LARGE_BODY_BYTES: usize = 300_000;
+/// Size of the body of a huge answer; larger than all buffers on its path.
+pub(crate) const HUGE_BODY_BYTES: usize = 32 << 20;
 
 /// A node and its scripted backend server.
 #[derive(Debug)]
@@ -26,6 +30,7 @@
     pub(crate) name: String,
     /// The node.
     pub(crate) node: process::Process,
+    announcement: Value,
     events: watch::Sender<Vec<String>>,
     _tasks: task::JoinSet<()>,
 }
@@ -72,12 +77,13 @@
         let url = format!("http://{}/v1/announce", node.field("backend").unwrap());
         let (events, _) = watch::channel(Vec::new());
         let mut tasks = task::JoinSet::new();
+        let repeated = announcement.clone();
         tasks.spawn(async move {
             let http = reqwest::Client::builder().no_proxy().build().unwrap();
             let mut interval = tokio::time::interval(ANNOUNCE_INTERVAL);
             loop {
                 interval.tick().await;
-                let _ = http.post(&url).json(&announcement).send().await;
+                let _ = http.post(&url).json(&repeated).send().await;
             }
         });
         let accept_events = events.clone();
@@ -93,6 +99,7 @@
         Self {
             name: name.to_owned(),
             node,
+            announcement,
             events,
             _tasks: tasks,
         }
@@ -103,6 +110,15 @@
         self.node.field("caller").unwrap()
     }
 
+    /// Announces a further run of the server, which replaces the first one.
+    pub(crate) async fn announce(&self, deployment: &Deployment, instance: &str) {
+        let mut announcement = self.announcement.clone();
+        announcement["instance"] = json!(instance);
+        let url = format!("http://{}/v1/announce", self.node.field("backend").unwrap());
+        let announced = deployment.http().post(url).json(&announcement).send().await;
+        assert!(announced.unwrap().status().is_success());
+    }
+
     /// Waits until the server has recorded the event `text`.
     pub(crate) async fn wait_event(&self, text: &str) {
         self.wait_event_count(text, 1).await;
@@ -121,6 +137,33 @@
         );
     }
 
+    /// Waits until the server has recorded an event that contains `text`.
+    pub(crate) async fn wait_event_containing(&self, text: &str) {
+        let mut events = self.events.subscribe();
+        let recorded = events.wait_for(|events| events.iter().any(|event| event.contains(text)));
+        let recorded = tokio::time::timeout(deployment::MAX_WAIT, recorded).await;
+        assert!(recorded.is_ok(), "{} has not recorded `{text}`", self.name);
+    }
+
+    /// Waits until the node reports that it is draining.
+    pub(crate) async fn wait_draining(&self, deployment: &Deployment) {
+        let url = format!("http://{}/v1/ready", self.caller());
+        let draining = async {
+            loop {
+                let answer = deployment.http().get(&url).send().await.unwrap();
+                if answer.text().await.unwrap() == "draining" {
+                    return;
+                }
+            }
+        };
+        let draining = tokio::time::timeout(deployment::MAX_WAIT, draining).await;
+        assert!(
+            draining.is_ok(),
+            "{} does not report that it is draining",
+            self.name
+        );
+    }
+
     /// Returns the events recorded so far, oldest first.
     pub(crate) fn events(&self) -> Vec<String> {
         self.events.borrow().clone()
@@ -223,6 +266,11 @@
             .write_all(&encode_response(&large_body(key)))
             .await
             .map(|()| true),
+        "huge" => {
+            let body = vec![b'x'; HUGE_BODY_BYTES];
+            let written = reader.write_all(&encode_response(&body)).await;
+            written.map(|()| true)
+        }
         _ => {
             let mut body = (&mut *reader).take(head.content_length as u64);
             let read = tokio::io::copy(&mut body, &mut tokio::io::sink()).await?;
