Count a request that is refused after its wait as refused

What callers saw: nothing directly; a class whose requests were queued and refused later was not seen as starved, so that its next requests were queued behind those of other classes.

Cause: a request that was refused when a slot became free, or when its wait ended, stayed in the admission ratio of its class. An evicted one did not.

The test fails without the correction ("call" starts before "starved"). Gate::close, which had no caller, is removed. A request whose caller disconnects stays counted as admitted: the router did not refuse it.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -314,9 +314,7 @@
         }
         for (rank, ticket, _) in &evicted {
             if let Some(offer) = self.waiting.remove(&(*rank, *ticket)) {
-                let count = self.class_counts.entry(offer.class).or_default();
-                count.admitted = (count.admitted - 1.0).max(0.0);
-                self.overall_count.admitted = (self.overall_count.admitted - 1.0).max(0.0);
+                self.uncount_admitted(offer.class);
             }
         }
         let refuse = |(_, ticket, after)| Release::Refuse(ticket, after);
@@ -325,7 +323,27 @@
 
     /// Removes a waiting request whose caller has disconnected.
     pub fn cancel(&mut self, ticket: Ticket) {
-        self.waiting.retain(|(_, queued), _| *queued != ticket);
+        self.remove(ticket);
+    }
+
+    /// Refuses a waiting request that can no longer end in time.
+    pub fn expire(&mut self, ticket: Ticket) {
+        if let Some(offer) = self.remove(ticket) {
+            self.uncount_admitted(offer.class);
+        }
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Offer> {
+        let mut places = self.waiting.keys();
+        let place = *places.find(|(_, queued)| *queued == ticket)?;
+        self.waiting.remove(&place)
+    }
+
+    /// Takes a request that was refused after all out of the admission ratio of its class.
+    fn uncount_admitted(&mut self, class: u64) {
+        let count = self.class_counts.entry(class).or_default();
+        count.admitted = (count.admitted - 1.0).max(0.0);
+        self.overall_count.admitted = (self.overall_count.admitted - 1.0).max(0.0);
     }
 
     /// Records the service time of a request of `class`.
@@ -347,12 +365,6 @@
         self.release(now)
     }
 
-    /// Removes and returns all waiting requests, for a backend server that accepts no more.
-    pub fn close(&mut self) -> Vec<Ticket> {
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_keys().map(|(_, ticket)| ticket).collect()
-    }
-
     /// Starts waiting requests while slots are free, and refuses those that would miss their
     /// deadline.
     pub fn release(&mut self, now: clock::Instant) -> Vec<Release> {
@@ -361,6 +373,7 @@
             && let Some(((_, ticket), offer)) = self.waiting.pop_first()
         {
             if now >= self.latest_start(&offer) {
+                self.uncount_admitted(offer.class);
                 releases.push(Release::Refuse(ticket, MIN_RETRY_AFTER));
             } else {
                 self.running += 1;
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -463,13 +463,21 @@
 /// Returns the order in which a request, a request of a starved class and a call start, after
 /// `admitted` requests of the starved class were admitted and `refused` refused.
 fn order_of_starts(admitted: u32, refused: u32) -> Vec<&'static str> {
+    order_of_starts_after(|gate| offer_requests(gate, 3, admitted, refused))
+}
+
+/// Returns the same order after `starve` has offered requests of the starved class, class 3.
+fn order_of_starts_after<Starve>(starve: Starve) -> Vec<&'static str>
+where
+    Starve: FnOnce(&mut admission::Gate),
+{
     let mut gate = admission::Gate::new(1);
     let now = at(0);
     gate.observe(1, Duration::from_millis(50));
     gate.observe(3, Duration::from_millis(50));
     gate.offer(now, offer(now, 1));
     offer_requests(&mut gate, 1, 20, 0);
-    offer_requests(&mut gate, 3, admitted, refused);
+    starve(&mut gate);
     let call = admission::Offer {
         rank: 2,
         class: 9,
@@ -515,6 +523,36 @@
     assert_eq!(order_of_starts(0, 12), ["starved", "call", "request"]);
 }
 
+/// Guards against starvation of a class whose requests are queued and then refused: they count as
+/// refused, whether their wait ended or a slot became free too late.
+#[test]
+fn requests_that_are_refused_after_a_wait_count_as_refused() {
+    let queue = |gate: &mut admission::Gate| match gate.offer(at(0), offer(at(0), 3)) {
+        admission::Decision::Wait(ticket) => ticket,
+        unexpected => panic!("{unexpected:?}"),
+    };
+    let expired = order_of_starts_after(|gate| {
+        for _ in 0..12 {
+            let ticket = queue(gate);
+            gate.expire(ticket);
+        }
+    });
+    let released_late = order_of_starts_after(|gate| {
+        for _ in 0..12 {
+            let ticket = queue(gate);
+            // The slot stays occupied by the next request.
+            let releases = gate.finish(at(10_000));
+            let refused = releases.into_iter().any(|release| {
+                matches!(release, admission::Release::Refuse(queued, _) if queued == ticket)
+            });
+            assert!(refused);
+            gate.offer(at(0), offer(at(0), 1));
+        }
+    });
+    assert_eq!(expired, ["starved", "call", "request"]);
+    assert_eq!(released_late, ["starved", "call", "request"]);
+}
+
 /// Guards against admission by the mean service time alone, with which half of the requests at the
 /// end of the queue are late when service times vary.
 #[test]
--- a/crates/gateway/src/traffic/backend/slots.rs
+++ b/crates/gateway/src/traffic/backend/slots.rs
@@ -108,15 +108,18 @@
             admission::Decision::Start => {}
             admission::Decision::Refuse(retry_after) => return Err(retry_after),
             admission::Decision::Wait(ticket) => {
-                let waiting = self.wait(ticket);
+                let mut waiting = std::pin::pin!(self.wait(ticket));
                 let evicted = self.gate.borrow_mut().evict(now);
                 self.apply_releases(evicted);
                 // No slot may become free: the backend server may not answer any request.
                 let latest_start = self.gate.borrow().latest_start(&offer);
                 let max_wait = now.saturating_until(latest_start);
-                match time::timeout(max_wait, waiting).await {
+                match time::timeout(max_wait, waiting.as_mut()).await {
                     Ok(admitted) => admitted?,
-                    Err(_) => return Err(LATE_RETRY_DELAY),
+                    Err(_) => {
+                        self.gate.borrow_mut().expire(ticket);
+                        return Err(LATE_RETRY_DELAY);
+                    }
                 }
             }
         }
