--- a/crates/gateway/src/traffic/path/answer.rs
+++ b/crates/gateway/src/traffic/path/answer.rs
@@ -6,7 +6,7 @@
 use sequoiayoke_http1::{request, serve};
 use sequoiayoke_model::clock;
 
-use super::Delivery;
+use super::{Delivery, MIN_RETRY_AFTER};
 use crate::traffic::requests;
 
 /// An answer to a caller.
@@ -137,6 +137,29 @@
     Answer::new(text.into_bytes(), body)
 }
 
+/// Reason why the node does not wait for the rest of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::traffic) enum Unread {
+    /// It did not arrive in time.
+    Timeout,
+    /// The node is stopping.
+    Stopping,
+}
+
+/// Returns the answer to a request that was not read completely, and so did not run.
+pub(in crate::traffic) fn unread(reason: Unread) -> Answer {
+    let status = match reason {
+        Unread::Timeout => 408,
+        Unread::Stopping => 503,
+    };
+    let phrase = serve::reason_phrase(status);
+    let retry_after = MIN_RETRY_AFTER.as_secs_f64();
+    let head = format!(
+        "HTTP/1.1 {status} {phrase}\r\nretry-after: {retry_after:.3}\r\ncontent-length: 0\r\n"
+    );
+    Answer::new(head.into_bytes(), Bytes::new())
+}
+
 /// Returns the answer to malformed or oversized input.
 pub(in crate::traffic) fn malformed(fault: sequoiayoke_http1::Error) -> Answer {
     let status: u16 = match fault {
--- a/crates/gateway/src/traffic/peers.rs
+++ b/crates/gateway/src/traffic/peers.rs
@@ -19,6 +19,8 @@
 use tokio::task;
 use tokio_util::codec::FramedRead;
 
+use super::path::attempt;
+
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which unacknowledged bytes end a connection.
@@ -51,9 +53,20 @@
     bytes: cell::RefCell<BytesMut>,
     wake: Notify,
     is_closed: cell::Cell<bool>,
+    /// Number of bytes that are queued or being written.
+    unwritten: cell::Cell<usize>,
+    /// The same number for all outboxes that share it.
+    total_unwritten: rc::Rc<cell::Cell<usize>>,
 }
 
 impl Outbox {
+    /// Creates an outbox that adds its unwritten bytes to `total_unwritten`.
+    pub(super) fn new(total_unwritten: rc::Rc<cell::Cell<usize>>) -> Self {
+        let mut outbox = Self::default();
+        outbox.total_unwritten = total_unwritten;
+        outbox
+    }
+
     /// Appends a message; returns whether it was queued.
     pub(super) fn push<T>(&self, message: &T) -> bool
     where
@@ -63,37 +76,63 @@
         if self.is_closed.get() || bytes.len() > MAX_QUEUED_BYTES {
             return false;
         }
+        let length = bytes.len();
         if let Err(error) = codec::append(message, &mut bytes) {
             tracing::error!(%error, "a message to a node cannot be encoded");
             return false;
         }
+        let added = bytes.len() - length;
+        self.unwritten.set(self.unwritten.get() + added);
+        let total = &self.total_unwritten;
+        total.set(total.get() + added);
         self.wake.notify_one();
         true
     }
 
-    /// Writes the queued frames until the connection breaks.
+    fn record_written(&self, count: usize) {
+        self.unwritten.set(self.unwritten.get() - count);
+        let total = &self.total_unwritten;
+        total.set(total.get() - count);
+    }
+
+    /// Writes the queued frames until the connection breaks, or until the outbox is closed and all
+    /// of them are written.
     pub(super) async fn write(&self, mut writer: tcp::OwnedWriteHalf) -> io::Result<()> {
         loop {
             let mut batch = std::mem::take(&mut *self.bytes.borrow_mut());
             if batch.is_empty() {
+                if self.is_closed.get() {
+                    return writer.shutdown().await;
+                }
                 self.wake.notified().await;
                 continue;
             }
+            let length = batch.len();
             writer.write_all_buf(&mut batch).await?;
+            self.record_written(length);
         }
     }
 
+    /// Accepts no more messages.
     pub(super) fn close(&self) {
         self.is_closed.set(true);
+        self.wake.notify_one();
+    }
+}
+
+impl Drop for Outbox {
+    fn drop(&mut self) {
+        self.record_written(self.unwritten.get());
     }
 }
 
-type Answer = (peer::Outcome, peer::Load);
+/// Outcome of a request, and the load that its node reported with it.
+pub(super) type Reply = (peer::Outcome, peer::Load);
 
 /// A request that the other node has not answered.
 #[derive(Debug)]
 struct Pending {
-    answer: oneshot::Sender<Answer>,
+    reply: oneshot::Sender<Reply>,
     /// The part of the body that the other node has not requested yet.
     body: Bytes,
 }
@@ -107,57 +146,103 @@
     is_up: cell::Cell<bool>,
 }
 
+impl Link {
+    /// Ends a request with an outcome that this node determines itself.
+    fn answer(&self, stream: u64, outcome: peer::Outcome) {
+        self.deliver(stream, (outcome, peer::Load::default()));
+    }
+
+    /// Ends a request with its reply.
+    fn deliver(&self, stream: u64, reply: Reply) {
+        let pending = self.pending.borrow_mut().remove(&stream);
+        // The caller of the request may have disconnected.
+        if let Some(pending) = pending
+            && pending.reply.send(reply).is_err()
+        {
+            tracing::trace!(stream, "received an answer without a caller");
+        }
+    }
+
+    /// Ends the requests that a node has not read before it closed the connection.
+    fn close(&self, last_read: Option<u64>) {
+        let is_unread = |stream: &u64| last_read.is_none_or(|last| *stream > last);
+        let unread: Vec<_> = {
+            let pending = self.pending.borrow();
+            pending.keys().copied().filter(is_unread).collect()
+        };
+        for stream in unread {
+            self.answer(stream, stopping());
+        }
+    }
+}
+
+type Links = rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<Link>>>>;
+
 /// Connections to other nodes.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
-    links: rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, rc::Rc<Link>>>>,
+    links: Links,
 }
 
-/// A request that waits for its answer; dropping it cancels the request at the other node.
-struct Call {
+/// A request at another node; dropping it cancels the request there.
+#[derive(Debug)]
+pub(super) struct Call {
     link: rc::Rc<Link>,
     stream: u64,
+    reply: oneshot::Receiver<Reply>,
 }
 
 impl Drop for Call {
     fn drop(&mut self) {
-        let is_pending = self
-            .link
-            .pending
-            .borrow_mut()
-            .remove(&self.stream)
-            .is_some();
+        let pending = self.link.pending.borrow_mut().remove(&self.stream);
+        let is_pending = pending.is_some();
         if is_pending && !self.link.outbox.push(&peer::ToServer::Cancel(self.stream)) {
             tracing::debug!("a cancellation could not be sent");
         }
     }
 }
 
+impl attempt::Attempt for Call {
+    async fn reply(&mut self) -> Reply {
+        let reply = (&mut self.reply).await;
+        reply.unwrap_or_else(|_| (link_lost(), peer::Load::default()))
+    }
+
+    fn withdraw(&mut self) {
+        // If the message cannot be sent, the link has ended or is about to, which gives the
+        // request an outcome too.
+        if !self
+            .link
+            .outbox
+            .push(&peer::ToServer::Withdraw(self.stream))
+        {
+            tracing::debug!("a withdrawal could not be sent");
+        }
+    }
+}
+
 impl Peers {
-    /// Sends a request to a node and waits for its outcome.
-    pub(super) async fn call(&self, address: net::SocketAddr, mut open: peer::Open) -> Answer {
+    /// Sends a request to a node.
+    pub(super) fn call(&self, address: net::SocketAddr, mut open: peer::Open) -> Call {
         let link = self.link(address);
         let stream = link.next_stream.get();
         link.next_stream.set(stream + 1);
         open.stream = stream;
         let body = defer_body(&mut open);
-        let (sender, answer) = oneshot::channel();
+        let (sender, reply) = oneshot::channel();
         let pending = Pending {
-            answer: sender,
+            reply: sender,
             body,
         };
         link.pending.borrow_mut().insert(stream, pending);
-        let call = Call {
-            link: rc::Rc::clone(&link),
-            stream,
-        };
         if !link.outbox.push(&peer::ToServer::Open(open)) {
-            link.pending.borrow_mut().remove(&stream);
-            return (unreachable(), peer::Load::default());
+            link.answer(stream, unreachable());
+        }
+        Call {
+            link,
+            stream,
+            reply,
         }
-        let answer = answer.await;
-        drop(call);
-        answer.unwrap_or_else(|_| (link_lost(), peer::Load::default()))
     }
 
     fn link(&self, address: net::SocketAddr) -> rc::Rc<Link> {
@@ -166,23 +251,16 @@
             let link = rc::Rc::new(Link::default());
             let (task_link, task_links) = (rc::Rc::clone(&link), rc::Rc::clone(&self.links));
             task::spawn_local(async move {
-                let ended = run_link(address, &task_link).await;
+                let ended = run_link(address, &task_link, &task_links).await;
                 let is_up = task_link.is_up.get();
-                task_link.outbox.close();
-                task_links.borrow_mut().remove(&address);
-                let unanswered: Vec<_> = task_link.pending.borrow_mut().drain().collect();
+                remove_link(&task_links, address, &task_link);
+                let unanswered: Vec<_> = task_link.pending.borrow().keys().copied().collect();
                 let requests = unanswered.len();
                 tracing::info!(%address, ?ended, is_up, requests, "the connection to a node ended");
-                for (_, pending) in unanswered {
+                for stream in unanswered {
                     // A request that was never written cannot have run.
                     let outcome = if is_up { link_lost() } else { unreachable() };
-                    if pending
-                        .answer
-                        .send((outcome, peer::Load::default()))
-                        .is_err()
-                    {
-                        tracing::trace!("the caller has disconnected");
-                    }
+                    task_link.answer(stream, outcome);
                 }
             });
             link
@@ -212,22 +290,56 @@
     }
 }
 
+fn stopping() -> peer::Outcome {
+    peer::Outcome::NotRun {
+        reason: peer::Reason::Stopping,
+        retry_after_ms: 0,
+        was_sent: false,
+    }
+}
+
 fn link_lost() -> peer::Outcome {
     peer::Outcome::Unknown(peer::Reason::LinkLost)
 }
 
-async fn run_link(address: net::SocketAddr, link: &Link) -> io::Result<()> {
+/// Removes a connection, so that the next request to the node opens another one.
+fn remove_link(links: &Links, address: net::SocketAddr, link: &rc::Rc<Link>) {
+    link.outbox.close();
+    let mut links = links.borrow_mut();
+    if links
+        .get(&address)
+        .is_some_and(|current| rc::Rc::ptr_eq(current, link))
+    {
+        links.remove(&address);
+    }
+}
+
+async fn run_link(address: net::SocketAddr, link: &rc::Rc<Link>, links: &Links) -> io::Result<()> {
     let io = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     set_socket_options(&io)?;
     link.is_up.set(true);
     let (reader, writer) = io.into_split();
-    tokio::select! {
-        ended = link.outbox.write(writer) => ended,
-        ended = read(reader, link) => ended,
+    let mut writing = std::pin::pin!(link.outbox.write(writer));
+    let mut reading = std::pin::pin!(read(reader, link, || remove_link(links, address, link)));
+    let written = tokio::select! {
+        written = &mut writing => written,
+        ended = &mut reading => return ended,
+    };
+    // The outbox of a connection that the other node closes ends first; replies may follow.
+    match link.outbox.is_closed.get() {
+        true => reading.await,
+        false => written,
     }
 }
 
-async fn read(reader: tcp::OwnedReadHalf, link: &Link) -> io::Result<()> {
+async fn read<Closing>(
+    reader: tcp::OwnedReadHalf,
+    link: &Link,
+    on_closing: Closing,
+) -> io::Result<()>
+where
+    Closing: Fn(),
+{
     let mut frames = FramedRead::new(reader, codec::Codec::<peer::ToServer, peer::ToEntry>::new());
     let mut last_received = tokio::time::Instant::now();
     let mut pings = 0;
@@ -255,15 +367,7 @@
                 stream,
                 outcome,
                 load,
-            } => {
-                let pending = link.pending.borrow_mut().remove(&stream);
-                // The caller of the request may have disconnected.
-                if let Some(pending) = pending
-                    && pending.answer.send((outcome, load)).is_err()
-                {
-                    tracing::trace!(stream, "received an answer without a caller");
-                }
-            }
+            } => link.deliver(stream, (outcome, load)),
             peer::ToEntry::Pull(stream) => {
                 let mut pending = link.pending.borrow_mut();
                 let body = pending.get_mut(&stream).map(|request| &mut request.body);
@@ -274,6 +378,10 @@
                 }
             }
             peer::ToEntry::Pong(_) => {}
+            peer::ToEntry::Close(last_read) => {
+                on_closing();
+                link.close(last_read);
+            }
         }
     }
 }
