--- a/crates/director/src/coordinator/orders.rs
+++ b/crates/director/src/coordinator/orders.rs
@@ -6,7 +6,8 @@
 use sequoiayoke_model::clock;
 use tokio::sync::oneshot;
 
-use super::{Coordinator, PendingOrder, send_answer};
+use super::stopping::Stage;
+use super::{Coordinator, send_answer};
 use crate::operator;
 
 impl Coordinator {
@@ -19,15 +20,17 @@
     ) {
         let is_leader = self.leader.is_some() && self.driver.replica().is_authoritative(now);
         let answer = match (is_leader, call) {
-            (false, _) => match self.leader_address() {
-                Some(leader) if leader != self.own_address => operator::Answer::Redirect(leader),
-                _ => operator::Answer::Unavailable,
+            (false, _) => match self.other_leader_address() {
+                Some(leader) => operator::Answer::Redirect(leader),
+                None => operator::Answer::Unavailable,
             },
             (true, operator::Call::Read) => match self.driver.machine().order() {
                 Some(order) => operator::Answer::Document(Bytes::copy_from_slice(&order.document)),
                 None => operator::Answer::Unavailable,
             },
             (true, operator::Call::Configure(order)) => match self.driver.machine().check(&order) {
+                // An order that is not in the log when the leadership is transferred has no effect.
+                Ok(()) if self.stage != Stage::Running => operator::Answer::Unavailable,
                 Ok(()) => return self.propose_order(now, order, reply),
                 Err(refusal) => operator::Answer::Refused(refusal),
             },
@@ -47,12 +50,7 @@
         match self.driver.propose(now, &command) {
             Some(position) => {
                 tracing::info!(version, %position, "an order entered the log");
-                let since = now;
-                self.pending_orders.push(PendingOrder {
-                    position,
-                    since,
-                    reply,
-                });
+                self.pending_orders.push(now, position, reply);
             }
             None => send_answer(reply, operator::Answer::Unavailable),
         }
@@ -60,14 +58,9 @@
 
     /// Answers the operator whose order was at the index of a committed entry.
     pub(super) fn answer_order(&mut self, position: position::Position, output: &machine::Output) {
-        let index = self
-            .pending_orders
-            .iter()
-            .position(|order| order.position.index == position.index);
-        let Some(index) = index else {
+        let Some(order) = self.pending_orders.take(position.index) else {
             return;
         };
-        let order = self.pending_orders.swap_remove(index);
         let answer = match output {
             // Another leader's entry was committed at the index of the order.
             _ if order.position != position => operator::Answer::Unavailable,
