--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod memory;
 pub mod outcomes;
 pub mod probe;
 pub mod quota;
+pub mod refusals;
 pub mod route;
 pub mod shutdown;
 pub mod transfer;
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -1,37 +1,67 @@
-//! Connections to the backend server, and single exchanges over them.
+//! Connections to the backend server, and the requests that the node itself makes.
 
 use std::io;
 use std::time::Duration;
 
-use sequoiayoke_catalog::server;
+use sequoiayoke_catalog::{server, slice};
 use sequoiayoke_http1::response;
 use sequoiayoke_model::clock;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::oneshot;
 
 use super::{
-    Backend, Connection, Context, Error, IDENTIFY_TIMEOUT, IDLE_TIMEOUT, IDLE_TIMEOUT_PERCENT,
-    LIMITS, MAX_IDLE_CONNECTIONS, MAX_STRAY_RESPONSES, NON_IDEMPOTENT_IDLE_TIMEOUT, connect,
-    parse_keep_alive, write_remainder,
+    Backend, Connection, Context, Error, IDENTIFY_TIMEOUT, MAX_IDLE_CONNECTIONS,
+    NON_IDEMPOTENT_IDLE_TIMEOUT, connect,
 };
 use crate::coordinator;
 use crate::frontend;
 
+/// What a request of the node itself is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Subject {
+    /// A grant or its renewal.
+    Grant(slice::Range, slice::Fence),
+    /// A release.
+    Release(slice::Range, slice::Fence),
+    /// The identity of the backend server.
+    Identity,
+}
+
+impl Subject {
+    const fn new(command: &frontend::Command<'_>) -> Self {
+        match command {
+            frontend::Command::Grant { range, fence, .. } => Self::Grant(*range, *fence),
+            frontend::Command::Release { range, fence } => Self::Release(*range, *fence),
+        }
+    }
+
+    /// Returns whether a request about this may use a connection with this subject.
+    ///
+    /// The answer has no id. Only that to another subject can be mistaken for it, or an earlier one
+    /// to the same subject, which is harmless for a renewal.
+    fn allows(self, connection: Option<Self>) -> bool {
+        let is_grant = matches!(self, Self::Grant(..));
+        connection.is_none_or(|subject| is_grant && subject == self)
+    }
+}
+
 impl Backend {
-    /// Returns the most recently used idle connection, or opens one.
-    pub(super) async fn checkout(&self, max_idle: Duration) -> Result<Connection, Error> {
-        let now = clock::Instant::now();
-        loop {
-            let newest = self.idle.borrow_mut().pop();
-            let Some(mut connection) = newest else {
-                return connect(self.address).await;
-            };
-            let age = now.saturating_since(connection.used);
-            if age >= connection.idle.min(max_idle) {
-                // All other idle connections are older.
-                self.idle.borrow_mut().clear();
-                continue;
-            }
+    /// Returns the most recently used idle connection on which the request with this id was not
+    /// refused, or opens one.
+    pub(super) async fn checkout(&self, id: &str, max_idle: Duration) -> Result<Connection, Error> {
+        let is_usable = |connection: &Connection| !connection.refusals.contains(id);
+        self.checkout_if(max_idle, is_usable).await
+    }
+
+    /// Returns the most recently used idle connection that is usable, or opens one.
+    async fn checkout_if<IsUsable>(
+        &self,
+        max_idle: Duration,
+        is_usable: IsUsable,
+    ) -> Result<Connection, Error>
+    where
+        IsUsable: Fn(&Connection) -> bool,
+    {
+        while let Some(mut connection) = self.take_idle(max_idle, &is_usable) {
             // Bytes that arrive while no request is open belong to none; a closed connection shows
             // here too.
             match connection.io.try_read_buf(&mut connection.input) {
@@ -42,111 +72,78 @@
                 Err(error) => tracing::debug!(%error, "an idle connection has failed"),
             }
         }
+        connect(self.address).await
     }
 
-    pub(super) fn check_in(&self, connection: Connection) {
+    /// Removes the most recently used idle connection that is usable from the kept ones.
+    fn take_idle<IsUsable>(&self, max_idle: Duration, is_usable: IsUsable) -> Option<Connection>
+    where
+        IsUsable: Fn(&Connection) -> bool,
+    {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(connection);
+        let index = idle.iter().rposition(is_usable)?;
+        let connection = idle.remove(index);
+        let age = clock::Instant::now().saturating_since(connection.used);
+        if age < connection.idle.min(max_idle) {
+            return Some(connection);
         }
+        // The connections before it are older.
+        idle.drain(..index);
+        None
     }
 
-    /// Writes a request and reads its response; the connection is kept if it can be reused.
-    pub(super) async fn exchange<Frontend>(
-        &self,
-        frontend: &Frontend,
-        mut connection: Connection,
-        request: Vec<u8>,
-        id: &str,
-    ) -> Result<response::Response, Error>
-    where
-        Frontend: frontend::Frontend,
-    {
-        let mut written = 0;
-        let mut stray = 0;
-        let mut decoder = response::Decoder::new();
-        let Connection { io, input, .. } = &mut connection;
-        let response = loop {
-            let (mut reader, mut writer) = io.split();
-            let read = tokio::select! {
-                biased;
-                read = reader.read_buf(input) => read.map_err(Error::Broken)?,
-                count = writer.write(&request[written..]), if written < request.len() => {
-                    written += count.map_err(Error::Broken)?;
-                    continue;
-                }
-            };
-            if let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
-                if frontend
-                    .response_metadata(&response)
-                    .id
-                    .is_none_or(|answered| answered == id)
-                {
-                    break response;
-                }
-                stray += 1;
-                tracing::warn!(id, "discarding a response to another request");
-                if stray > MAX_STRAY_RESPONSES || read == 0 {
-                    return Err(Error::Stray);
-                }
-                // The awaited response may have arrived in the same read.
-                if let Some(next) = decoder.decode(input, LIMITS, false)?
-                    && frontend.response_metadata(&next).id == Some(id)
-                {
-                    break next;
-                }
-            }
-        };
-        if response.keeps_alive && connection.input.is_empty() {
-            let idle_timeout = response.fields.get("keep-alive").and_then(parse_keep_alive);
-            if let Some(idle_timeout) = idle_timeout {
-                connection.idle = IDLE_TIMEOUT.min(idle_timeout * IDLE_TIMEOUT_PERCENT / 100);
-            }
-            connection.used = clock::Instant::now();
-            if written == request.len() {
-                self.check_in(connection);
-            } else {
-                write_remainder(connection, request, written);
-            }
+    pub(super) fn check_in(&self, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(connection);
         }
-        Ok(response)
     }
 
-    /// Sends a command about keys.
+    /// Sends a command about keys, which `call` encodes.
     pub(in crate::traffic) async fn send_command<Frontend>(
         &self,
         context: &Context<Frontend>,
         instance: &server::Instance,
+        command: &frontend::Command<'_>,
         call: &frontend::Call,
         timeout: Duration,
     ) -> Result<response::Response, Error>
     where
         Frontend: frontend::Frontend,
     {
-        let body = [call.media_type.as_bytes(), &call.body];
-        self.send_request(context, instance, "POST", call.path, body, timeout)
+        let request =
+            self.encode_request("POST", call.path, [call.media_type.as_bytes(), &call.body]);
+        self.send_request(context, instance, Subject::new(command), request, timeout)
             .await
     }
 
-    /// Sends a request that the node itself makes, with a media type and a body.
+    /// Sends a request that the node itself makes.
     async fn send_request<Frontend>(
         &self,
         context: &Context<Frontend>,
         instance: &server::Instance,
-        method: &str,
-        path: &str,
-        [media_type, body]: [&[u8]; 2],
+        subject: Subject,
+        request: Vec<u8>,
         timeout: Duration,
     ) -> Result<response::Response, Error>
     where
         Frontend: frontend::Frontend,
     {
-        let connection = self.checkout(NON_IDEMPOTENT_IDLE_TIMEOUT).await;
-        let connection = connection.inspect_err(|error| {
+        let is_usable = |connection: &Connection| subject.allows(connection.subject);
+        let connection = self.checkout_if(NON_IDEMPOTENT_IDLE_TIMEOUT, is_usable);
+        let mut connection = connection.await.inspect_err(|error| {
             if matches!(error, Error::Refused) {
                 context.send_event(coordinator::Event::Ended(instance.clone()));
             }
         })?;
+        connection.subject = Some(subject);
+        let exchange = self.exchange(context, connection, request, None);
+        let result = tokio::time::timeout(timeout, exchange).await;
+        result.unwrap_or(Err(Error::Timeout))
+    }
+
+    /// Encodes a request that the node itself makes, with a media type and a body.
+    fn encode_request(&self, method: &str, path: &str, [media_type, body]: [&[u8]; 2]) -> Vec<u8> {
         let mut request = format!("{method} {path} HTTP/1.1\r\nhost: {}\r\n", self.address);
         if !body.is_empty() {
             let length = body.len();
@@ -159,9 +156,7 @@
         }
         request.extend_from_slice(b"\r\n");
         request.extend_from_slice(body);
-        let exchange = self.exchange(&context.frontend, connection, request, "");
-        let result = tokio::time::timeout(timeout, exchange).await;
-        result.unwrap_or(Err(Error::Timeout))
+        request
     }
 
     /// Announces the instance that the leader knows as running if it answers under its name.
@@ -178,9 +173,10 @@
         };
         let path = &service.health_path;
         let instance = &known.instance;
-        let request =
-            self.send_request(context, instance, "GET", path, [&[], &[]], IDENTIFY_TIMEOUT);
-        match request.await {
+        let request = self.encode_request("GET", path, [&[], &[]]);
+        let subject = Subject::Identity;
+        let response = self.send_request(context, instance, subject, request, IDENTIFY_TIMEOUT);
+        match response.await {
             Ok(response) if context.frontend.identity(&response) == Some(&instance.name) => {
                 tracing::info!(
                     instance = instance.name,
--- a/crates/node/src/traffic/callers/outgoing.rs
+++ b/crates/node/src/traffic/callers/outgoing.rs
@@ -27,13 +27,22 @@
     /// Records that a request has started on the connection of `state`.
     pub(super) fn new(state: sync::Arc<connection::State>, version: http::Version) -> Self {
         let running = state.start();
+        let is_http1 = version < http::Version::HTTP_2;
+        if !is_http1 {
+            state.set_multiplexed();
+        }
         Self {
             state,
             _running: running,
-            is_http1: version < http::Version::HTTP_2,
+            is_http1,
         }
     }
 
+    /// Returns whether the request arrived over HTTP/1.
+    pub(super) const fn is_http1(&self) -> bool {
+        self.is_http1
+    }
+
     /// Converts the body into one that resets the connection instead of ending truncated.
     pub(super) fn body(self, body: answer::Body, guard: Option<in_flight::Guard>) -> poem::Body {
         match body {
--- a/crates/node/src/traffic/server/connection.rs
+++ b/crates/node/src/traffic/server/connection.rs
@@ -24,21 +24,41 @@
 
 use super::Failure;
 
+/// Header with the number of an exchange, which the server may repeat in its response. A response
+/// with another number belongs to another request.
+const EXCHANGE: hyper::header::HeaderName =
+    hyper::header::HeaderName::from_static("sequoiayoke-exchange");
+
 /// The lease under which the current request of a connection may start.
 #[derive(Debug, Default)]
 struct Lease {
     until_us: atomic::AtomicU64,
+    // Whether the next write starts the request. The server may send before it has the whole
+    // request, so received bytes do not show that a request has ended.
+    starts_request: atomic::AtomicBool,
     has_refused: atomic::AtomicBool,
 }
 
+impl Lease {
+    /// Allows one request to start until `until`.
+    fn arm(&self, until: clock::Instant) {
+        let until_us = until.as_micros();
+        self.until_us.store(until_us, atomic::Ordering::Release);
+        self.starts_request.store(true, atomic::Ordering::Release);
+    }
+
+    /// Records that the request has started.
+    fn start(&self) {
+        self.starts_request.store(false, atomic::Ordering::Release);
+    }
+}
+
 /// A socket that checks the lease before the first bytes of each request.
 #[derive(Debug)]
 struct Socket<C> {
     io: TcpStream,
     clock: C,
     lease: sync::Arc<Lease>,
-    /// Whether the next write starts a request: nothing was written since the last read.
-    starts_request: bool,
 }
 
 impl<C> Socket<C>
@@ -47,7 +67,8 @@
 {
     fn check_lease(&self) -> io::Result<()> {
         let until = self.lease.until_us.load(atomic::Ordering::Acquire);
-        if !self.starts_request || self.clock.now() < clock::Instant::from_micros(until) {
+        let starts_request = self.lease.starts_request.load(atomic::Ordering::Acquire);
+        if !starts_request || self.clock.now() < clock::Instant::from_micros(until) {
             return Ok(());
         }
         self.lease
@@ -69,10 +90,7 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = task::ready!(Pin::new(&mut self.io).poll_read(context, buffer));
-        self.starts_request |= buffer.filled().len() > before;
-        task::Poll::Ready(read)
+        Pin::new(&mut self.io).poll_read(context, buffer)
     }
 }
 
@@ -87,7 +105,7 @@
     ) -> task::Poll<io::Result<usize>> {
         self.check_lease()?;
         let count = task::ready!(Pin::new(&mut self.io).poll_write(context, bytes))?;
-        self.starts_request = false;
+        self.lease.start();
         task::Poll::Ready(Ok(count))
     }
 
@@ -98,7 +116,7 @@
     ) -> task::Poll<io::Result<usize>> {
         self.check_lease()?;
         let count = task::ready!(Pin::new(&mut self.io).poll_write_vectored(context, parts))?;
-        self.starts_request = false;
+        self.lease.start();
         task::Poll::Ready(Ok(count))
     }
 
@@ -135,6 +153,8 @@
     address: net::SocketAddr,
     connect: Duration,
     max_idle: usize,
+    // Number of the next exchange.
+    next: sync::Arc<atomic::AtomicU64>,
     // Locked to remove or add one connection, never across an `await`.
     idle: sync::Arc<sync::Mutex<Vec<Connection>>>,
 }
@@ -150,6 +170,7 @@
             address,
             connect,
             max_idle,
+            next: sync::Arc::default(),
             idle: sync::Arc::default(),
         }
     }
@@ -162,16 +183,18 @@
     /// mean that nothing was written.
     pub async fn send(
         &self,
-        request: hyper::Request<reqwest::Body>,
+        mut request: hyper::Request<reqwest::Body>,
         lease_until: clock::Instant,
         limit: Duration,
     ) -> Result<hyper::Response<reqwest::Body>, Failure> {
         let deadline = time::Instant::now() + limit;
+        let exchange = self.next.fetch_add(1, atomic::Ordering::Relaxed).into();
+        request.headers_mut().insert(EXCHANGE, exchange);
+        let exchange = request.headers().get(EXCHANGE).cloned();
         let checkout = time::timeout_at(deadline, self.checkout());
         let mut connection = checkout.await.map_err(|_| Failure::NotSent)??;
         let lease = sync::Arc::clone(&connection.lease);
-        let until_us = lease_until.as_micros();
-        lease.until_us.store(until_us, atomic::Ordering::Release);
+        lease.arm(lease_until);
         let sent = time::timeout_at(deadline, connection.sender.send_request(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
@@ -183,7 +206,19 @@
             Ok(Err(_)) => return Err(Failure::Lost),
             Err(_) => return Err(Failure::TimedOut),
         };
-        self.check_in(connection);
+        // The connection is closed, since its further responses cannot be matched either.
+        if response
+            .headers()
+            .get(EXCHANGE)
+            .is_some_and(|repeated| Some(repeated) != exchange.as_ref())
+        {
+            return Err(Failure::Mismatched);
+        }
+        // A server could repeat a refusal on its connection, where it would be taken for the
+        // response to a request that has run.
+        if !is_refusal(&response) {
+            self.check_in(connection);
+        }
         let body = |incoming| Deadline {
             incoming,
             passed: Box::pin(time::sleep_until(deadline)),
@@ -208,7 +243,6 @@
             io,
             clock: self.clock.clone(),
             lease: sync::Arc::clone(&lease),
-            starts_request: true,
         };
         let (sender, driver) = http1::handshake(TokioIo::new(socket))
             .await
@@ -241,6 +275,12 @@
     }
 }
 
+/// Returns whether the server states that it has not run the request.
+pub(super) fn is_refusal<B>(response: &hyper::Response<B>) -> bool {
+    response.status() == hyper::StatusCode::CONFLICT
+        && response.headers().contains_key("sequoiayoke-refused")
+}
+
 /// Why the body of a response failed.
 #[derive(Debug, thiserror::Error)]
 enum Broken {
