Propose the assignment of a released range once

Cause: a node that stopped renewed its lease for each range that its backend server released, and each renewal states all ranges that are not assigned yet. The leader proposed the assignment of each of them again every time: 1,192 log entries in 0.1 s for some 200 ranges, each followed by a whole table to each node. The configuration waited behind them in the queue to the node.

Fix: ranges that are released together are reported with one renewal and assigned with one command, a proposed range is not proposed again for 2 s, and an assignment without effect is no change.

Tests of the leader and of the node, without a network.

--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -6,6 +6,7 @@
 
 mod changes;
 mod plan;
+mod releases;
 
 use std::collections;
 use std::time::Duration;
@@ -92,6 +93,8 @@
     pending_moves: Vec<PendingMove>,
     /// When each join was last proposed.
     proposed_joins: collections::BTreeMap<server::Announcement, clock::Instant>,
+    /// When the assignment of each released range was last proposed, by the owner that released it.
+    proposed_moves: collections::BTreeMap<(id::Server, slice::Range, slice::Fence), clock::Instant>,
     /// When each removal was last proposed.
     proposed_leaves: collections::BTreeMap<id::Server, clock::Instant>,
     /// When a backend server last joined each service.
@@ -130,6 +133,7 @@
             planners: collections::BTreeMap::new(),
             pending_moves: Vec::new(),
             proposed_joins: collections::BTreeMap::new(),
+            proposed_moves: collections::BTreeMap::new(),
             proposed_leaves: collections::BTreeMap::new(),
             last_joined: collections::BTreeMap::new(),
             vacant_since: collections::BTreeMap::new(),
@@ -274,8 +278,12 @@
                     handover: None,
                 }]));
         }
-        for released in renewal.released {
-            self.assign_released(now, machine, registered, released);
+        let released = renewal.released.into_iter();
+        let moves: Vec<_> = released
+            .filter_map(|released| self.assign_released(now, machine, registered, released))
+            .collect();
+        if !moves.is_empty() {
+            self.proposals.push(machine::Command::Assign(moves));
         }
     }
 
@@ -328,55 +336,6 @@
         });
     }
 
-    /// Assigns a released range to its new owner.
-    fn assign_released(
-        &mut self,
-        now: clock::Instant,
-        machine: &machine::Machine,
-        from: &server::Server,
-        released: session::Released,
-    ) {
-        let Some(table) = machine.tables().get(&released.service) else {
-            return;
-        };
-        let slice = table.find(released.range.first);
-        if slice.owner != Some(from.id) || slice.fence != released.fence {
-            return;
-        }
-        let owners = self.owners(now, machine, &released.service);
-        let planned_move = self.pending_moves.iter_mut().find(|pending| {
-            pending.service == released.service && pending.change.range == released.range
-        });
-        let can_own = |id: id::Server| {
-            owners
-                .iter()
-                .any(|owner| owner.id == id && owner.is_eligible)
-        };
-        let to = match planned_move {
-            Some(pending) => {
-                pending.since = now;
-                Some(pending.change.to).filter(|to| can_own(*to))
-            }
-            None => None,
-        };
-        let to = to.or_else(|| {
-            let mut candidates = owners
-                .iter()
-                .filter(|owner| owner.is_eligible && owner.id != from.id);
-            candidates.next().map(|owner| owner.id)
-        });
-        let to = to.unwrap_or(from.id);
-        self.proposals
-            .push(machine::Command::Assign(vec![slice::Move {
-                service: released.service,
-                range: released.range,
-                expected: released.fence,
-                from: Some(from.id),
-                to,
-                handover: released.handover,
-            }]));
-    }
-
     /// Handles a command that was applied.
     pub fn applied(
         &mut self,
@@ -416,6 +375,9 @@
                     });
                     !is_done
                 });
+                self.proposed_moves.retain(|(_, range, _), _| {
+                    !moves.iter().any(|assigned| assigned.range == *range)
+                });
                 self.assigned_at = None;
             }
             (_, machine::Output::Refused(refusal)) => {
--- a/crates/director/src/coordinator/leader/changes.rs
+++ b/crates/director/src/coordinator/leader/changes.rs
@@ -49,7 +49,7 @@
                 self.has_removals = true;
             }
             (machine::Command::Leave { .. }, _) => self.has_removals = true,
-            (machine::Command::Assign(moves), machine::Output::Assigned(_)) => {
+            (machine::Command::Assign(moves), machine::Output::Assigned(1..)) => {
                 for assigned in moves {
                     let ranges = self.ranges.entry(assigned.service.clone()).or_default();
                     ranges.push(assigned.range);
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -207,6 +207,43 @@
     assert_eq!(harness.owner(100), Some(first));
 }
 
+/// Guards against a log that fills with assignments of the same ranges: a node states its released
+/// ranges with each renewal until they are assigned.
+#[test]
+fn released_ranges_are_proposed_together_and_once() {
+    let (mut harness, nodes, servers) = pair();
+    let first = harness.owner(0).expect("owned");
+    let releasing = usize::from(harness.machine.servers()[&first].announcement == servers[1]);
+    let fence = harness.machine.tables()["status"].find(0).fence;
+    let released = |count: u16| {
+        let ranges = (0..count).map(|number| slice::Range::new(number * 10, number * 10 + 9));
+        ranges.map(|range| session::Released {
+            service: "status".to_owned(),
+            range,
+            fence,
+            handover: None,
+        })
+    };
+    let mut renew = |ms, count| {
+        let report = session::Renewal {
+            released: released(count).collect(),
+            ..renewal(ms, &servers[releasing])
+        };
+        harness.renew(instant(ms), nodes[releasing], report);
+        let proposals = harness.leader.take_proposals();
+        let moves = proposals.into_iter().map(|command| match command {
+            machine::Command::Assign(moves) => moves.len(),
+            unexpected => panic!("{unexpected:?}"),
+        });
+        moves.collect::<Vec<_>>()
+    };
+    assert_eq!(renew(2_100, 3), [3]);
+    assert_eq!(renew(2_110, 5), [2]);
+    assert_eq!(renew(2_120, 5), Vec::<usize>::new());
+    // A proposal may be lost.
+    assert_eq!(renew(4_200, 5), [5]);
+}
+
 /// Guards against a renewal that is not acknowledged, or is acknowledged to another node or under
 /// another sequence number.
 #[test]
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -234,7 +234,7 @@
                 range,
                 fence,
                 handover,
-            } => self.state.record_keys_released(now, range, fence, handover),
+            } => self.state.record_keys_released(range, fence, handover),
             Event::UsageReported {
                 parts,
                 service_s,
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -147,6 +147,8 @@
     failure_rate: f64,
     effects: Vec<Effect>,
     is_changed: bool,
+    /// Whether the next tick renews the lease to report what has changed.
+    is_renewal_due: bool,
 }
 
 impl State {
@@ -175,6 +177,7 @@
             failure_rate: 0.0,
             effects: Vec::new(),
             is_changed: true,
+            is_renewal_due: false,
         }
     }
 
@@ -378,6 +381,7 @@
     }
 
     fn renew(&mut self, now: clock::Instant) {
+        self.is_renewal_due = false;
         self.sequence += 1;
         self.last_renewal = Some(now);
         self.lease.record_sent(now, self.sequence);
@@ -418,9 +422,10 @@
 
     /// Performs the actions that are due at `now`.
     pub fn tick(&mut self, now: clock::Instant) {
-        if self
-            .last_renewal
-            .is_none_or(|at| now.saturating_since(at) >= RENEW_INTERVAL)
+        if self.is_renewal_due
+            || self
+                .last_renewal
+                .is_none_or(|at| now.saturating_since(at) >= RENEW_INTERVAL)
         {
             self.renew(now);
         }
--- a/crates/gateway/src/coordinator/state/releases.rs
+++ b/crates/gateway/src/coordinator/state/releases.rs
@@ -136,7 +136,6 @@
     /// Records that the backend server has confirmed a release.
     pub fn record_keys_released(
         &mut self,
-        now: clock::Instant,
         range: slice::Range,
         fence: slice::Fence,
         handover: Option<String>,
@@ -146,7 +145,8 @@
         });
         if let Some(release) = release {
             release.handover = Some(handover);
-            self.renew(now);
+            // Ranges that are released together are reported together.
+            self.is_renewal_due = true;
         }
     }
 }
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -163,7 +163,8 @@
     state.record_grant_completed(at(2), range, slice::Fence(5), None);
     let part = slice::Range::new(100, 199);
     state.begin_release(at(3), "status", part, slice::Fence(5));
-    state.record_keys_released(at(4), part, slice::Fence(5), Some("value".to_owned()));
+    state.record_keys_released(part, slice::Fence(5), Some("value".to_owned()));
+    state.tick(at(4));
     let reported = |state: &mut State| {
         let effects = state.take_effects();
         effects.iter().rev().find_map(|effect| match effect {
@@ -179,6 +180,30 @@
     assert_eq!(reported(&mut state), Some(0));
 }
 
+/// Guards against renewals that grow with the square of the ranges that a backend server releases:
+/// ranges that are released together are reported together.
+#[test]
+fn ranges_that_are_released_together_take_one_renewal() {
+    let mut state = owner();
+    let range = grants(&state.take_effects())[0].0;
+    state.record_grant_completed(at(2), range, slice::Fence(5), None);
+    let parts = [0, 100, 200].map(|first| slice::Range::new(first, first + 99));
+    for part in parts {
+        state.begin_release(at(3), "status", part, slice::Fence(5));
+    }
+    state.take_effects();
+    for part in parts {
+        state.record_keys_released(part, slice::Fence(5), None);
+    }
+    state.tick(at(4));
+    let effects = state.take_effects().into_iter();
+    let reported = effects.filter_map(|effect| match effect {
+        Effect::Renew(renewal) => Some(renewal.released.len()),
+        _ => None,
+    });
+    assert_eq!(reported.collect::<Vec<_>>(), [3]);
+}
+
 /// Guards against an outdated replica that moves a node back to an older state.
 #[test]
 fn an_older_state_is_ignored() {
