Remember that a backend server left before the node knew it

What backend servers saw: a node acknowledged that they leave, and sent them new requests later.

Cause: a node that has just started does not know its backend server. It dropped "instance leaves" for an unknown instance, acknowledged it all the same, and then learned the instance from the leader as one that is ready. The acknowledgement is a promise that new work ends.

Fix: the node remembers the name with the time of day, and an instance of that name that was born before is draining from the start. A later run under the same name is not.

The test fails without the memory (draining is false).

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -5,7 +5,7 @@
 pub mod state;
 
 use std::sync;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use sequoiayoke_catalog::{server, slice};
@@ -206,7 +206,7 @@
                 self.replies.push((reply, is_accepted));
             }
             Event::Leaving { name, reply } => {
-                let is_accepted = self.state.record_leaving(now, &name);
+                let is_accepted = self.state.record_leaving(now, &name, unix_ms());
                 tracing::info!(
                     instance = name,
                     counts = is_accepted,
@@ -297,3 +297,10 @@
         }
     }
 }
+
+/// Returns the time of day in milliseconds since the Unix epoch, as backend servers state the time
+/// of their start.
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -128,6 +128,9 @@
     view: view::View,
     backend: Option<Backend>,
     ended: Option<server::Instance>,
+    /// Name of an instance that left before it announced itself, and when, in milliseconds since
+    /// the Unix epoch.
+    left: Option<(String, u64)>,
     /// The instance that was last checked, while no instance has announced itself.
     last_identified: Option<server::Instance>,
     /// When the grants expire of a draining backend server that refuses connections.
@@ -163,6 +166,7 @@
             view: view::View::default(),
             backend: None,
             ended: None,
+            left: None,
             last_identified: None,
             grants_expire_at: None,
             sequence: 0,
@@ -261,9 +265,18 @@
             "the backend server has announced itself"
         );
         self.reset();
+        let left = self.left.take();
+        // An instance that was born later has started again under the same name.
+        let has_left = left.is_some_and(|(name, unix_ms)| {
+            name == announced.instance.name && announced.instance.born_ms <= unix_ms
+        });
+        let is_draining = announced.is_draining || has_left;
         self.backend = Some(Backend {
-            draining_since: announced.is_draining.then_some(now),
-            announcement: announced,
+            draining_since: is_draining.then_some(now),
+            announcement: server::Announcement {
+                is_draining,
+                ..announced
+            },
             sequence,
             last_announced: now,
         });
@@ -296,9 +309,14 @@
         self.effects.push(Effect::Identify(known.clone()));
     }
 
-    /// Records that the backend server is leaving; returns whether `name` is its current instance.
-    pub fn record_leaving(&mut self, now: clock::Instant, name: &str) -> bool {
+    /// Records that the instance `name` is leaving, at `unix_ms` of the time of day; returns whether
+    /// it is the current instance.
+    ///
+    /// A node that has just started may hear that an instance leaves before it hears of the
+    /// instance, and acknowledges that as well.
+    pub fn record_leaving(&mut self, now: clock::Instant, name: &str, unix_ms: u64) -> bool {
         let Some(backend) = &mut self.backend else {
+            self.left = Some((name.to_owned(), unix_ms));
             return false;
         };
         if backend.announcement.instance.name != name {
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -180,6 +180,25 @@
     assert_eq!(reported(&mut state), Some(0));
 }
 
+/// Guards against new work for a backend server whose leaving was acknowledged by a node that had
+/// just started and did not know it yet, and against a later run under the same name that gets none.
+#[test]
+fn an_instance_that_leaves_before_it_is_known_stays_draining() {
+    for (born_ms, is_draining) in [(10, true), (2_000, false)] {
+        let mut state = State::new(Config {
+            lease: LEASE,
+            backend: ([127, 0, 0, 1], 1).into(),
+            max_hold: Duration::from_secs(10),
+        });
+        state.record_leaving(at(0), "i-1", 1_000);
+        assert!(state.record_announcement(at(10), announcement("i-1", born_ms), 1));
+        let view = state.take_view().expect("the view has changed");
+        let backend = view.backend.expect("a backend server is known");
+        assert_eq!(backend.draining_since.is_some(), is_draining);
+        assert_eq!(backend.announcement.is_draining, is_draining);
+    }
+}
+
 /// Guards against renewals that grow with the square of the ranges that a backend server releases:
 /// ranges that are released together are reported together.
 #[test]
@@ -230,7 +249,7 @@
 #[test]
 fn a_leaving_backend_server_stays_draining() {
     let mut state = owner();
-    assert!(state.record_leaving(at(10), "i-1"));
+    assert!(state.record_leaving(at(10), "i-1", 1_000));
     assert!(state.record_announcement(at(20), announcement("i-1", 10), 9));
     let view = state.take_view().expect("the view has changed");
     let backend = view.backend.expect("a backend server is known");
@@ -339,7 +358,7 @@
     let (range, _) = grants(&state.take_effects())[0];
     state.record_grant_confirmed(range, slice::Fence(5), at(6_600));
     state.record_grant_completed(at(2), range, slice::Fence(5), None);
-    assert!(state.record_leaving(at(100), "i-1"));
+    assert!(state.record_leaving(at(100), "i-1", 1_000));
     // This release gets no answer.
     state.begin_release(at(200), "status", slice::Range::ALL, slice::Fence(5));
     let instance = announcement("i-1", 10).instance;
