Lose no grant and no release because a queue between the threads is full

What callers saw: nothing that was reported; found by reading. Keys that their owner never granted again, so that their requests were refused until the backend server or its node restarted.

Cause: a grant counts as in flight from the moment at which the control thread issues it. If the queue of commands was full, it was dropped and never completed; if the queue of events was full, its completion was. The range was then neither granted nor released again.

Fix: a grant that finds the queue full is completed at once and issued again later, and the results of commands wait for room. The lines "granted keys" and "released keys" are written only if the backend server confirmed that, with "a grant was not confirmed" and "keys were not released" otherwise.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -189,7 +189,7 @@
             }
             self.publish();
             for effect in self.state.take_effects() {
-                self.send_command(Command::Effect(effect));
+                self.send_effect(now, effect);
             }
         }
     }
@@ -245,7 +245,9 @@
 
     fn handle_control(&mut self, now: clock::Instant, message: session::FromControl) {
         match message {
-            session::FromControl::Redirect(leader) => self.send_command(Command::Redirect(leader)),
+            session::FromControl::Redirect(leader) => {
+                self.send_command(Command::Redirect(leader));
+            }
             session::FromControl::Replicas(replicas) => {
                 self.send_command(Command::Replicas(replicas));
             }
@@ -290,11 +292,28 @@
         }
     }
 
-    fn send_command(&self, command: Command) {
-        // Dropping a command is safe: the state issues it again later.
-        if self.commands.try_send(command).is_err() {
+    fn send_effect(&mut self, now: clock::Instant, effect: state::Effect) {
+        let grant = match &effect {
+            state::Effect::Grant { range, fence, .. } => Some((*range, *fence)),
+            _ => None,
+        };
+        if !self.send_command(Command::Effect(effect))
+            && let Some((range, fence)) = grant
+        {
+            // The grant was not sent. It would count as in flight, and its keys would be granted
+            // and released no more.
+            self.state.record_grant_completed(now, range, fence, None);
+        }
+    }
+
+    /// Queues a command for the traffic thread; returns whether there was room. Apart from grants,
+    /// the state issues a command again later.
+    fn send_command(&self, command: Command) -> bool {
+        let is_queued = self.commands.try_send(command).is_ok();
+        if !is_queued {
             tracing::warn!("a command for the traffic thread was dropped");
         }
+        is_queued
     }
 }
 
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -148,7 +148,14 @@
         schedule.map(|schedule| schedule.latest_outcome())
     }
 
-    /// Sends an event to the control thread.
+    /// Sends an event to the control thread that is not repeated, waiting for room in its queue.
+    async fn deliver_event(&self, event: coordinator::Event) {
+        if self.events.send(event).await.is_err() {
+            tracing::debug!("the control thread has ended");
+        }
+    }
+
+    /// Sends an event to the control thread; it is dropped if the queue is full.
     fn send_event(&self, event: coordinator::Event) {
         if self.events.try_send(event).is_err() {
             tracing::warn!("an event for the control thread was dropped");
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -235,30 +235,35 @@
             let status = send_command(&command, &instance, context)
                 .await
                 .map(|response| response.status);
-            match status {
-                Some(200) => context.send_event(coordinator::Event::GrantConfirmed {
+            let confirmed = match status {
+                Some(200) => Some(coordinator::Event::GrantConfirmed {
                     range,
                     fence,
                     until: at + hold,
                 }),
-                Some(409) => context.send_event(coordinator::Event::GrantRefused { range, fence }),
-                _ => {}
-            }
+                Some(409) => Some(coordinator::Event::GrantRefused { range, fence }),
+                _ => None,
+            };
             let is_unanswered = status.is_none();
-            context.send_event(coordinator::Event::GrantCompleted {
+            let completed = coordinator::Event::GrantCompleted {
                 range,
                 fence,
                 unanswered_until: is_unanswered.then(|| clock::Instant::now() + MAX_GRANT_DELAY),
-            });
-            let (first, last) = (range.first, range.last);
-            let hold_ms = hold.as_millis() as u64;
+            };
+            for event in confirmed.into_iter().chain([completed]) {
+                context.deliver_event(event).await;
+            }
+            let message = match status {
+                Some(200) => "granted keys",
+                _ => "a grant was not confirmed",
+            };
             tracing::debug!(
-                first,
-                last,
+                first = range.first,
+                last = range.last,
                 fence = fence.0,
-                hold_ms,
+                hold_ms = hold.as_millis() as u64,
                 ?status,
-                "granted keys"
+                message
             );
         }
         state::Effect::Release {
@@ -273,22 +278,25 @@
             let waited_ms = clock::Instant::now().saturating_since(start).as_millis() as u64;
             let status = response.as_ref().map(|response| response.status);
             let (first, last) = (range.first, range.last);
-            tracing::info!(
-                first,
-                last,
-                fence = fence.0,
-                waited_ms,
-                ?status,
-                "released keys"
-            );
-            if let Some(response) = response.filter(|response| response.status == 200) {
-                let handover = context.frontend.handover(&response);
-                context.send_event(coordinator::Event::KeysReleased {
-                    range,
-                    fence,
-                    handover,
-                });
-            }
+            let Some(response) = response.filter(|response| response.status == 200) else {
+                tracing::info!(
+                    first,
+                    last,
+                    fence = fence.0,
+                    waited_ms,
+                    ?status,
+                    "keys were not released"
+                );
+                return;
+            };
+            tracing::info!(first, last, fence = fence.0, waited_ms, "released keys");
+            let handover = context.frontend.handover(&response);
+            let released = coordinator::Event::KeysReleased {
+                range,
+                fence,
+                handover,
+            };
+            context.deliver_event(released).await;
         }
     }
 }
