Order log lines across midnight and precisions in logs why

What engineers saw: lines of the evening before were left out for a request after midnight, and timestamps with fewer digits sorted before others of the same second.

Cause: lines were compared by the time of day, with the digits of the fraction read as a number of microseconds. They are compared by date and time now.

--- a/crates/cli/src/diagnosis.rs
+++ b/crates/cli/src/diagnosis.rs
@@ -68,18 +68,23 @@
         self.text("message")
     }
 
-    /// Returns the time of day, in microseconds.
-    fn time_of_day_us(&self) -> u64 {
-        let clock = self
-            .timestamp()
-            .split_once('T')
-            .map_or("", |(_, clock)| clock);
-        let mut parts = clock.trim_end_matches('Z').split([':', '.']);
-        let mut next_number = || parts.next().and_then(|part| part.parse::<u64>().ok());
-        let (hours, minutes, seconds) = (next_number(), next_number(), next_number());
-        let micros = next_number().unwrap_or(0);
-        let minutes = hours.unwrap_or(0) * 60 + minutes.unwrap_or(0);
-        (minutes * 60 + seconds.unwrap_or(0)) * 1_000_000 + micros
+    /// Returns the time in microseconds, from a fixed day on.
+    fn time_us(&self) -> u64 {
+        let (date, clock) = self.timestamp().split_once('T').unwrap_or_default();
+        let mut date = date.split('-').map(|part| part.parse().unwrap_or(0));
+        let mut next_number = || date.next().unwrap_or(0);
+        let days = days(next_number(), next_number(), next_number());
+        let (clock, fraction) = clock
+            .trim_end_matches('Z')
+            .split_once('.')
+            .unwrap_or((clock.trim_end_matches('Z'), ""));
+        let seconds = clock
+            .split(':')
+            .map(|part| part.parse().unwrap_or(0))
+            .fold(0, |seconds: u64, part: u64| seconds * 60 + part);
+        let digits: String = fraction.chars().chain("000000".chars()).take(6).collect();
+        let micros: u64 = digits.parse().unwrap_or(0);
+        (days * 86_400 + seconds) * 1_000_000 + micros
     }
 
     /// Returns whether the line is about the request or a call that was made for it.
@@ -108,6 +113,16 @@
     }
 }
 
+/// Returns the number of days from the first of March of the year 0 to a date.
+const fn days(year: u64, month: u64, day: u64) -> u64 {
+    // The year begins in March, so that a leap day is its last day.
+    let (year, month) = match month {
+        0..=2 => (year.saturating_sub(1), month + 9),
+        _ => (year, month - 3),
+    };
+    year * 365 + year / 4 - year / 100 + year / 400 + (month * 153 + 2) / 5 + day
+}
+
 /// Diagnosis of one request.
 #[derive(Clone, Debug)]
 pub struct Diagnosis<'a> {
@@ -133,22 +148,18 @@
     /// ```
     pub fn new(all: &'a [Line], id: &str) -> Option<Self> {
         let mut lines: Vec<_> = all.iter().filter(|line| line.is_about(id)).collect();
-        lines.sort_by_key(|line| line.time_of_day_us());
-        let (first, last) = (
-            lines.first()?.time_of_day_us(),
-            lines.last()?.time_of_day_us(),
-        );
+        lines.sort_by_key(|line| line.time_us());
+        let (first, last) = (lines.first()?.time_us(), lines.last()?.time_us());
         let is_relevant = |line: &&Line| {
             let has_no_id = line.text("id").is_empty() && !line.message().is_empty();
-            let is_near =
-                (first.saturating_sub(LOOKBACK_US)..=last).contains(&line.time_of_day_us());
+            let is_near = (first.saturating_sub(LOOKBACK_US)..=last).contains(&line.time_us());
             let is_handler = lines
                 .iter()
                 .any(|request_line| request_line.process == line.process);
             has_no_id && is_near && (is_handler || is_control_decision(line))
         };
         let mut state_changes: Vec<_> = all.iter().filter(is_relevant).collect();
-        state_changes.sort_by_key(|line| line.time_of_day_us());
+        state_changes.sort_by_key(|line| line.time_us());
         let omitted = state_changes.len().saturating_sub(MAX_STATE_CHANGES);
         state_changes.drain(..omitted);
         let cause = cause(&lines, id);
--- a/crates/cli/tests/sessions/main.rs
+++ b/crates/cli/tests/sessions/main.rs
@@ -309,3 +309,21 @@
     }
     insta::assert_snapshot!(session.transcript());
 }
+
+const MIDNIGHT_LOG: &str = r#"owner {"timestamp":"2026-03-01T00:00:00.2Z","level":"INFO","message":"the backend server answered late","id":"7b4c26d862b4df14","key":9,"waited_ms":300,"ran_ms":20,"running":9,"waiting":3,"slots":9}
+entry {"timestamp":"2026-03-01T00:00:00.204Z","level":"INFO","message":"answered late","id":"7b4c26d862b4df14","service":"desk","key":9,"server":2,"sent":1,"took_ms":340,"late_ms":40}
+entry {"timestamp":"2026-02-28T23:59:59.999999Z","level":"INFO","message":"configuration in force","version":25,"index":1656}
+entry {"timestamp":"2026-03-01T00:00:00.03Z","level":"INFO","message":"the connection to a node ended","address":"10.0.0.9:7000"}
+"#;
+
+/// Guards against lines in a wrong order, or left out, when a request spans midnight or processes
+/// write their timestamps with another precision.
+#[tokio::test]
+async fn logs_why_orders_lines_across_midnight_and_precisions() {
+    let mut session = session::Session::new(&[]);
+    session.write_file("midnight.log", MIDNIGHT_LOG);
+    session
+        .run("logs why 7b4c26d862b4df14 files/midnight.log")
+        .await;
+    insta::assert_snapshot!(session.transcript());
+}
