Pass on no encoded body, and the length of an answer to HEAD

What callers saw: a 2xx with Content-Encoding, which the backend server's body never has, as a success; an answer to HEAD with a length of 0 instead of the length of the body; 204 with a length.

A successful response with an encoding has an unknown outcome now (502), since the request has run.

--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -394,10 +394,24 @@
             );
             return peer::Outcome::Unknown(peer::Reason::Malformed);
         }
+        // Callers ask for bodies without an encoding.
+        if (200..300).contains(&response.status)
+            && response.fields.get("content-encoding").is_some()
+        {
+            tracing::warn!(
+                id = open.id,
+                status = response.status,
+                "a successful response has an encoding that was not asked for"
+            );
+            return peer::Outcome::Unknown(peer::Reason::Malformed);
+        }
         slot.is_observed = true;
+        // The length that an answer to HEAD states is that of a body which does not follow.
+        let is_head = open.head.starts_with(b"HEAD ");
         let mut fields = Vec::new();
         for (name, value) in response.fields.iter() {
-            if response.fields.is_end_to_end(name) && !name.eq_ignore_ascii_case("content-length") {
+            let is_length = name.eq_ignore_ascii_case("content-length");
+            if response.fields.is_end_to_end(name) && (is_head || !is_length) {
                 fields.extend_from_slice(name.as_bytes());
                 fields.extend_from_slice(b": ");
                 fields.extend_from_slice(value);
--- a/crates/gateway/src/traffic/path/answer.rs
+++ b/crates/gateway/src/traffic/path/answer.rs
@@ -76,18 +76,16 @@
         .saturating_since(delivery.start)
         .as_millis() as u64;
     tracing::debug!(id = delivery.id, status, took_ms, "answered");
-    let mut head = format!(
-        "HTTP/1.1 {status} {}\r\ncontent-length: {}\r\n",
-        serve::reason_phrase(status),
-        body.len()
-    )
-    .into_bytes();
+    let mut head = format!("HTTP/1.1 {status} {}\r\n", serve::reason_phrase(status));
+    // An answer that has no body by definition needs no length: for HEAD the fields have that of the
+    // backend server, if it has stated one.
+    let has_no_body = delivery.method == "HEAD" || matches!(status, 204 | 304);
+    if !has_no_body {
+        head.push_str(&format!("content-length: {}\r\n", body.len()));
+    }
+    let mut head = head.into_bytes();
     head.extend_from_slice(fields);
-    let body = if delivery.method == "HEAD" {
-        Bytes::new()
-    } else {
-        body
-    };
+    let body = if has_no_body { Bytes::new() } else { body };
     Answer::new(head, body)
 }
 
