Judge no backend server by those that have reported nothing

What operators saw: under planned work, backend servers were judged outliers and cleared again half a second later; their keys were released and moved meanwhile.

Cause: a server without a report, as of a node that has just started, counted as one without failures and lowered the median of its service. It is left out now. The test fails on the sources before this commit.

--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -403,9 +403,11 @@
     fn update_outliers(&mut self, machine: &machine::Machine, service: &str) {
         let servers = machine.servers().values();
         let ids = servers.filter(|server| server.announcement.service == service);
-        let ids: Vec<_> = ids.map(|server| server.id).collect();
-        let share = |id: &id::Server| self.reports.get(id).map_or(0.0, |report| report.failing);
-        let shares: Vec<_> = ids.iter().map(share).collect();
+        // A server without a report, for example of a node that has just started, says nothing about
+        // the others.
+        let (ids, shares): (Vec<_>, Vec<_>) = ids
+            .filter_map(|server| Some((server.id, self.reports.get(&server.id)?.failing)))
+            .unzip();
         let outliers = outlier::detect(&shares);
         for ((server, share), is_outlier) in ids.into_iter().zip(shares).zip(outliers) {
             let is_changed = match is_outlier {
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -348,3 +348,38 @@
         assert_eq!(requested, is_moved);
     }
 }
+
+/// Guards against keys that move away from servers which fail like all others, because nodes that
+/// have just started have reported nothing yet.
+#[test]
+fn servers_without_a_report_do_not_make_the_others_outliers() {
+    let mut harness = Harness::new();
+    let servers = [1, 2, 3, 4, 5, 6].map(|number| announcement(&format!("i-{number}"), number));
+    let nodes = servers.each_ref().map(|server| {
+        let node = harness.leader.node_up().expect("there is room");
+        harness.renew(instant(0), node, renewal(1, server));
+        harness.commit(instant(0));
+        node
+    });
+    for ms in (300..2_000).step_by(300) {
+        harness.leader.tick(instant(ms), &harness.machine);
+        harness.commit(instant(ms));
+    }
+    harness.effects();
+    // Four of the six have not reported any failure rate.
+    for (node, server) in nodes.iter().zip(&servers).take(2) {
+        let report = session::Renewal {
+            failing: 0.7,
+            ..renewal(9, server)
+        };
+        harness.renew(instant(2_100), *node, report);
+    }
+    harness.leader.tick(instant(2_400), &harness.machine);
+    let is_release = |effect: &leader::Effect| {
+        matches!(
+            effect,
+            leader::Effect::Send(_, session::FromControl::Release { .. })
+        )
+    };
+    assert!(!harness.effects().iter().any(is_release));
+}
