Let renewals of grants share connections

A repeated answer that is taken for the answer to a renewal does no harm: if the renewal was lost, the backend server refuses requests for the keys until the next one. Renewals use any connection now, with those preferred that had one of the node's requests before.

--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -63,6 +63,8 @@
         at: clock::Instant,
         /// State that the previous owner handed over.
         handover: Option<String>,
+        /// Whether the backend server has confirmed the grant before.
+        is_renewal: bool,
     },
     /// Sends a release to the backend server.
     Release {
--- a/crates/gateway/src/coordinator/state/grants.rs
+++ b/crates/gateway/src/coordinator/state/grants.rs
@@ -126,6 +126,7 @@
                 hold,
                 at: now,
                 handover: grant.handover.clone(),
+                is_renewal: grant.is_confirmed,
             });
         }
     }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -52,6 +52,8 @@
         hold: Duration,
         /// State that the previous owner handed over.
         handover: Option<&'a str>,
+        /// Whether the backend server has confirmed the grant before.
+        is_renewal: bool,
     },
     /// Releases these keys.
     Release {
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -18,8 +18,10 @@
 /// What a request of the node itself is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Subject {
-    /// A grant or its renewal.
+    /// A grant that the backend server has not confirmed.
     Grant(slice::Range, slice::Fence),
+    /// The renewal of a grant.
+    Renewal,
     /// A release.
     Release(slice::Range, slice::Fence),
     /// The identity of the backend server.
@@ -29,6 +31,9 @@
 impl Subject {
     const fn new(command: &frontend::Command<'_>) -> Self {
         match command {
+            frontend::Command::Grant {
+                is_renewal: true, ..
+            } => Self::Renewal,
             frontend::Command::Grant { range, fence, .. } => Self::Grant(*range, *fence),
             frontend::Command::Release { range, fence } => Self::Release(*range, *fence),
         }
@@ -36,11 +41,15 @@
 
     /// Returns whether a request about this may use a connection with this subject.
     ///
-    /// The answer has no id. Only that to another subject can be mistaken for it, or an earlier one
-    /// to the same subject, which is harmless for a renewal.
+    /// The answers to the node's own requests have no id, so that a repeated one can be mistaken for
+    /// the answer to a later request. For a renewal that is harmless: if it was lost, the backend
+    /// server refuses requests until the next one.
     fn allows(self, connection: Option<Self>) -> bool {
-        let is_grant = matches!(self, Self::Grant(..));
-        connection.is_none_or(|subject| is_grant && subject == self)
+        match self {
+            Self::Renewal => true,
+            Self::Grant(..) => connection.is_none_or(|subject| subject == self),
+            Self::Release(..) | Self::Identity => connection.is_none(),
+        }
     }
 }
 
@@ -58,6 +67,17 @@
         max_idle: Duration,
         is_usable: IsUsable,
     ) -> Result<Connection, Error>
+    where
+        IsUsable: Fn(&Connection) -> bool,
+    {
+        match self.reuse(max_idle, is_usable) {
+            Some(connection) => Ok(connection),
+            None => connect(self.address).await,
+        }
+    }
+
+    /// Returns the most recently used idle connection that is usable and open.
+    fn reuse<IsUsable>(&self, max_idle: Duration, is_usable: IsUsable) -> Option<Connection>
     where
         IsUsable: Fn(&Connection) -> bool,
     {
@@ -65,14 +85,14 @@
             // Bytes that arrive while no request is open belong to none; a closed connection shows
             // here too.
             match connection.io.try_read_buf(&mut connection.input) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(connection),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Some(connection),
                 Ok(count) => {
                     tracing::debug!(count, "an idle connection was closed or has stray bytes")
                 }
                 Err(error) => tracing::debug!(%error, "an idle connection has failed"),
             }
         }
-        connect(self.address).await
+        None
     }
 
     /// Removes the most recently used idle connection that is usable from the kept ones.
@@ -129,9 +149,22 @@
     where
         Frontend: frontend::Frontend,
     {
+        // Renewals prefer connections that had a request of the node, so that the others stay
+        // usable for first grants and releases.
+        let is_used = |connection: &Connection| connection.subject.is_some();
+        let used = match subject {
+            Subject::Renewal => self.reuse(NON_IDEMPOTENT_IDLE_TIMEOUT, is_used),
+            _ => None,
+        };
         let is_usable = |connection: &Connection| subject.allows(connection.subject);
-        let connection = self.checkout_if(NON_IDEMPOTENT_IDLE_TIMEOUT, is_usable);
-        let mut connection = connection.await.inspect_err(|error| {
+        let connection = match used {
+            Some(connection) => Ok(connection),
+            None => {
+                self.checkout_if(NON_IDEMPOTENT_IDLE_TIMEOUT, is_usable)
+                    .await
+            }
+        };
+        let mut connection = connection.inspect_err(|error| {
             if matches!(error, Error::Refused) {
                 context.send_event(coordinator::Event::Ended(instance.clone()));
             }
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -225,12 +225,14 @@
             hold,
             at,
             handover,
+            is_renewal,
         } => {
             let command = frontend::Command::Grant {
                 range,
                 fence,
                 hold,
                 handover: handover.as_deref(),
+                is_renewal,
             };
             let status = send_command(&command, &instance, context)
                 .await
