Accept the connections that wait when a stopping node closes its listener

The end of a listener resets connections that were opened and not accepted yet, and a request may have been sent on them. They are accepted first. Found by reading, without a test: the accept loop of an idle process leaves no connection waiting.

--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -218,7 +218,7 @@
     task::spawn_local(session::run(commands, rc::Rc::clone(&context)));
     task::spawn_local(report_load(rc::Rc::clone(&context)));
     task::spawn_local(apply_reloads(rc::Rc::clone(&context)));
-    let accept_task = task::spawn_local(callers::accept(callers, rc::Rc::clone(&context)));
+    task::spawn_local(callers::accept(callers, rc::Rc::clone(&context)));
     let ready_context = rc::Rc::clone(&context);
     task::spawn_local(serve::serve(ready, move |_| {
         let reply = readiness(&ready_context.view());
@@ -237,8 +237,6 @@
     let schedule = shutdown::Schedule::new(start, context.settings.grace);
     task::spawn_local(advance_phase(stopping, schedule));
     context.reached(shutdown::Phase::Closed).await;
-    // Without a listener, connections are refused and callers use another node.
-    accept_task.abort();
     drain_requests(&context, start).await;
     close_node_connections(&context).await;
     Ok(())
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -6,12 +6,13 @@
 
 use std::cell;
 use std::io;
+use std::net;
 use std::rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
-use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
+use futures_util::{FutureExt, StreamExt};
 use sequoiayoke_catalog::config;
 use sequoiayoke_dispatch::shutdown;
 use sequoiayoke_http1::request;
@@ -37,27 +38,42 @@
 /// Bytes of buffer that are reserved for each read.
 const READ_BYTES: usize = 8 * 1024;
 
-/// Accepts connections of callers.
+/// Accepts connections of callers until the node takes no more.
+///
+/// Connections that wait to be accepted then are accepted too: the end of the listener would reset
+/// them, and a request may have been sent on them.
 pub(super) async fn accept<Frontend>(listener: TcpListener, context: rc::Rc<Context<Frontend>>)
 where
     Frontend: frontend::Frontend,
 {
+    let mut closed = std::pin::pin!(context.reached(shutdown::Phase::Closed));
     loop {
-        match listener.accept().await {
-            Ok((io, address)) => {
-                let context = rc::Rc::clone(&context);
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve(io, &context).await {
-                        tracing::debug!(%address, %error, "the connection of a caller ended");
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "no connection could be accepted");
-                time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((io, address)) => spawn(io, address, &context),
+                Err(error) => {
+                    tracing::warn!(%error, "no connection could be accepted");
+                    time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            () = &mut closed => break,
         }
     }
+    while let Some(Ok((io, address))) = listener.accept().now_or_never() {
+        spawn(io, address, &context);
+    }
+}
+
+fn spawn<Frontend>(io: TcpStream, address: net::SocketAddr, context: &rc::Rc<Context<Frontend>>)
+where
+    Frontend: frontend::Frontend,
+{
+    let context = rc::Rc::clone(context);
+    tokio::task::spawn_local(async move {
+        if let Err(error) = serve(io, &context).await {
+            tracing::debug!(%address, %error, "the connection of a caller ended");
+        }
+    });
 }
 
 /// Counts a connection as partly read while a part of a request has been read on it.
