Count the open connections of callers as work of a stopping node

Cause: the drain looked at requests that had been read. A connection on which a request is on its way did not count, and an idle connection was closed without a last look at its socket.

Fix: a connection counts from its accept until it is closed. From the phase Closed on an idle one is closed after 0.1 s without input, and what has arrived is read first. A connection without a request yet stays open until requests are refused.

--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -97,8 +97,8 @@
     serving: cell::Cell<usize>,
     /// Bytes of replies to other nodes that are not written.
     unwritten: rc::Rc<cell::Cell<usize>>,
-    /// Number of callers' connections that wait for the caller to close them.
-    closing: cell::Cell<usize>,
+    /// Number of callers' connections.
+    caller_connections: cell::Cell<usize>,
     /// Number of connections from other nodes.
     node_connections: cell::Cell<usize>,
     /// Set when nothing is left to do for other nodes, whose connections are then closed.
@@ -209,7 +209,7 @@
         stop: stop_changes,
         serving: cell::Cell::new(0),
         unwritten: rc::Rc::default(),
-        closing: cell::Cell::new(0),
+        caller_connections: cell::Cell::new(0),
         node_connections: cell::Cell::new(0),
         drained: Stop::new(),
     });
@@ -325,7 +325,7 @@
             && running == 0
             && serving == 0
             && unwritten == 0
-            && context.closing.get() == 0;
+            && context.caller_connections.get() == 0;
         if is_drained || context.phase() == shutdown::Phase::Exit {
             let now = clock::Instant::now();
             context.requests.log_dropped(now, MAX_DROPPED_LINES);
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -33,6 +33,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time for which a connection that the node closes stays open until the caller closes it.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without input after which a stopping node closes an idle connection.
+const QUIET_TIME: Duration = Duration::from_millis(100);
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Bytes of buffer that are reserved for each read.
@@ -68,8 +70,12 @@
 where
     Frontend: frontend::Frontend,
 {
+    // A connection counts from its accept: a request may already have been sent on it.
+    let count = &context.caller_connections;
+    count.set(count.get() + 1);
     let context = rc::Rc::clone(context);
     tokio::task::spawn_local(async move {
+        let _open = serving::Counted::adopt(&context.caller_connections);
         if let Err(error) = serve(io, &context).await {
             tracing::debug!(%address, %error, "the connection of a caller ended");
         }
@@ -154,7 +160,6 @@
         return Ok(());
     };
     log_close(context, reason, &decoder, &input);
-    let _closing = serving::Counted::new(&context.closing);
     io.shutdown().await?;
     let discarded = time::timeout(CLOSE_TIMEOUT, discard_input(&mut io, input));
     // A caller that keeps its end open has had the time to read the last answer.
@@ -190,6 +195,7 @@
     // A caller that connects to a stopping node gets one answer.
     let mut is_new = true;
     let mut last_activity = time::Instant::now();
+    let mut quiet_since = None;
     let mut partly_read = PartlyRead::new(&context.partly_read);
     let mut stop = context.stop.clone();
     loop {
@@ -214,7 +220,7 @@
                     last_activity = time::Instant::now();
                 }
                 Ok(request::Event::Continue) => {
-                    io.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                    write_bytes(io, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                 }
                 Ok(request::Event::More) => break,
                 Err(fault) => {
@@ -226,31 +232,28 @@
                 }
             }
         }
+        let is_idle = running.is_empty();
         let is_partly_read = decoder.is_open() || !input.is_empty();
         partly_read.set(is_partly_read);
         let phase = stop.borrow_and_update().phase;
-        if running.is_empty() {
-            if is_last {
-                return Ok(Some(Close::LastRequest));
-            }
-            if phase >= shutdown::Phase::Withdrawing {
-                if is_partly_read {
-                    write(io, path::unread(path::Unread::Stopping), true).await?;
-                }
-                return Ok(Some(Close::Stopping));
-            }
-            // Until the phase `Closed`, callers may still use the node.
-            if phase >= shutdown::Phase::Closed && !is_partly_read && !is_new {
-                return Ok(Some(Close::Stopping));
-            }
-        }
-        let timeout_ms = match is_partly_read {
-            true => limits.header_timeout_ms,
-            false => limits.idle_timeout_ms,
+        let mut until = match is_partly_read {
+            true => last_activity + Duration::from_millis(limits.header_timeout_ms),
+            false => last_activity + Duration::from_millis(limits.idle_timeout_ms),
         };
-        let until = last_activity + Duration::from_millis(timeout_ms);
+        if is_idle && is_last {
+            return Ok(Some(Close::LastRequest));
+        }
+        if phase >= shutdown::Phase::Withdrawing {
+            until = time::Instant::now();
+        } else if phase >= shutdown::Phase::Closed && is_idle && !is_partly_read && !is_new {
+            // A request may be on its way.
+            let quiet_since = quiet_since.get_or_insert_with(time::Instant::now);
+            until = until.min(*quiet_since + QUIET_TIME);
+        }
         input.reserve(READ_BYTES);
         tokio::select! {
+            // What has arrived is read before an idle connection is closed.
+            biased;
             Some(answer) = running.next() => {
                 let is_ending = is_last || phase >= shutdown::Phase::Leaving;
                 let is_closing = is_ending && running.is_empty();
@@ -273,12 +276,17 @@
                 if decoder.is_open() || !is_partly_read {
                     last_activity = time::Instant::now();
                 }
+                quiet_since = None;
             }
-            () = time::sleep_until(until), if running.is_empty() => {
+            () = time::sleep_until(until), if is_idle => {
+                let (reason, unread) = match phase >= shutdown::Phase::Closed {
+                    true => (Close::Stopping, path::Unread::Stopping),
+                    false => (Close::Timeout, path::Unread::Timeout),
+                };
                 if is_partly_read {
-                    write(io, path::unread(path::Unread::Timeout), true).await?;
+                    write(io, path::unread(unread), true).await?;
                 }
-                return Ok(Some(Close::Timeout));
+                return Ok(Some(reason));
             }
             // The phase of the stop is looked at again.
             _ = stop.changed() => {}
@@ -293,5 +301,9 @@
     }
     bytes.extend_from_slice(b"\r\n");
     bytes.extend_from_slice(&answer.body);
-    time::timeout(WRITE_TIMEOUT, io.write_all(&bytes)).await?
+    write_bytes(io, &bytes).await
+}
+
+async fn write_bytes(io: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    time::timeout(WRITE_TIMEOUT, io.write_all(bytes)).await?
 }
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -261,6 +261,11 @@
         count.set(count.get() + 1);
         Self(count)
     }
+
+    /// Takes over something that is counted already.
+    pub(super) const fn adopt(count: &'a cell::Cell<usize>) -> Self {
+        Self(count)
+    }
 }
 
 impl Drop for Counted<'_> {
