Drive requests behind an answer that is being written

What callers saw: a request behind an answer that its caller reads slowly was not withdrawn when its node stopped, and ran at a backend server whose answer could not be delivered any more.

Cause: the requests of a connection were polled by the task that writes its answers, which waits for the caller. Each request is a task now, which the end of the connection cancels. When the reply and the end of a wait are due together, the reply counts.

The test fails on the sources before this commit: the request is given up 5.5 s after the signal, at the end of the node.

--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -20,6 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
+use tokio_util::task;
 
 use super::{Context, path, serving};
 use crate::frontend;
@@ -190,7 +191,9 @@
 where
     Frontend: frontend::Frontend,
 {
-    let mut running = FuturesOrdered::new();
+    // Each request is a task, so that it goes on while an answer before it is written. Dropping the
+    // handle cancels it.
+    let mut running = FuturesOrdered::<task::AbortOnDropHandle<path::Answer>>::new();
     let mut is_last = false;
     // A caller that connects to a stopping node gets one answer.
     let mut is_new = true;
@@ -216,7 +219,9 @@
                     is_last = !request.head.keeps_alive;
                     is_new = false;
                     let now = clock::Instant::now();
-                    running.push_back(path::serve(rc::Rc::clone(context), request, now));
+                    let serving = path::serve(rc::Rc::clone(context), request, now);
+                    let serving = tokio::task::spawn_local(serving);
+                    running.push_back(task::AbortOnDropHandle::new(serving));
                     last_activity = time::Instant::now();
                 }
                 Ok(request::Event::Continue) => {
@@ -225,7 +230,7 @@
                 Ok(request::Event::More) => break,
                 Err(fault) => {
                     while let Some(answer) = running.next().await {
-                        write(io, answer, false).await?;
+                        write(io, answer.map_err(io::Error::other)?, false).await?;
                     }
                     write(io, path::malformed(fault), true).await?;
                     return Ok(Some(Close::Malformed));
@@ -257,7 +262,7 @@
             Some(answer) = running.next() => {
                 let is_ending = is_last || phase >= shutdown::Phase::Leaving;
                 let is_closing = is_ending && running.is_empty();
-                write(io, answer, is_closing).await?;
+                write(io, answer.map_err(io::Error::other)?, is_closing).await?;
                 last_activity = time::Instant::now();
                 if is_closing {
                     let reason = match is_last {
--- a/crates/gateway/src/traffic/path/attempt.rs
+++ b/crates/gateway/src/traffic/path/attempt.rs
@@ -29,11 +29,13 @@
 {
     let reply = async {
         tokio::select! {
+            biased;
             reply = attempt.reply() => return reply,
             () = context.reached(shutdown::Phase::Withdrawing) => {}
         }
         attempt.withdraw();
         tokio::select! {
+            biased;
             reply = attempt.reply() => reply,
             () = context.reached(shutdown::Phase::Ending) => unknown(peer::Reason::Stopping),
         }
