Write an interim response after the answers before it

What callers saw: 100 Continue for the second request of a connection before the answer to the first, to which it then seems to belong. It is held back until the earlier requests are answered.

--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -195,6 +195,7 @@
     // handle cancels it.
     let mut running = FuturesOrdered::<task::AbortOnDropHandle<path::Answer>>::new();
     let mut is_last = false;
+    let mut is_continue_due = false;
     // A caller that connects to a stopping node gets one answer.
     let mut is_new = true;
     let mut last_activity = time::Instant::now();
@@ -224,9 +225,7 @@
                     running.push_back(task::AbortOnDropHandle::new(serving));
                     last_activity = time::Instant::now();
                 }
-                Ok(request::Event::Continue) => {
-                    write_bytes(io, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-                }
+                Ok(request::Event::Continue) => is_continue_due = true,
                 Ok(request::Event::More) => break,
                 Err(fault) => {
                     while let Some(answer) = running.next().await {
@@ -238,6 +237,11 @@
             }
         }
         let is_idle = running.is_empty();
+        // Before the answers to earlier requests, it would belong to the first of these.
+        if is_continue_due && is_idle {
+            is_continue_due = false;
+            write_bytes(io, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
         let is_partly_read = decoder.is_open() || !input.is_empty();
         partly_read.set(is_partly_read);
         let phase = stop.borrow_and_update().phase;
