Acknowledge announcements until the end of a node, and lose no redirect

Cause: the small server of announcements ended with the thread. It stops now when the node has nothing else to do, and answers first what has arrived.

Besides: a redirect to another replica, which also ends a session with a gap in the changes, was dropped if the queue of commands was full. The control thread keeps it until there is room.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -4,6 +4,7 @@
 
 pub mod state;
 
+use std::net;
 use std::sync;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -111,6 +112,8 @@
     commands: mpsc::Sender<Command>,
     replies: Vec<(oneshot::Sender<bool>, bool)>,
     last_probe: clock::Instant,
+    /// The replica to connect to next, if the session must end; `None` within if it is not known.
+    redirect: Option<Option<net::SocketAddr>>,
 }
 
 /// A command from the control thread to the traffic thread.
@@ -119,7 +122,7 @@
     /// Carries out an effect.
     Effect(state::Effect),
     /// Connects to another control replica, the leader if it is known.
-    Redirect(Option<std::net::SocketAddr>),
+    Redirect(Option<net::SocketAddr>),
     /// Stores the addresses of the control replicas.
     Replicas(Vec<std::net::SocketAddr>),
     /// Checks whether the backend server has ended.
@@ -142,6 +145,7 @@
             commands,
             replies: Vec::new(),
             last_probe: clock::Instant::default(),
+            redirect: None,
         };
         (coordinator, shared)
     }
@@ -191,6 +195,11 @@
             for effect in self.state.take_effects() {
                 self.send_effect(now, effect);
             }
+            if let Some(leader) = self.redirect
+                && self.send_command(Command::Redirect(leader))
+            {
+                self.redirect = None;
+            }
         }
     }
 
@@ -245,9 +254,7 @@
 
     fn handle_control(&mut self, now: clock::Instant, message: session::FromControl) {
         match message {
-            session::FromControl::Redirect(leader) => {
-                self.send_command(Command::Redirect(leader));
-            }
+            session::FromControl::Redirect(leader) => self.redirect = Some(leader),
             session::FromControl::Replicas(replicas) => {
                 self.send_command(Command::Replicas(replicas));
             }
@@ -256,7 +263,7 @@
                 let since = changes.since;
                 if !self.state.apply_changes(now, changes) {
                     tracing::error!(since, "changes of an unknown state; reconnecting");
-                    self.send_command(Command::Redirect(None));
+                    self.redirect = Some(None);
                 }
             }
             session::FromControl::Renewed { sequence, server } => {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -214,7 +214,8 @@
         drained: Stop::new(),
     });
     task::spawn_local(serving::accept(peers, rc::Rc::clone(&context)));
-    task::spawn_local(announcements::run(announcements, rc::Rc::clone(&context)));
+    let announcements = announcements::run(announcements, rc::Rc::clone(&context));
+    let announcements = task::spawn_local(announcements);
     task::spawn_local(session::run(commands, rc::Rc::clone(&context)));
     task::spawn_local(report_load(rc::Rc::clone(&context)));
     task::spawn_local(apply_reloads(rc::Rc::clone(&context)));
@@ -238,14 +239,21 @@
     task::spawn_local(advance_phase(stopping, schedule));
     context.reached(shutdown::Phase::Closed).await;
     drain_requests(&context, start).await;
-    close_node_connections(&context).await;
+    close_connections(&context, announcements).await;
     Ok(())
 }
 
-/// Closes the connections from other nodes, and waits until they have been closed at both ends.
-async fn close_node_connections<Frontend>(context: &Context<Frontend>) {
+/// Closes the connections from other nodes and from the backend server, and waits until they have
+/// been closed at both ends.
+async fn close_connections<Frontend>(
+    context: &Context<Frontend>,
+    announcements: task::JoinHandle<()>,
+) {
     context.drained.cancel();
     let closed = async {
+        if let Err(error) = announcements.await {
+            tracing::error!(%error, "the listener for announcements has failed");
+        }
         while context.node_connections.get() > 0 {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/crates/gateway/src/traffic/announcements.rs
+++ b/crates/gateway/src/traffic/announcements.rs
@@ -8,23 +8,27 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
-use super::Context;
+use super::{Context, serving};
 use crate::coordinator;
 use crate::frontend;
 
 /// Longest time for which an announcement waits for the control thread.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Serves the listener for announcements.
+/// Serves the listener for announcements until the node has nothing left to do, and answers those
+/// that have arrived.
 pub(super) async fn run<Frontend>(listener: TcpListener, context: rc::Rc<Context<Frontend>>)
 where
     Frontend: frontend::Frontend,
 {
+    let handler_context = rc::Rc::clone(&context);
     let handler = move |request: request::Request| {
-        let context = rc::Rc::clone(&context);
+        let context = rc::Rc::clone(&handler_context);
         async move { handle(&request, &context).await }
     };
-    if let Err(error) = serve::serve(listener, handler).await {
+    let stop = context.drained.clone();
+    let server = serve::Server::new(handler).with_stop(stop, serving::CLOSE_TIMEOUT);
+    if let Err(error) = server.run(listener).await {
         tracing::error!(%error, "the listener for announcements has failed");
     }
 }
