--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -6,6 +6,7 @@
 mod announcements;
 mod backend;
 mod callers;
+mod count;
 mod path;
 mod peers;
 mod requests;
@@ -85,7 +86,7 @@
     probes: cell::RefCell<collections::HashMap<String, probe::Probes>>,
     requests: rc::Rc<requests::Requests>,
     /// Number of callers' connections on which a part of a request was read.
-    partly_read: cell::Cell<usize>,
+    partly_read: count::Count,
     log_quota: cell::RefCell<quota::Quota>,
     measure: measure::Measure,
     /// Settings that may change while the node runs.
@@ -94,13 +95,13 @@
     stop: watch::Receiver<Stopping>,
     /// Number of requests of other nodes, and of this one for its own backend server, whose
     /// outcome is not known.
-    serving: cell::Cell<usize>,
+    serving: count::Count,
     /// Bytes of replies to other nodes that are not written.
     unwritten: rc::Rc<cell::Cell<usize>>,
     /// Number of callers' connections.
-    caller_connections: cell::Cell<usize>,
+    caller_connections: count::Count,
     /// Number of connections from other nodes.
-    node_connections: cell::Cell<usize>,
+    node_connections: count::Count,
     /// Set when nothing is left to do for other nodes, whose connections are then closed.
     drained: Stop,
 }
@@ -202,15 +203,15 @@
         budgets: cell::RefCell::default(),
         probes: cell::RefCell::default(),
         requests: rc::Rc::default(),
-        partly_read: cell::Cell::new(0),
+        partly_read: count::Count::default(),
         log_quota: cell::RefCell::new(quota::Quota::new(MAX_LOG_LINES, LOG_LINES_INTERVAL)),
         measure: measure::Measure::new().change_context_lazy(error)?,
         reloads,
         stop: stop_changes,
-        serving: cell::Cell::new(0),
+        serving: count::Count::default(),
         unwritten: rc::Rc::default(),
-        caller_connections: cell::Cell::new(0),
-        node_connections: cell::Cell::new(0),
+        caller_connections: count::Count::default(),
+        node_connections: count::Count::default(),
         drained: Stop::new(),
     });
     task::spawn_local(serving::accept(peers, rc::Rc::clone(&context)));
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -4,7 +4,6 @@
 //! The connection is read meanwhile, so that its end is noticed at once: its requests are dropped,
 //! which cancels them at the backend servers.
 
-use std::cell;
 use std::io;
 use std::net;
 use std::rc;
@@ -22,7 +21,7 @@
 use tokio::time;
 use tokio_util::task;
 
-use super::{Context, path, serving};
+use super::{Context, path};
 use crate::frontend;
 
 /// Largest number of requests of one connection that run concurrently; further ones stay unread.
@@ -72,47 +71,16 @@
     Frontend: frontend::Frontend,
 {
     // A connection counts from its accept: a request may already have been sent on it.
-    let count = &context.caller_connections;
-    count.set(count.get() + 1);
+    let open = context.caller_connections.enter();
     let context = rc::Rc::clone(context);
     tokio::task::spawn_local(async move {
-        let _open = serving::Counted::adopt(&context.caller_connections);
+        let _open = open;
         if let Err(error) = serve(io, &context).await {
             tracing::debug!(%address, %error, "the connection of a caller ended");
         }
     });
 }
 
-/// Counts a connection as partly read while a part of a request has been read on it.
-struct PartlyRead<'a> {
-    count: &'a cell::Cell<usize>,
-    is_counted: bool,
-}
-
-impl<'a> PartlyRead<'a> {
-    const fn new(count: &'a cell::Cell<usize>) -> Self {
-        Self {
-            count,
-            is_counted: false,
-        }
-    }
-
-    fn set(&mut self, is_partly_read: bool) {
-        match (self.is_counted, is_partly_read) {
-            (false, true) => self.count.set(self.count.get() + 1),
-            (true, false) => self.count.set(self.count.get() - 1),
-            (false, false) | (true, true) => {}
-        }
-        self.is_counted = is_partly_read;
-    }
-}
-
-impl Drop for PartlyRead<'_> {
-    fn drop(&mut self) {
-        self.set(false);
-    }
-}
-
 /// Reason why the node closes the connection of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Close {
@@ -200,7 +168,7 @@
     let mut is_new = true;
     let mut last_activity = time::Instant::now();
     let mut quiet_since = None;
-    let mut partly_read = PartlyRead::new(&context.partly_read);
+    let mut partly_read = None;
     let mut stop = context.stop.clone();
     loop {
         let limits = context
@@ -243,7 +211,12 @@
             write_bytes(io, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         let is_partly_read = decoder.is_open() || !input.is_empty();
-        partly_read.set(is_partly_read);
+        match is_partly_read {
+            true => {
+                partly_read.get_or_insert_with(|| context.partly_read.enter());
+            }
+            false => partly_read = None,
+        }
         let phase = stop.borrow_and_update().phase;
         let mut until = match is_partly_read {
             true => last_activity + Duration::from_millis(limits.header_timeout_ms),
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -71,7 +71,7 @@
 where
     Frontend: frontend::Frontend,
 {
-    let _open = Counted::new(&context.node_connections);
+    let _open = context.node_connections.enter();
     peers::set_socket_options(&io)?;
     let (reader, writer) = io.into_split();
     let mut frames = Frames::new(reader, codec::Codec::new());
@@ -253,27 +253,6 @@
     }
 }
 
-/// Counts something for as long as it exists.
-pub(super) struct Counted<'a>(&'a cell::Cell<usize>);
-
-impl<'a> Counted<'a> {
-    pub(super) fn new(count: &'a cell::Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-
-    /// Takes over something that is counted already.
-    pub(super) const fn adopt(count: &'a cell::Cell<usize>) -> Self {
-        Self(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Runs a request; returns `None` if it was cancelled.
 ///
 /// A request that has not begun to run ends with that outcome when it is withdrawn, or when this
@@ -288,7 +267,7 @@
 where
     Frontend: frontend::Frontend,
 {
-    let _serving = Counted::new(&context.serving);
+    let _serving = context.serving.enter();
     if context.phase() >= shutdown::Phase::Closed {
         return Some(not_run(peer::Reason::Stopping));
     }
