--- a/crates/catalog/src/slice.rs
+++ b/crates/catalog/src/slice.rs
@@ -3,6 +3,8 @@
 //! Keys are numbers from 0 to 65,535. The slices of a service are disjoint,
 //! ordered and cover all keys.
 
+use std::ops;
+
 use sequoiayoke_model::id;
 use serde::{Deserialize, Serialize};
 
@@ -198,13 +200,7 @@
     /// assert_eq!(table.overlapping(slice::Range::new(8, 11)), table.slices());
     /// ```
     pub fn overlapping(&self, range: Range) -> &[Slice] {
-        let start = self
-            .slices
-            .partition_point(|slice| slice.range.last < range.first);
-        let end = self
-            .slices
-            .partition_point(|slice| slice.range.first <= range.last);
-        &self.slices[start..end]
+        &self.slices[self.positions(range)]
     }
 
     /// Replaces the owners and grants of the keys of `slice`, as another copy of the table has them.
@@ -227,20 +223,16 @@
     /// ```
     pub fn replace(&mut self, slice: Slice) {
         let range = slice.range;
-        let start = self
-            .slices
-            .partition_point(|slice| slice.range.last < range.first);
-        let end = self
-            .slices
-            .partition_point(|slice| slice.range.first <= range.last);
-        let before = self.slices[start..end]
+        let positions = self.positions(range);
+        let overlapping = &self.slices[positions.clone()];
+        let before = overlapping
             .first()
             .filter(|first| first.range.first < range.first);
         let before = before.map(|first| Slice {
             range: Range::new(first.range.first, range.first - 1),
             ..first.clone()
         });
-        let after = self.slices[start..end]
+        let after = overlapping
             .last()
             .filter(|last| last.range.last > range.last);
         let after = after.map(|last| Slice {
@@ -248,10 +240,18 @@
             ..last.clone()
         });
         let replacements = before.into_iter().chain([slice]).chain(after);
-        self.slices.splice(start..end, replacements);
+        self.slices.splice(positions, replacements);
         self.merge();
     }
 
+    /// Returns the positions of the slices that have a key in `range`.
+    fn positions(&self, range: Range) -> ops::Range<usize> {
+        let slices = &self.slices;
+        let start = slices.partition_point(|slice| slice.range.last < range.first);
+        let end = slices.partition_point(|slice| slice.range.first <= range.last);
+        start..end
+    }
+
     /// Merges adjacent slices of the same grant. Slices with a handover value are not
     /// merged, because each value applies only to the range that was released with it.
     fn merge(&mut self) {
