Deliver grants and releases with the announcements of backend servers

Backend servers of a service may get no commands: each announcement reports the keys that they hold and have released, and the response states all keys that they are to hold.

The decisions stay in one state machine. state::delivery::Delivery has two implementations: Push sends commands, Collect answers announcements. An announcement is the answer to the response before it. Only the latest announcement is answered with keys, and a node without a view or a lease answers without keys, which changes nothing. The response waits up to 400 ms for keys that change, since the next announcement is 870 ms away.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -17,12 +17,16 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time;
 
-use crate::view;
+use crate::{holdings, view};
 
 /// Capacity of the queues of events and commands.
 pub const QUEUE_CAPACITY: usize = 1_024;
 /// Time without an announcement after which the backend server is probed.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Longest time for which the reply to a backend server that collects its grants waits for keys to
+/// assign. Keys that change while it waits are delivered at once, instead of with the next
+/// announcement; the reply must arrive within a second.
+const COLLECT_WAIT: Duration = Duration::from_millis(400);
 
 /// An event for the coordinator.
 #[derive(Debug)]
@@ -33,15 +37,17 @@
         announcement: server::Announcement,
         /// Sequence number of the announcement.
         sequence: u64,
-        /// Receives whether it was accepted, once the view shows it.
-        reply: oneshot::Sender<bool>,
+        /// Keys that it reports, if it collects its grants with its announcements.
+        report: Option<holdings::Report>,
+        /// Receives the reply, once the view shows the announcement.
+        reply: oneshot::Sender<Reply>,
     },
     /// The backend server is leaving.
     Leaving {
         /// Name of the instance.
         name: String,
-        /// Receives whether it was accepted, once the view shows it.
-        reply: oneshot::Sender<bool>,
+        /// Receives the reply, once the view shows it.
+        reply: oneshot::Sender<Reply>,
     },
     /// An instance of the backend server has ended.
     Ended(server::Instance),
@@ -94,6 +100,22 @@
     },
 }
 
+/// Reply to a message of the backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// Whether the message was accepted.
+    pub is_accepted: bool,
+    /// All keys that a backend server which collects its grants is to hold, if the node can tell.
+    pub assignment: Option<holdings::Assignment>,
+}
+
+/// An announcement whose reply may wait for keys to assign.
+#[derive(Debug)]
+struct Collector {
+    reply: oneshot::Sender<Reply>,
+    arrived: clock::Instant,
+}
+
 /// The published view and the signal that it has changed.
 #[derive(Clone, Debug)]
 pub struct Shared {
@@ -110,7 +132,8 @@
     view: sync::Arc<ArcSwap<view::View>>,
     changes: watch::Sender<u64>,
     commands: mpsc::Sender<Command>,
-    replies: Vec<(oneshot::Sender<bool>, bool)>,
+    replies: Vec<(oneshot::Sender<Reply>, Reply)>,
+    collector: Option<Collector>,
     last_probe: clock::Instant,
     /// The replica to connect to next, if the session must end; `None` within if it is not known.
     redirect: Option<Option<net::SocketAddr>>,
@@ -144,6 +167,7 @@
             changes,
             commands,
             replies: Vec::new(),
+            collector: None,
             last_probe: clock::Instant::default(),
             redirect: None,
         };
@@ -163,7 +187,10 @@
         let mut is_stopping = false;
         loop {
             let now = clock::Instant::now();
-            let delay = now.saturating_until(self.state.next_deadline(now));
+            let collector = self.collector.as_ref();
+            let overdue = collector.map(|collector| collector.arrived + COLLECT_WAIT);
+            let deadline = self.state.next_deadline(now);
+            let delay = now.saturating_until(overdue.map_or(deadline, |at| at.min(deadline)));
             tokio::select! {
                 event = inbox.recv() => match event {
                     Some(event) => self.handle(event),
@@ -191,6 +218,7 @@
                 let probe = Command::Probe(announcement.clone());
                 self.send_command(probe);
             }
+            self.reply_to_collector(now);
             self.publish();
             for effect in self.state.take_effects() {
                 self.send_effect(now, effect);
@@ -209,11 +237,9 @@
             Event::Announced {
                 announcement,
                 sequence,
+                report,
                 reply,
-            } => {
-                let is_accepted = self.state.record_announcement(now, announcement, sequence);
-                self.replies.push((reply, is_accepted));
-            }
+            } => self.handle_announced(now, announcement, sequence, report, reply),
             Event::Leaving { name, reply } => {
                 let is_accepted = self.state.record_leaving(now, &name, unix_ms());
                 tracing::info!(
@@ -221,7 +247,7 @@
                     counts = is_accepted,
                     "the backend server is leaving"
                 );
-                self.replies.push((reply, is_accepted));
+                self.push_reply(reply, is_accepted, None);
             }
             Event::Ended(instance) => self.state.record_ended(now, &instance),
             Event::Connected => self.state.record_connected(now),
@@ -252,6 +278,61 @@
         }
     }
 
+    fn handle_announced(
+        &mut self,
+        now: clock::Instant,
+        announcement: server::Announcement,
+        sequence: u64,
+        report: Option<holdings::Report>,
+        reply: oneshot::Sender<Reply>,
+    ) {
+        let instance = announcement.instance.clone();
+        let is_accepted = self.state.record_announcement(now, announcement, sequence);
+        let may_assign = report
+            .filter(|_| is_accepted)
+            .is_some_and(|report| self.state.record_report(now, &instance, sequence, &report));
+        if !may_assign {
+            self.push_reply(reply, is_accepted, None);
+            return;
+        }
+        let arrived = now;
+        if let Some(previous) = self.collector.replace(Collector { reply, arrived }) {
+            self.push_reply(previous.reply, true, None);
+        }
+    }
+
+    fn push_reply(
+        &mut self,
+        reply: oneshot::Sender<Reply>,
+        is_accepted: bool,
+        assignment: Option<holdings::Assignment>,
+    ) {
+        self.replies.push((
+            reply,
+            Reply {
+                is_accepted,
+                assignment,
+            },
+        ));
+    }
+
+    /// Replies to the backend server that collects its grants, once its keys change or it has waited
+    /// for long enough.
+    fn reply_to_collector(&mut self, now: clock::Instant) {
+        let Some(collector) = self.collector.take() else {
+            return;
+        };
+        let is_overdue = now >= collector.arrived + COLLECT_WAIT;
+        let assignment = match is_overdue || self.state.is_assignment_due() {
+            true => self.state.assign(now, collector.arrived),
+            false => None,
+        };
+        match assignment.is_some() || is_overdue {
+            true => self.push_reply(collector.reply, true, assignment),
+            false => self.collector = Some(collector),
+        }
+    }
+
     fn handle_control(&mut self, now: clock::Instant, message: session::FromControl) {
         match message {
             session::FromControl::Redirect(leader) => self.redirect = Some(leader),
@@ -292,8 +373,8 @@
             self.view.store(sync::Arc::new(view));
             self.changes.send_modify(|count| *count += 1);
         }
-        for (reply, is_accepted) in self.replies.drain(..) {
-            if reply.send(is_accepted).is_err() {
+        for (sender, reply) in self.replies.drain(..) {
+            if sender.send(reply).is_err() {
                 tracing::debug!("a backend server has disconnected before the answer");
             }
         }
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -4,7 +4,10 @@
 //! The state does no I/O. Authority to grant keys comes only from the lease: a grant never lasts
 //! longer than the lease under which it was made.
 
+mod collect;
+mod delivery;
 mod grants;
+mod push;
 mod releases;
 mod replicated;
 
@@ -19,6 +22,8 @@
 
 use crate::view;
 
+pub use push::remaining_hold;
+
 /// Time between two renewals of the lease.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(600);
 /// Percentage of the remaining lease that a grant lasts. The margin covers a backend server clock
@@ -28,6 +33,9 @@
 const MIN_HOLD: Duration = Duration::from_millis(400);
 /// Time after which an unanswered grant is sent again.
 const GRANT_RETRY_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest time after which an unanswered grant may still take effect at a backend server that gets
+/// commands; delays of 12 s have been seen.
+pub const MAX_GRANT_DELAY: Duration = Duration::from_secs(15);
 /// Time after which an unanswered release is sent again.
 const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -90,6 +98,9 @@
     /// Whether the backend server has answered a grant with this fence, so that it refuses earlier
     /// ones that arrive late.
     is_confirmed: bool,
+    /// Number of responses in a row with this grant that the backend server did not take, if it
+    /// collects its grants.
+    misses: u32,
 }
 
 /// A grant without an answer. It may still take effect at the backend server, even after the keys
@@ -145,6 +156,10 @@
     /// Grants in flight, which the backend server has not answered.
     in_flight: Vec<(slice::Range, slice::Fence)>,
     unanswered: Vec<UnansweredGrant>,
+    /// Whether a replica has sent its state to this process.
+    has_state: bool,
+    /// All grants that an earlier process of this node may have sent.
+    inherited: Option<UnansweredGrant>,
     /// Keys that need a new fence before they can be released.
     refences: Vec<session::Refence>,
     parts: Vec<usage::Part>,
@@ -154,6 +169,11 @@
     is_changed: bool,
     /// Whether the next tick renews the lease to report what has changed.
     is_renewal_due: bool,
+    way: delivery::Way,
+    collection: collect::Collection,
+    /// Whether a backend server that collects its grants is to hold other keys than the last
+    /// response stated.
+    is_assignment_due: bool,
 }
 
 impl State {
@@ -177,6 +197,8 @@
             releases: Vec::new(),
             in_flight: Vec::new(),
             unanswered: Vec::new(),
+            has_state: false,
+            inherited: None,
             refences: Vec::new(),
             parts: Vec::new(),
             service_s: 0.0,
@@ -184,6 +206,9 @@
             effects: Vec::new(),
             is_changed: true,
             is_renewal_due: false,
+            way: delivery::Way::default(),
+            collection: collect::Collection::default(),
+            is_assignment_due: false,
         }
     }
 
@@ -378,6 +403,8 @@
         self.parts.clear();
         self.grants_expire_at = None;
         self.lease.drop_lease();
+        self.way = delivery::Way::default();
+        self.collection = collect::Collection::default();
         self.is_changed = true;
     }
 
--- a/crates/gateway/src/coordinator/state/grants.rs
+++ b/crates/gateway/src/coordinator/state/grants.rs
@@ -1,12 +1,11 @@
 //! Grants: which keys the backend server holds, and for how long.
 
 use std::sync;
-use std::time::Duration;
 
 use sequoiayoke_catalog::slice;
 use sequoiayoke_model::clock;
 
-use super::{Effect, GRANT_RETRY_INTERVAL, Grant, HOLD_PERCENT, MIN_HOLD, State, UnansweredGrant};
+use super::{Grant, State, UnansweredGrant};
 
 impl State {
     /// Updates the grants to match the slices of the view.
@@ -53,11 +52,16 @@
                         last_sent: same_fence.and_then(|grant| grant.last_sent),
                         is_refused: false,
                         is_confirmed: same_fence.is_some_and(|grant| grant.is_confirmed),
+                        misses: 0,
                     }
                 }
             };
             self.grants.push(grant);
         }
+        self.is_assignment_due |= self
+            .grants
+            .iter()
+            .any(|grant| grant.last_sent.is_none() && !grant.is_refused);
         self.is_changed = true;
         self.send_grants(now);
     }
@@ -89,48 +93,6 @@
         parts
     }
 
-    /// Sends grants that are due.
-    pub(super) fn send_grants(&mut self, now: clock::Instant) {
-        let Some(backend) = self
-            .backend
-            .as_ref()
-            .filter(|_| self.grants_expire_at.is_none())
-        else {
-            return;
-        };
-        let lease_left = self.lease.remaining(now) * HOLD_PERCENT / 100;
-        let hold = lease_left.min(self.config.max_hold * HOLD_PERCENT / 100);
-        if hold < MIN_HOLD {
-            return;
-        }
-        for grant in &mut self.grants {
-            let remaining = grant
-                .until
-                .map_or(Duration::ZERO, |until| now.saturating_until(until));
-            let is_pending = grant
-                .last_sent
-                .is_some_and(|sent| now.saturating_since(sent) < GRANT_RETRY_INTERVAL)
-                || self.in_flight.contains(&(grant.range, grant.fence));
-            // Renewing at two thirds of the lease leaves time for several lost commands.
-            let is_short = remaining < self.config.lease * 2 / 3 && remaining + MIN_HOLD < hold;
-            let is_due = is_short || !grant.is_confirmed;
-            if is_pending || grant.is_refused || !is_due {
-                continue;
-            }
-            grant.last_sent = Some(now);
-            self.in_flight.push((grant.range, grant.fence));
-            self.effects.push(Effect::Grant {
-                instance: backend.announcement.instance.clone(),
-                range: grant.range,
-                fence: grant.fence,
-                hold,
-                at: now,
-                handover: grant.handover.clone(),
-                is_renewal: grant.is_confirmed,
-            });
-        }
-    }
-
     /// Records that a grant was answered, or that the node no longer waits for an answer; an
     /// unanswered grant may still take effect until `unanswered_until`.
     pub fn record_grant_completed(
--- a/crates/gateway/src/coordinator/state/releases.rs
+++ b/crates/gateway/src/coordinator/state/releases.rs
@@ -6,7 +6,8 @@
 use sequoiayoke_link::session;
 use sequoiayoke_model::clock;
 
-use super::{Effect, RELEASE_RETRY_INTERVAL, Release, State};
+use super::delivery::Way;
+use super::{Release, State};
 
 impl State {
     /// Returns whether keys that are released now stay released, because no earlier grant of them
@@ -18,9 +19,12 @@
         fence: slice::Fence,
     ) -> bool {
         self.unanswered.retain(|grant| now < grant.until);
+        // A backend server that collects its grants has no command of an earlier process.
+        let inherited = self.inherited.iter().filter(|_| self.way == Way::Push);
         let mut overlapping = self
             .unanswered
             .iter()
+            .chain(inherited.filter(|grant| now < grant.until))
             .filter(|grant| grant.range.overlaps(range));
         let mut releases = self.releases.iter();
         let is_confirmed = releases.any(|release| {
@@ -58,6 +62,7 @@
             is_confirmed,
             handover: None,
         });
+        self.is_assignment_due = true;
         self.reconcile_grants(now);
         self.send_releases(now);
     }
@@ -106,33 +111,6 @@
         in_flight.any(|(granted, granted_fence)| *granted_fence == fence && granted.overlaps(range))
     }
 
-    /// Sends the releases that are due.
-    pub(super) fn send_releases(&mut self, now: clock::Instant) {
-        self.refence_releases(now);
-        let Some(backend) = &self.backend else {
-            return;
-        };
-        for release in &mut self.releases {
-            let is_sent = release
-                .last_sent
-                .is_some_and(|sent| now.saturating_since(sent) < RELEASE_RETRY_INTERVAL);
-            let is_waiting = self
-                .in_flight
-                .iter()
-                .any(|(range, fence)| *fence == release.fence && range.overlaps(release.range));
-            if release.handover.is_some() || is_sent || is_waiting {
-                continue;
-            }
-            release.last_sent = Some(now);
-            self.effects.push(Effect::Release {
-                instance: backend.announcement.instance.clone(),
-                service: release.service.clone(),
-                range: release.range,
-                fence: release.fence,
-            });
-        }
-    }
-
     /// Records that the backend server has confirmed a release.
     pub fn record_keys_released(
         &mut self,
--- a/crates/gateway/src/coordinator/state/replicated.rs
+++ b/crates/gateway/src/coordinator/state/replicated.rs
@@ -3,11 +3,11 @@
 use std::collections;
 use std::sync;
 
-use sequoiayoke_catalog::{config, server};
+use sequoiayoke_catalog::{config, server, slice};
 use sequoiayoke_link::session;
 use sequoiayoke_model::{clock, id};
 
-use super::State;
+use super::{MAX_GRANT_DELAY, State, UnansweredGrant};
 
 impl State {
     /// Applies the whole replicated state.
@@ -16,6 +16,15 @@
         if state.index < self.view.index {
             return;
         }
+        let is_first = !std::mem::replace(&mut self.has_state, true);
+        let mut servers = state.servers.iter();
+        if is_first && servers.any(|server| server.announcement.address == self.config.backend) {
+            self.inherited = Some(UnansweredGrant {
+                range: slice::Range::ALL,
+                fence: slice::Fence(state.index),
+                until: now + MAX_GRANT_DELAY,
+            });
+        }
         self.view.index = state.index;
         self.apply_config(state.config);
         let servers = state.servers.into_iter().map(|server| (server.id, server));
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -6,6 +6,8 @@
 use sequoiayoke_catalog::{server, slice};
 use sequoiayoke_http1::{request, response, serve};
 
+use crate::holdings;
+
 /// Metadata of a caller's request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Caller<'a> {
@@ -94,6 +96,8 @@
         is_draining: bool,
         /// Increases with each announcement of one instance.
         sequence: u64,
+        /// Keys that it reports, if it collects its grants with its announcements.
+        report: Option<holdings::Report>,
     },
     /// It is leaving and must get no new work.
     Leaving {
@@ -136,6 +140,10 @@
     /// Returns the reply to an announcement that cannot be read.
     fn announcement(&self, request: &request::Request) -> Result<Announcement, serve::Reply>;
 
-    /// Returns the reply to an accepted announcement.
-    fn acknowledgement(&self) -> serve::Reply;
+    /// Returns the reply to an accepted announcement, with all keys that a backend server which
+    /// collects its grants is to hold.
+    ///
+    /// Without an assignment, such a backend server keeps the keys that it holds until their grants
+    /// expire.
+    fn acknowledgement(&self, assignment: Option<&holdings::Assignment>) -> serve::Reply;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod coordinator;
 pub mod frontend;
+pub mod holdings;
 mod measure;
 pub mod root;
 pub mod traffic;
--- a/crates/gateway/src/traffic/announcements.rs
+++ b/crates/gateway/src/traffic/announcements.rs
@@ -45,7 +45,7 @@
             return reply;
         }
     };
-    let (reply, is_accepted) = oneshot::channel();
+    let (reply, replied) = oneshot::channel();
     let event = match announcement {
         frontend::Announcement::Running {
             instance,
@@ -55,6 +55,7 @@
             slots,
             is_draining,
             sequence,
+            report,
         } => {
             if address != context.settings.backend {
                 tracing::warn!(%address, "rejected an announcement with another address");
@@ -72,14 +73,18 @@
                     is_draining,
                 },
                 sequence,
+                report,
                 reply,
             }
         }
         frontend::Announcement::Leaving { name } => coordinator::Event::Leaving { name, reply },
     };
     context.send_event(event);
-    match tokio::time::timeout(REPLY_TIMEOUT, is_accepted).await {
-        Ok(Ok(_)) => context.frontend.acknowledgement(),
+    match tokio::time::timeout(REPLY_TIMEOUT, replied).await {
+        Ok(Ok(reply)) => {
+            let assignment = reply.assignment.as_ref();
+            context.frontend.acknowledgement(assignment)
+        }
         Ok(Err(_)) | Err(_) => {
             tracing::warn!("the control thread did not process an announcement in time");
             serve::Reply::new(503, "text/plain", "try again")
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -220,6 +220,7 @@
                 context.send_event(coordinator::Event::Announced {
                     announcement: known,
                     sequence: 0,
+                    report: None,
                     reply,
                 });
             }
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -34,9 +34,6 @@
 /// Longest wait for the answer to a release, which the backend server sends after the work on the
 /// keys has ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Longest time after which an unanswered grant may still take effect at a backend server; delays
-/// of 12 s have been seen.
-const MAX_GRANT_DELAY: Duration = Duration::from_secs(15);
 /// Largest number of replica addresses that are stored.
 const MAX_REPLICAS: usize = 32;
 
@@ -227,10 +224,26 @@
             handover,
             is_renewal,
         } => {
+            let now = clock::Instant::now();
+            let Some(left) = state::remaining_hold(at, hold, now) else {
+                let (first, last) = (range.first, range.last);
+                tracing::warn!(
+                    first,
+                    last,
+                    fence = fence.0,
+                    "a grant was held up and is not sent"
+                );
+                let completed = coordinator::Event::GrantCompleted {
+                    range,
+                    fence,
+                    unanswered_until: None,
+                };
+                return context.deliver_event(completed).await;
+            };
             let command = frontend::Command::Grant {
                 range,
                 fence,
-                hold,
+                hold: left,
                 handover: handover.as_deref(),
                 is_renewal,
             };
@@ -250,7 +263,8 @@
             let completed = coordinator::Event::GrantCompleted {
                 range,
                 fence,
-                unanswered_until: is_unanswered.then(|| clock::Instant::now() + MAX_GRANT_DELAY),
+                unanswered_until: is_unanswered
+                    .then(|| clock::Instant::now() + state::MAX_GRANT_DELAY),
             };
             for event in confirmed.into_iter().chain([completed]) {
                 context.deliver_event(event).await;
--- a/crates/gateway/tests/coordinator.rs
+++ b/crates/gateway/tests/coordinator.rs
@@ -80,6 +80,7 @@
     let announced = Event::Announced {
         announcement: announcement(),
         sequence: 1,
+        report: None,
         reply,
     };
     let state = Event::Control(session::FromControl::State(owned_state()));
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -70,6 +70,12 @@
         max_hold: Duration::from_secs(10),
     });
     assert!(state.record_announcement(at(0), announcement("i-1", 10), 1));
+    // No earlier process of the node has granted keys: its backend server joins later.
+    let before = session::State {
+        index: 2,
+        ..session::State::default()
+    };
+    state.apply_state(at(0), before);
     state.apply_state(at(0), learned(5, &[(0, 65_535, 5, 1)]));
     let sequence = last_renewal(&mut state);
     state.record_renewed(at(1), sequence, id::Server(1));
