Explore the owners of keys, and renew no lease beside an unreported release

The exploration drives the leader, nodes and backend servers of both kinds through lost, late and repeated messages, restarts, stalled commits, cuts and slow clocks.

The leader now renews no lease for a node that does not report a release whose assignment is proposed, and ignores what arrives on a session that was replaced.

--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -56,6 +56,9 @@
     server: Option<server::Instance>,
     /// Whether the node has been sent the whole state.
     has_state: bool,
+    /// Whether a later session of the same node has been established. What still arrives on this one
+    /// was sent before, perhaps by a process that has ended.
+    is_replaced: bool,
 }
 
 /// Reason why a backend server cannot receive keys because of its node.
@@ -156,6 +159,7 @@
         Some(self.nodes.insert(Node {
             server: None,
             has_state: false,
+            is_replaced: false,
         }))
     }
 
@@ -199,6 +203,10 @@
         let Some(node) = self.nodes.get_mut(session) else {
             return;
         };
+        if node.is_replaced {
+            tracing::warn!("ignoring a renewal on a replaced session of a node");
+            return;
+        }
         let instance = renewal
             .server
             .as_ref()
@@ -239,6 +247,13 @@
         let Some(registered) = registered else {
             return;
         };
+        if self.has_unreported_release(now, registered.id, &renewal.released) {
+            tracing::info!(
+                server = registered.id.0,
+                "a lease is not renewed before the keys that an earlier process of the node has released are assigned"
+            );
+            return;
+        }
         let version = id::Version(renewal.applied);
         match self.leases.renew(now, registered.member(), version) {
             Ok(()) => {
@@ -294,6 +309,7 @@
             if other_session != session && node.server.is_some() && node.server.as_ref() == instance
             {
                 node.server = None;
+                node.is_replaced = true;
             }
         }
     }
--- a/crates/director/src/coordinator/leader/releases.rs
+++ b/crates/director/src/coordinator/leader/releases.rs
@@ -7,6 +7,27 @@
 use super::{Leader, RETRY_DELAY};
 
 impl Leader {
+    /// Returns whether the assignment of a range that `owner` has released is proposed although its
+    /// node does not report the release.
+    ///
+    /// A node reports each release until it knows the new owner. One that does not has restarted since,
+    /// and would grant the keys again while their new owner gets them.
+    pub(super) fn has_unreported_release(
+        &self,
+        now: clock::Instant,
+        owner: id::Server,
+        released: &[session::Released],
+    ) -> bool {
+        let mut proposed = self.proposed_moves.iter();
+        proposed.any(|((from, range, fence), proposed_at)| {
+            *from == owner
+                && now.saturating_since(*proposed_at) < RETRY_DELAY
+                && !released
+                    .iter()
+                    .any(|released| released.range == *range && released.fence == *fence)
+        })
+    }
+
     /// Returns the move of a released range to its new owner, unless it was proposed recently.
     ///
     /// A node states with each renewal all ranges that it has released and that are not assigned yet.
--- /dev/null
+++ b/crates/director/tests/ownership/world.rs
@@ -0,0 +1,567 @@
+//! The leader, its log, the nodes, and the messages between them in simulated time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sequoiayoke_catalog::{config, machine, server, slice};
+use sequoiayoke_director::coordinator::leader;
+use sequoiayoke_gateway::coordinator::state;
+use sequoiayoke_gateway::holdings;
+use sequoiayoke_link::session;
+use sequoiayoke_model::{clock, replicated::Replicated};
+
+use super::backend::{Backend, Kind};
+
+/// Time between two steps.
+const STEP: Duration = Duration::from_millis(10);
+/// Length of a run.
+const END: Duration = Duration::from_secs(40);
+/// Longest time after which an unanswered command is carried out.
+const MAX_COMMAND_DELAY: Duration = Duration::from_secs(6);
+/// Time after which a node no longer waits for the answer to a command.
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
+const SERVERS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Message {
+    ToLeader(usize, leader::Session, session::Renewal),
+    ToNode(usize, leader::Session, session::FromControl),
+    Announcement(
+        usize,
+        server::Announcement,
+        u64,
+        clock::Instant,
+        holdings::Report,
+    ),
+    Response(
+        usize,
+        u64,
+        (u64, clock::Instant),
+        Option<holdings::Assignment>,
+    ),
+    /// A command of a run of a node, and when it has arrived if it is carried out late.
+    Command(usize, u64, state::Effect, Option<clock::Instant>),
+    /// An answer for a run of a node, or none.
+    Answer(usize, u64, state::Effect, Option<bool>),
+}
+
+struct Node {
+    state: state::State,
+    run: u64,
+    session: Option<leader::Session>,
+    /// Until this time it cannot reach the leader.
+    cut_until: clock::Instant,
+    backend: Backend,
+}
+
+pub(crate) struct World {
+    random: ChaCha8Rng,
+    kind: Kind,
+    lease: Duration,
+    node_lease: Duration,
+    now: clock::Instant,
+    start: clock::Instant,
+    machine: machine::Machine,
+    leader: leader::Leader,
+    log: VecDeque<(clock::Instant, machine::Command)>,
+    index: u64,
+    nodes: Vec<Node>,
+    messages: Vec<(clock::Instant, Message)>,
+    assignments: usize,
+    is_traced: bool,
+}
+
+fn address(number: usize) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], number as u16 + 1).into()
+}
+
+fn announcement(number: usize, born_ms: u64) -> server::Announcement {
+    server::Announcement {
+        instance: server::Instance {
+            name: format!("i-{number}"),
+            born_ms,
+        },
+        service: "status".to_owned(),
+        address: address(number),
+        node: ([127, 0, 0, 1], number as u16 + 1_001).into(),
+        domain: "a".to_owned(),
+        slots: 4,
+        is_draining: false,
+    }
+}
+
+impl World {
+    pub(crate) fn new(
+        seed: u64,
+        kind: Kind,
+        (lease, node_lease): (Duration, Duration),
+        is_traced: bool,
+    ) -> Self {
+        let start = clock::Instant::from_micros(1_000_000);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut machine = machine::Machine::new();
+        let order = machine::Order {
+            base: config::Version(0),
+            config: config::Config {
+                version: config::Version(1),
+                services: vec![config::Service {
+                    name: "status".to_owned(),
+                    health_path: "/".to_owned(),
+                    max_connections: 10,
+                    is_keyed: true,
+                    warm_up_ms: 0,
+                }],
+                ..config::Config::default()
+            },
+            document: Vec::new(),
+            digest: 1,
+        };
+        machine.apply(1, &machine::Command::Configure(order));
+        let leader = leader::Leader::new(lease, &machine, start);
+        let mut world = Self {
+            kind,
+            lease,
+            node_lease,
+            now: start,
+            start,
+            leader,
+            machine,
+            log: VecDeque::new(),
+            index: 1,
+            nodes: Vec::new(),
+            messages: Vec::new(),
+            assignments: 0,
+            is_traced,
+            random: ChaCha8Rng::seed_from_u64(0),
+        };
+        for number in 0..SERVERS {
+            let drift = random.random_range(0..=20);
+            world.nodes.push(Node {
+                state: world.new_state(number),
+                run: 0,
+                session: None,
+                cut_until: start,
+                backend: Backend::new(10, drift, start),
+            });
+        }
+        world.random = random;
+        world
+    }
+
+    fn new_state(&self, number: usize) -> state::State {
+        state::State::new(state::Config {
+            lease: self.node_lease,
+            backend: address(number),
+            max_hold: Duration::from_secs(10),
+        })
+    }
+
+    /// Runs to the end; returns the number of assignments, or the first violation.
+    pub(crate) fn run(&mut self) -> Result<usize, String> {
+        while self.now < self.start + END {
+            self.now = self.now + STEP;
+            self.step();
+            self.check()?;
+        }
+        Ok(self.assignments)
+    }
+
+    fn delay(&mut self) -> Duration {
+        let slow = self.random.random_bool(0.03);
+        let range = if slow { 50..1_500 } else { 1..8 };
+        Duration::from_millis(self.random.random_range(range))
+    }
+
+    fn send(&mut self, message: Message) {
+        let at = self.now + self.delay();
+        self.messages.push((at, message));
+    }
+
+    fn step(&mut self) {
+        self.commit();
+        self.deliver();
+        self.disturb();
+        let now = self.now;
+        self.leader.tick(now, &self.machine);
+        self.take_leader_output();
+        for number in 0..SERVERS {
+            self.step_node(number);
+        }
+    }
+
+    fn step_node(&mut self, number: usize) {
+        let now = self.now;
+        let is_cut = now < self.nodes[number].cut_until;
+        if self.nodes[number].session.is_none() && !is_cut && self.random.random_bool(0.2) {
+            self.nodes[number].session = self.leader.node_up();
+            self.nodes[number].state.record_connected(now);
+        }
+        if now >= self.nodes[number].backend.next_announcement {
+            self.announce(number);
+        }
+        self.nodes[number].state.tick(now);
+        for effect in self.nodes[number].state.take_effects() {
+            match effect {
+                state::Effect::Renew(renewal) => {
+                    if let Some(session) = self.nodes[number].session {
+                        self.send(Message::ToLeader(number, session, renewal));
+                    }
+                }
+                state::Effect::Identify(_) => {}
+                command => {
+                    let run = self.nodes[number].run;
+                    self.send(Message::Command(number, run, command, None));
+                }
+            }
+        }
+    }
+
+    fn announce(&mut self, number: usize) {
+        let now = self.now;
+        let backend = &mut self.nodes[number].backend;
+        let (sequence, report) = backend.report(now);
+        let announced = announcement(number, backend.born_ms);
+        let message = Message::Announcement(number, announced, sequence, now, report);
+        if self.random.random_bool(0.02) {
+            let at = now + Duration::from_millis(self.random.random_range(1_000..4_000));
+            self.messages.push((at, message.clone()));
+        }
+        if !self.random.random_bool(0.05) {
+            self.send(message);
+        }
+    }
+
+    /// Commits what the leader has proposed; some commits stall.
+    fn commit(&mut self) {
+        while let Some((at, command)) = self.log.pop_front() {
+            if at > self.now {
+                self.log.push_front((at, command));
+                return;
+            }
+            self.index += 1;
+            let output = self.machine.apply(self.index, &command);
+            self.trace(&(self.index, &command, &output));
+            if let machine::Output::Assigned(count) = output {
+                self.assignments += count;
+            }
+            self.leader
+                .applied(self.now, &self.machine, &command, &output);
+        }
+    }
+
+    fn take_leader_output(&mut self) {
+        for command in self.leader.take_proposals() {
+            let stall = self.random.random_bool(0.1);
+            let ms = self
+                .random
+                .random_range(if stall { 100..1_900 } else { 5..40 });
+            let at = self.now + Duration::from_millis(ms);
+            let last = self.log.back().map_or(at, |(last, _)| *last);
+            self.log.push_back((at.max(last), command));
+        }
+        for effect in self.leader.take_effects(&self.machine) {
+            let (sessions, message) = match effect {
+                leader::Effect::Send(session, message) => (vec![session], message),
+                leader::Effect::Broadcast(sessions, message) => (sessions, message),
+                leader::Effect::State(session) => {
+                    let state = session::State {
+                        index: self.machine.index(),
+                        config: self.machine.order().map(|order| order.config.clone()),
+                        servers: self.machine.servers().values().cloned().collect(),
+                        tables: self.machine.tables().clone(),
+                    };
+                    (vec![session], session::FromControl::State(state))
+                }
+            };
+            for session in sessions {
+                let mut nodes = self.nodes.iter();
+                if let Some(number) = nodes.position(|node| node.session == Some(session)) {
+                    // The messages of a session stay in order.
+                    let at = self.now + Duration::from_millis(2);
+                    let message = Message::ToNode(number, session, message.clone());
+                    self.messages.push((at, message));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let messages = std::mem::take(&mut self.messages);
+        let (mut due, later): (Vec<_>, Vec<_>) =
+            messages.into_iter().partition(|(at, _)| *at <= now);
+        self.messages = later;
+        due.sort_by_key(|(at, _)| *at);
+        for (_, message) in due {
+            self.receive(message);
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        let now = self.now;
+        self.trace(&message);
+        match message {
+            Message::ToLeader(number, session, renewal) => {
+                if self.nodes[number].session == Some(session) {
+                    self.leader.renew(now, &self.machine, session, renewal);
+                    self.take_leader_output();
+                }
+            }
+            Message::ToNode(number, session, message) => {
+                let node = &mut self.nodes[number];
+                if node.session != Some(session) {
+                    return;
+                }
+                match message {
+                    session::FromControl::State(state) => node.state.apply_state(now, state),
+                    session::FromControl::Changes(changes) => {
+                        assert!(node.state.apply_changes(now, changes), "a gap");
+                    }
+                    session::FromControl::Renewed { sequence, server } => {
+                        node.state.record_renewed(now, sequence, server);
+                    }
+                    session::FromControl::Release {
+                        service,
+                        range,
+                        fence,
+                    } => node.state.begin_release(now, &service, range, fence),
+                    _ => {}
+                }
+            }
+            Message::Announcement(number, announced, sequence, sent, report) => {
+                self.receive_announcement(number, announced, sequence, sent, &report);
+            }
+            Message::Response(number, born_ms, number_and_time, assignment) => {
+                let work = Duration::from_millis(self.random.random_range(0..400));
+                let backend = &mut self.nodes[number].backend;
+                if backend.born_ms == born_ms {
+                    backend.respond(now, work, number_and_time, assignment.as_ref());
+                }
+            }
+            Message::Command(number, run, effect, arrived) => {
+                self.execute(number, run, effect, arrived);
+            }
+            Message::Answer(number, run, effect, answer) => {
+                if self.nodes[number].run == run {
+                    self.record_answer(number, effect, answer);
+                }
+            }
+        }
+    }
+
+    fn receive_announcement(
+        &mut self,
+        number: usize,
+        announced: server::Announcement,
+        sequence: u64,
+        sent: clock::Instant,
+        report: &holdings::Report,
+    ) {
+        let now = self.now;
+        let instance = announced.instance.clone();
+        let state = &mut self.nodes[number].state;
+        let is_accepted = state.record_announcement(now, announced, sequence);
+        if self.kind == Kind::Push {
+            return;
+        }
+        let may_assign = is_accepted && state.record_report(now, &instance, sequence, report);
+        let assignment = may_assign.then(|| state.assign(now, now)).flatten();
+        if self.random.random_bool(0.05) {
+            return;
+        }
+        let response = Message::Response(number, instance.born_ms, (sequence, sent), assignment);
+        // Responses of one node arrive in the order in which they were written.
+        let is_response =
+            |message: &Message| matches!(message, Message::Response(to, ..) if *to == number);
+        let earlier = self
+            .messages
+            .iter()
+            .filter(|(_, message)| is_response(message));
+        let earlier = earlier.map(|(at, _)| *at).max();
+        let at = (now + self.delay()).max(earlier.unwrap_or(now));
+        self.messages.push((at, response));
+    }
+
+    fn execute(
+        &mut self,
+        number: usize,
+        run: u64,
+        effect: state::Effect,
+        arrived: Option<clock::Instant>,
+    ) {
+        let now = self.now;
+        let (state::Effect::Grant { instance, .. } | state::Effect::Release { instance, .. }) =
+            &effect
+        else {
+            return;
+        };
+        if instance.born_ms != self.nodes[number].backend.born_ms {
+            return;
+        }
+        if let state::Effect::Grant {
+            range,
+            fence,
+            hold,
+            at,
+            ..
+        } = &effect
+        {
+            if arrived.is_none() && self.random.random_bool(0.05) {
+                // It is not answered, and is carried out later; its time counts from its arrival.
+                let delay = self.random.random_range(Duration::ZERO..MAX_COMMAND_DELAY);
+                let message = Message::Command(number, run, effect.clone(), Some(now));
+                self.messages.push((now + delay, message));
+                let message = Message::Answer(number, run, effect, None);
+                self.messages.push((now + COMMAND_TIMEOUT, message));
+                return;
+            }
+            let sent = arrived.unwrap_or(now);
+            let Some(left) = state::remaining_hold(*at, *hold, sent) else {
+                let state = &mut self.nodes[number].state;
+                state.record_grant_completed(now, *range, *fence, None);
+                return;
+            };
+            let backend = &mut self.nodes[number].backend;
+            let is_accepted = backend.grant(*range, *fence, sent, left);
+            if arrived.is_none() {
+                self.send(Message::Answer(number, run, effect, Some(is_accepted)));
+            }
+        } else if let state::Effect::Release { range, .. } = &effect {
+            self.nodes[number].backend.release(*range);
+            self.send(Message::Answer(number, run, effect, Some(true)));
+        }
+    }
+
+    fn record_answer(&mut self, number: usize, effect: state::Effect, answer: Option<bool>) {
+        let now = self.now;
+        let state = &mut self.nodes[number].state;
+        match effect {
+            state::Effect::Grant {
+                range,
+                fence,
+                hold,
+                at,
+                ..
+            } => {
+                match answer {
+                    Some(true) => state.record_grant_confirmed(range, fence, at + hold),
+                    Some(false) => state.record_grant_refused(range, fence),
+                    None => {}
+                }
+                let unanswered_until = answer.is_none().then(|| now + MAX_COMMAND_DELAY);
+                state.record_grant_completed(now, range, fence, unanswered_until);
+            }
+            state::Effect::Release { range, fence, .. } => {
+                state.record_keys_released(range, fence, Some("value".to_owned()));
+            }
+            _ => {}
+        }
+    }
+
+    /// Restarts processes, cuts sessions and asks for releases.
+    fn disturb(&mut self) {
+        let now = self.now;
+        let number = self.random.random_range(0..SERVERS);
+        if self.random.random_bool(0.004) {
+            let state = self.new_state(number);
+            let node = &mut self.nodes[number];
+            node.state = state;
+            node.run += 1;
+            let run = node.run;
+            self.trace(&("restart", number, run));
+            let node = &mut self.nodes[number];
+            if let Some(session) = node.session.take() {
+                self.leader.node_down(session);
+            }
+        }
+        if self.random.random_bool(0.004)
+            && let Some(session) = self.nodes[number].session.take()
+        {
+            self.leader.node_down(session);
+            let is_long = self.random.random_bool(0.2);
+            let ms = self
+                .random
+                .random_range(if is_long { 3_000..9_000 } else { 0..300 });
+            self.nodes[number].cut_until = now + Duration::from_millis(ms);
+        }
+        if self.random.random_bool(0.001) {
+            let born_ms = now.as_micros() / 1_000;
+            let drift = self.nodes[number].backend.drift;
+            self.nodes[number].backend = Backend::new(born_ms, drift, now);
+        }
+        if self.random.random_bool(0.001) {
+            self.replace_leader();
+        }
+        if self.random.random_bool(0.02) {
+            self.ask_for_release();
+        }
+    }
+
+    /// Makes another replica the leader; entries that are not committed are committed or lost.
+    fn replace_leader(&mut self) {
+        self.trace(&"new leader");
+        if self.random.random_bool(0.5) {
+            self.log.clear();
+        }
+        for (at, _) in &mut self.log {
+            *at = self.now;
+        }
+        self.commit();
+        self.leader = leader::Leader::new(self.lease, &self.machine, self.now);
+        for node in &mut self.nodes {
+            node.session = None;
+        }
+    }
+
+    /// Asks the owner of a random range to release it, as the planner does.
+    fn ask_for_release(&mut self) {
+        let key = self.random.random();
+        let slice = self.machine.tables()["status"].find(key).clone();
+        let Some(owner) = slice.owner.and_then(|id| self.machine.servers().get(&id)) else {
+            return;
+        };
+        let number = usize::from(owner.announcement.address.port()) - 1;
+        let last = key.saturating_add(self.random.random_range(0..4_000));
+        let range = slice::Range::new(key, last.min(slice.range.last));
+        if let Some(session) = self.nodes[number].session {
+            let release = session::FromControl::Release {
+                service: "status".to_owned(),
+                range,
+                fence: slice.fence,
+            };
+            self.send(Message::ToNode(number, session, release));
+        }
+    }
+
+    /// Prints what happens, if one seed is played.
+    fn trace<Event>(&self, event: &Event)
+    where
+        Event: std::fmt::Debug,
+    {
+        if self.is_traced {
+            let at = self.now.saturating_since(self.start);
+            println!("{at:?} {event:?}");
+        }
+    }
+
+    /// Checks that no key is held by two backend servers.
+    fn check(&self) -> Result<(), String> {
+        let now = self.now;
+        for (number, node) in self.nodes.iter().enumerate() {
+            for other in number + 1..SERVERS {
+                for held in node.backend.held(now) {
+                    let mut others = self.nodes[other].backend.held(now);
+                    if let Some(second) = others.find(|second| second.range.overlaps(held.range)) {
+                        let at = now.saturating_since(self.start);
+                        return Err(format!(
+                            "at {at:?} servers {number} and {other} hold {held:?} and {second:?}"
+                        ));
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
