Ignore announcements that name no backend server to use

An announcement of another writer could take a node's backend server out of use: a start time in the far future made every later instance at the address outdated, at the node and in the replicated state; a very large sequence number made every later announcement late; a service that no configuration names replaced the backend server. A number of slots was applied before the announcement was accepted, and bodies of 16 MiB on 256 connections could fill the memory of a VM.

Deeply nested values, numbers past 64 bits, fractions, ports out of range and repeated fields were refused before; the process lives.

Also: a request for a key of a service without any backend server that could own it is refused at once, instead of after 60 % of its time.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -23,6 +23,9 @@
 pub const QUEUE_CAPACITY: usize = 1_024;
 /// Time without an announcement after which the backend server is probed.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Largest difference between the clocks of this VM and of a backend server. An instance that claims
+/// to have started later would make all later instances at its address count as outdated.
+const MAX_CLOCK_SKEW: Duration = Duration::from_secs(3_600);
 /// Longest time for which the reply to a backend server that collects its grants waits for keys to
 /// assign. Keys that change while it waits are delivered at once, instead of with the next
 /// announcement; the reply must arrive within a second.
@@ -287,7 +290,18 @@
         reply: oneshot::Sender<Reply>,
     ) {
         let instance = announcement.instance.clone();
-        let is_accepted = self.state.record_announcement(now, announcement, sequence);
+        let latest_born_ms = unix_ms() + MAX_CLOCK_SKEW.as_millis() as u64;
+        let is_plausible = instance.born_ms <= latest_born_ms;
+        if !is_plausible {
+            let (instance, born_ms) = (&instance.name, instance.born_ms);
+            tracing::warn!(
+                instance,
+                born_ms,
+                "ignoring an announcement from the future"
+            );
+        }
+        let is_accepted =
+            is_plausible && self.state.record_announcement(now, announcement, sequence);
         let may_assign = report
             .filter(|_| is_accepted)
             .is_some_and(|report| self.state.record_report(now, &instance, sequence, &report));
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -39,6 +39,11 @@
 /// Time after which an unanswered release is sent again.
 const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Largest difference between the sequence numbers of two announcements that arrive one after the
+/// other: more than a backend server sends in a week. An announcement of another writer with a very
+/// large number would make all later ones late.
+const MAX_SEQUENCE_STEP: u64 = 1_000_000;
+
 /// Settings of the state.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -258,12 +263,28 @@
         announced: server::Announcement,
         sequence: u64,
     ) -> bool {
+        // Another writer may use the address or the name of the backend server.
+        let config = self.view.config.as_ref();
+        if config.is_some_and(|config| config.service(&announced.service).is_none()) {
+            tracing::warn!(
+                service = announced.service,
+                "ignoring an announcement of an unknown service"
+            );
+            return false;
+        }
         if let Some(backend) = &mut self.backend {
             let known = &backend.announcement.instance;
             if *known == announced.instance {
                 if sequence < backend.sequence {
                     return true;
                 }
+                if sequence - backend.sequence > MAX_SEQUENCE_STEP {
+                    tracing::warn!(
+                        sequence,
+                        "ignoring an announcement with an implausible number"
+                    );
+                    return false;
+                }
                 backend.sequence = sequence;
                 backend.last_announced = now;
                 if backend.draining_since.is_some() || backend.announcement == announced {
--- a/crates/gateway/src/traffic/announcements.rs
+++ b/crates/gateway/src/traffic/announcements.rs
@@ -15,6 +15,11 @@
 /// Longest time for which an announcement waits for the control thread.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Largest size of an announcement, in bytes, with more ranges of keys than a response assigns.
+const MAX_BODY_BYTES: u64 = 256 * 1024;
+/// Largest number of requests that a backend server may announce to run concurrently.
+const MAX_SLOTS: u32 = 65_536;
+
 /// Serves the listener for announcements until the node has nothing left to do, and answers those
 /// that have arrived.
 pub(super) async fn run<Frontend>(listener: TcpListener, context: rc::Rc<Context<Frontend>>)
@@ -27,7 +32,9 @@
         async move { handle(&request, &context).await }
     };
     let stop = context.drained.clone();
-    let server = serve::Server::new(handler).with_stop(stop, serving::CLOSE_TIMEOUT);
+    let server = serve::Server::new(handler)
+        .with_stop(stop, serving::CLOSE_TIMEOUT)
+        .with_max_body(MAX_BODY_BYTES);
     if let Err(error) = server.run(listener).await {
         tracing::error!(%error, "the listener for announcements has failed");
     }
@@ -46,6 +53,7 @@
         }
     };
     let (reply, replied) = oneshot::channel();
+    let mut announced_slots = None;
     let event = match announcement {
         frontend::Announcement::Running {
             instance,
@@ -61,7 +69,14 @@
                 tracing::warn!(%address, "rejected an announcement with another address");
                 return serve::Reply::new(400, "text/plain", "another address");
             }
-            context.backend.set_slots(slots);
+            if !(1..=MAX_SLOTS).contains(&slots) {
+                tracing::warn!(
+                    slots,
+                    "rejected an announcement with an invalid number of slots"
+                );
+                return serve::Reply::new(400, "text/plain", "an invalid number of slots");
+            }
+            announced_slots = Some(slots);
             coordinator::Event::Announced {
                 announcement: server::Announcement {
                     instance,
@@ -82,6 +97,9 @@
     context.send_event(event);
     match tokio::time::timeout(REPLY_TIMEOUT, replied).await {
         Ok(Ok(reply)) => {
+            if let Some(slots) = announced_slots.filter(|_| reply.is_accepted) {
+                context.backend.set_slots(slots);
+            }
             let assignment = reply.assignment.as_ref();
             context.frontend.acknowledgement(assignment)
         }
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -368,6 +368,11 @@
     if delivery.key.is_none() || waited >= max_wait || view.config.is_none() {
         return false;
     }
+    // Without a backend server that could become the owner, a wait would not help.
+    let mut servers = view.servers_of(&delivery.service);
+    if !servers.any(|server| !server.announcement.is_draining) {
+        return false;
+    }
     let mut changes = context.shared.changes.clone();
     changes.mark_unchanged();
     let timeout = (max_wait - waited).min(DOWN_DURATION / 4);
--- a/crates/http1/src/serve.rs
+++ b/crates/http1/src/serve.rs
@@ -25,6 +25,9 @@
 /// Largest number of concurrent connections whose request is refused; further ones are closed when
 /// they are accepted.
 const MAX_REFUSALS: usize = 64;
+/// Largest size of a request's body, in bytes, unless the server has another bound. A configuration
+/// with thousands of routes fits.
+pub const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 /// Delay after which accepting is retried when it fails.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -121,6 +124,7 @@
     connections: task::JoinSet<()>,
     stop: Stop,
     close_timeout: Duration,
+    max_body: u64,
 }
 
 impl<Handler, Answer> Server<Handler>
@@ -137,9 +141,16 @@
             connections: task::JoinSet::new(),
             stop: Stop::new(),
             close_timeout: Duration::ZERO,
+            max_body: MAX_BODY_BYTES,
         }
     }
 
+    /// Bounds the body of a request, in bytes.
+    pub const fn with_max_body(mut self, max_body: u64) -> Self {
+        self.max_body = max_body;
+        self
+    }
+
     /// Makes the server stop when `stop` is cancelled.
     ///
     /// It then accepts no more connections, answers the requests that have reached it and closes
@@ -207,10 +218,11 @@
     fn spawn(&mut self, io: TcpStream, address: net::SocketAddr) {
         let handler = rc::Rc::clone(&self.handler);
         let stop = self.stop.clone();
+        let max_body = self.max_body;
         if let Ok(permit) = sync::Arc::clone(&self.permits).try_acquire_owned() {
             self.connections.spawn_local(async move {
                 let _permit = permit;
-                let served = match connection::Connection::new(io, stop) {
+                let served = match connection::Connection::new(io, stop, max_body) {
                     Ok(connection) => connection.run(&*handler).await,
                     Err(error) => Err(error),
                 };
@@ -224,19 +236,19 @@
         if let Ok(permit) = permit {
             self.connections.spawn_local(async move {
                 let _permit = permit;
-                log_end(address, &refuse(io).await);
+                log_end(address, &refuse(io, max_body).await);
             });
         }
     }
 }
 
 /// Refuses the next request of a connection, and closes it.
-async fn refuse(io: TcpStream) -> io::Result<()> {
+async fn refuse(io: TcpStream, max_body: u64) -> io::Result<()> {
     // A connection of a server that has stopped is closed after its next request.
     let stop = Stop::new();
     stop.cancel();
     let handler = |_| async { Reply::new(503, "text/plain", "too many connections") };
-    let connection = connection::Connection::new(io, stop)?;
+    let connection = connection::Connection::new(io, stop, max_body)?;
     connection.run(&handler).await
 }
 
--- a/crates/http1/src/serve/connection.rs
+++ b/crates/http1/src/serve/connection.rs
@@ -13,11 +13,8 @@
 use super::Reply;
 use crate::request;
 
-/// Size limits of a request, in bytes. A configuration with thousands of routes fits.
-const LIMITS: request::Limits = request::Limits {
-    head: 16 * 1024,
-    body: 16 * 1024 * 1024,
-};
+/// Largest size of a request's head, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Longest time to wait for more bytes of a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time to wait for more bytes of a request after the server was asked to stop.
@@ -37,18 +34,24 @@
     io: TcpStream,
     input: BytesMut,
     decoder: request::Decoder,
+    limits: request::Limits,
     stop: Stop,
 }
 
 impl Connection {
     /// Creates a connection that has received nothing. Once `stop` is cancelled, it is closed after
     /// the next answer, or without one if no request arrives.
-    pub(super) fn new(io: TcpStream, stop: Stop) -> io::Result<Self> {
+    /// Creates a connection whose requests have a body of at most `max_body` bytes.
+    pub(super) fn new(io: TcpStream, stop: Stop, max_body: u64) -> io::Result<Self> {
         io.set_nodelay(true)?;
         Ok(Self {
             io,
             input: BytesMut::new(),
             decoder: request::Decoder::new(),
+            limits: request::Limits {
+                head: MAX_HEAD_BYTES,
+                body: max_body,
+            },
             stop,
         })
     }
@@ -60,7 +63,7 @@
         Answer: future::Future<Output = Reply>,
     {
         loop {
-            match self.decoder.decode(&mut self.input, LIMITS) {
+            match self.decoder.decode(&mut self.input, self.limits) {
                 Ok(request::Event::Request(request)) => {
                     let is_last = !request.head.keeps_alive;
                     let reply = handler(request).await;
