Estimate the service time of a class that has not run from its target

Calls between services failed at backend servers that were full of long requests: a class without an observation was taken to run as long as the others (258 ms on average), so that its calls, with 340 to 400 ms left, were refused, and it was never observed.

The estimate is now at most half of the time to the target, until the first call has run.

Test: dispatch short_calls; two of its three tests failed before.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -16,6 +16,9 @@
 const WARM_UP_OBSERVATIONS: u32 = 10;
 /// Service time assumed before the first observation, in seconds.
 const INITIAL_SERVICE_TIME_S: f64 = 0.1;
+/// Largest service time that is assumed before the first observation of a class, as a fraction of its
+/// target: a target leaves room for some wait.
+const TARGET_FRACTION: f64 = 0.5;
 /// Number of offers at which the counts are halved, so that recent offers weigh more.
 const MAX_COUNTED_OFFERS: f64 = 60.0;
 /// Admission ratio of a class, relative to that of all classes, below which its requests are
@@ -213,6 +216,7 @@
 
     /// Starts, queues or refuses a request that has arrived.
     pub fn offer(&mut self, now: clock::Instant, offer: Offer) -> Decision {
+        self.estimate_service_time(now, &offer);
         // This refusal does not count against the admission ratio of the class: the request is
         // sent to another backend server first, and offered here again if that one is full too.
         if let Some(after) = self.retry_after_long_wait(&offer) {
@@ -237,6 +241,25 @@
         decision
     }
 
+    /// Estimates the service time of a class without an observation: the overall mean, or less if the
+    /// target of the request is short.
+    ///
+    /// A backend server that is full of long requests would refuse all short ones otherwise, and never
+    /// observe how long they run.
+    fn estimate_service_time(&mut self, now: clock::Instant, offer: &Offer) {
+        let target_s = now.saturating_until(offer.useful_until).as_secs_f64();
+        let estimate_s = self
+            .overall_service_time
+            .value_s
+            .min(target_s * TARGET_FRACTION);
+        self.class_service_times
+            .entry(offer.class)
+            .or_insert(MovingAverage {
+                value_s: estimate_s,
+                ..MovingAverage::default()
+            });
+    }
+
     /// Returns the retry delay of a request if it would be refused now.
     ///
     /// Unlike [`Gate::offer`], this changes no state.
