--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -60,10 +60,6 @@
     pub max_wait: Duration,
 }
 
-/// The spread of the service time that is assumed at least is the mean divided by this: run times also
-/// vary with the load of the VM, which few observations do not show.
-const MIN_SPREAD_DIVISOR: u32 = 8;
-
 /// Number of a waiting request, increasing in order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -292,9 +288,7 @@
             offer.rank |= LATE_BIT;
         }
         if self.running < self.slots && self.waiting.is_empty() {
-            if now >= self.latest_start(&offer) {
-                // The work would be lost, and a request that is not idempotent could not be
-                // sent again.
+            if self.is_hopeless(now, &offer) {
                 return Decision::Refuse(MIN_RETRY_AFTER);
             }
             self.running += 1;
@@ -417,10 +411,15 @@
 
     /// Returns the time from which a request is expected to be answered after its deadline.
     pub fn latest_start(&self, offer: &Offer) -> clock::Instant {
+        offer.deadline - self.service_time(offer.class) - DELIVERY_TIME
+    }
+
+    /// Returns whether a request would hardly end before its deadline if it started now: its work would
+    /// be lost, and a request that is not idempotent could not be sent again.
+    fn is_hopeless(&self, now: clock::Instant, offer: &Offer) -> bool {
         let service = self.service_time(offer.class);
-        let spread = self.service_time_deviation(offer.class);
-        let margin = spread.max(service / MIN_SPREAD_DIVISOR);
-        offer.deadline - service - margin - DELIVERY_TIME
+        let shortest = service.saturating_sub(self.service_time_deviation(offer.class));
+        now + shortest > offer.deadline
     }
 
     /// Returns the expected time until a request with `ahead` others before it starts.
