--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -5,6 +5,13 @@
 
 use sequoiayoke_catalog::config;
 
+/// The estimate of the wait that callers accept on their first attempt moves by this part of itself for
+/// each caller that accepts a longer one.
+const WAIT_STEP_DIVISOR: u32 = 16;
+/// Callers that accept a shorter wait move it by this part of the step. The estimate stays at the wait
+/// of first attempts while these are at least one in this many requests.
+const SHORTER_WAIT_DIVISOR: u32 = 8;
+
 /// Routing table of a configuration.
 ///
 /// The services of a route are chosen by smooth weighted round-robin, so that each gets its
@@ -22,8 +29,8 @@
     /// Index of the route in its configuration, used as the class in service time statistics.
     pub class: u64,
     current_weights: Vec<f64>,
-    /// Longest wait that a caller has accepted so far.
-    longest_max_wait: Duration,
+    /// Wait that callers accept on their first attempt.
+    first_max_wait: Option<Duration>,
 }
 
 impl Table {
@@ -43,7 +50,7 @@
         for (index, route) in config.routes.iter().enumerate() {
             let entry = Entry {
                 class: index as u64,
-                longest_max_wait: Duration::ZERO,
+                first_max_wait: None,
                 current_weights: vec![0.0; route.shares.len()],
                 route: route.clone(),
             };
@@ -69,11 +76,17 @@
 impl Entry {
     /// Estimates how long a caller that accepts a wait of `max_wait` has waited already.
     ///
-    /// The longest wait seen is taken to be that of a first attempt; a caller that retries has
-    /// less time left.
+    /// Most callers accept the same wait on their first attempt; one that retries has less time left.
+    /// The estimate follows the longer waits in small steps, so that a few callers that accept any
+    /// wait do not make all others count as retries.
     pub fn estimate_waited(&mut self, max_wait: Duration) -> Duration {
-        self.longest_max_wait = self.longest_max_wait.max(max_wait);
-        self.longest_max_wait.saturating_sub(max_wait)
+        let first = self.first_max_wait.get_or_insert(max_wait);
+        let step = *first / WAIT_STEP_DIVISOR;
+        *first = match max_wait > *first {
+            true => max_wait.min(*first + step),
+            false => max_wait.max(first.saturating_sub(step / SHORTER_WAIT_DIVISOR)),
+        };
+        first.saturating_sub(max_wait)
     }
 
     /// Selects the service for the next request.
