Honour CARGO_TARGET_DIR in the demo and the measurements

With CARGO_TARGET_DIR set, scripts/demo built its programs there and looked for them in target/release; the error did not name the program.

--- a/crates/harness/examples/demo.rs
+++ b/crates/harness/examples/demo.rs
@@ -1,6 +1,6 @@
 //! Starts a deployment with services of Ankesör on loopback, sends requests, and kills a VM.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -14,8 +14,9 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let bin = std::env::args().nth(1).unwrap_or_default();
-    match run(Path::new(&bin)).await {
+    let bin = std::env::args_os().nth(1);
+    let bin = bin.map_or_else(sequoiayoke_harness::release_folder, PathBuf::from);
+    match run(&bin).await {
         Ok(0) => {
             println!("done: every answer was correct");
             ExitCode::SUCCESS
--- a/crates/harness/examples/fleet.rs
+++ b/crates/harness/examples/fleet.rs
@@ -7,7 +7,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -48,9 +48,11 @@
 async fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().collect();
     let number = |index: usize| arguments.get(index).and_then(|text| text.parse().ok());
-    let bin = arguments.get(1).map_or("target/release", String::as_str);
+    let bin = arguments
+        .get(1)
+        .map_or_else(sequoiayoke_harness::release_folder, PathBuf::from);
     let (nodes, slices) = (number(2).unwrap_or(100), number(3).unwrap_or(800));
-    match run(Path::new(bin), nodes, slices).await {
+    match run(&bin, nodes, slices).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("the measurement failed: {error}");
--- a/crates/harness/examples/load.rs
+++ b/crates/harness/examples/load.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Parser)]
 struct Arguments {
     /// Directory of the programs to run.
-    #[arg(long, default_value = "target/release")]
+    #[arg(long, default_value_os_t = sequoiayoke_harness::release_folder())]
     bin: std::path::PathBuf,
     /// Log level of control replicas and nodes.
     #[arg(long, default_value = "info")]
--- a/crates/harness/examples/recovery.rs
+++ b/crates/harness/examples/recovery.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p sequoiayoke-harness --example recovery -- target/release ROUNDS`
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -38,12 +38,14 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().collect();
-    let bin = arguments.get(1).map_or("target/release", String::as_str);
+    let bin = arguments
+        .get(1)
+        .map_or_else(sequoiayoke_harness::release_folder, PathBuf::from);
     let rounds = arguments
         .get(2)
         .and_then(|text| text.parse().ok())
         .unwrap_or(20);
-    match run(Path::new(bin), rounds).await {
+    match run(&bin, rounds).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("the measurement failed: {error}");
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -21,6 +21,14 @@
     /// A file or process could not be used.
     #[error("failed to {0}: {1}")]
     Io(&'static str, std::io::Error),
+    /// A program could not be started.
+    #[error("failed to start {}: {error}", program.display())]
+    Program {
+        /// Path of the program.
+        program: std::path::PathBuf,
+        /// Reason.
+        error: std::io::Error,
+    },
     /// A process exited or timed out before it became ready.
     #[error("process did not become ready: {0}")]
     NotReady(String),
@@ -31,3 +39,12 @@
     #[error("expected state was not reached: {0}")]
     Timeout(String),
 }
+
+/// Returns the folder in which Cargo puts the programs of release builds, `target/release` unless
+/// `CARGO_TARGET_DIR` names another one.
+pub fn release_folder() -> std::path::PathBuf {
+    let target = std::env::var_os("CARGO_TARGET_DIR");
+    let target = target.filter(|folder| !folder.is_empty());
+    let target = target.unwrap_or_else(|| "target".into());
+    std::path::Path::new(&target).join("release")
+}
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -55,6 +55,10 @@
         let log_file = fs::OpenOptions::new().create(true).append(true).open(&log);
         let log_file = log_file.map_err(io_error)?;
         let mut log_writer = log_file.try_clone().map_err(io_error)?;
+        let start_error = |error| Error::Program {
+            program: program.to_owned(),
+            error,
+        };
         let mut child = Command::new(program)
             .args(arguments)
             .envs(environment.iter().copied())
@@ -62,7 +66,7 @@
             .stdout(Stdio::piped())
             .stderr(log_file)
             .spawn()
-            .map_err(io_error)?;
+            .map_err(start_error)?;
         let lines = child.stdout.take().map(BufReader::new);
         let (sender, receiver) = mpsc::channel();
         // Reads until the end, so that the process never blocks on a full pipe. All lines after
