Split the state of a node and the exploration of owners into smaller modules

No change of behaviour: what concerns the instance of the backend server is in state::announced, the faults of the exploration in its own module.

--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -4,6 +4,7 @@
 //! The state does no I/O. Authority to grant keys comes only from the lease: a grant never lasts
 //! longer than the lease under which it was made.
 
+mod announced;
 mod collect;
 mod delivery;
 mod grants;
@@ -39,11 +40,6 @@
 /// Time after which an unanswered release is sent again.
 const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Largest difference between the sequence numbers of two announcements that arrive one after the
-/// other: more than a backend server sends in a week. An announcement of another writer with a very
-/// large number would make all later ones late.
-const MAX_SEQUENCE_STEP: u64 = 1_000_000;
-
 /// Settings of the state.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -256,179 +252,6 @@
         Some(server.id)
     }
 
-    /// Records an announcement of the backend server; returns whether it is accepted.
-    pub fn record_announcement(
-        &mut self,
-        now: clock::Instant,
-        announced: server::Announcement,
-        sequence: u64,
-    ) -> bool {
-        // Another writer may use the address or the name of the backend server.
-        let config = self.view.config.as_ref();
-        if config.is_some_and(|config| config.service(&announced.service).is_none()) {
-            tracing::warn!(
-                service = announced.service,
-                "ignoring an announcement of an unknown service"
-            );
-            return false;
-        }
-        if let Some(backend) = &mut self.backend {
-            let known = &backend.announcement.instance;
-            if *known == announced.instance {
-                if sequence < backend.sequence {
-                    return true;
-                }
-                if sequence - backend.sequence > MAX_SEQUENCE_STEP {
-                    tracing::warn!(
-                        sequence,
-                        "ignoring an announcement with an implausible number"
-                    );
-                    return false;
-                }
-                backend.sequence = sequence;
-                backend.last_announced = now;
-                if backend.draining_since.is_some() || backend.announcement == announced {
-                    return true;
-                }
-                if announced.is_draining {
-                    backend.draining_since = Some(now);
-                }
-                backend.announcement = announced;
-                self.is_changed = true;
-                self.renew(now);
-                return true;
-            }
-            // A late announcement of an ended instance must not replace a later instance.
-            if known.born_ms > announced.instance.born_ms {
-                return false;
-            }
-        }
-        if self.ended.as_ref() == Some(&announced.instance) {
-            return false;
-        }
-        tracing::info!(
-            instance = announced.instance.name,
-            born_ms = announced.instance.born_ms,
-            service = announced.service,
-            "the backend server has announced itself"
-        );
-        self.reset();
-        let left = self.left.take();
-        // An instance that was born later has started again under the same name.
-        let has_left = left.is_some_and(|(name, unix_ms)| {
-            name == announced.instance.name && announced.instance.born_ms <= unix_ms
-        });
-        let is_draining = announced.is_draining || has_left;
-        self.backend = Some(Backend {
-            draining_since: is_draining.then_some(now),
-            announcement: server::Announcement {
-                is_draining,
-                ..announced
-            },
-            sequence,
-            last_announced: now,
-        });
-        self.renew(now);
-        true
-    }
-
-    /// Asks the backend server whether it is the instance that the leader knows at its address, so
-    /// that a restarted node need not wait for an announcement.
-    ///
-    /// Only for services without keys: an instance that has restarted under the same name holds no
-    /// keys, and only its announcement shows the restart.
-    fn identify_backend(&mut self) {
-        if self.backend.is_some() {
-            return;
-        }
-        let mut servers = self.view.servers.values();
-        let known = servers.find(|server| server.announcement.address == self.config.backend);
-        let Some(known) = known.map(|server| &server.announcement) else {
-            return;
-        };
-        let service = self.view.service(&known.service);
-        let is_keyed = service.is_none_or(|service| service.is_keyed);
-        let instance = Some(&known.instance);
-        if is_keyed || self.ended.as_ref() == instance || self.last_identified.as_ref() == instance
-        {
-            return;
-        }
-        self.last_identified = Some(known.instance.clone());
-        self.effects.push(Effect::Identify(known.clone()));
-    }
-
-    /// Records that the instance `name` is leaving, at `unix_ms` of the time of day; returns whether
-    /// it is the current instance.
-    ///
-    /// A node that has just started may hear that an instance leaves before it hears of the
-    /// instance, and acknowledges that as well.
-    pub fn record_leaving(&mut self, now: clock::Instant, name: &str, unix_ms: u64) -> bool {
-        let Some(backend) = &mut self.backend else {
-            self.left = Some((name.to_owned(), unix_ms));
-            return false;
-        };
-        if backend.announcement.instance.name != name {
-            return false;
-        }
-        if backend.draining_since.is_none() {
-            backend.draining_since = Some(now);
-            backend.announcement.is_draining = true;
-            self.is_changed = true;
-            self.renew(now);
-        }
-        true
-    }
-
-    /// Records that an instance of the backend server refuses connections.
-    ///
-    /// A draining instance may have closed its port with work still running, so it keeps its keys
-    /// until its grants have expired. Any other instance has ended.
-    pub fn record_ended(&mut self, now: clock::Instant, instance: &server::Instance) {
-        let backend = self.backend.as_ref();
-        let Some(backend) = backend.filter(|backend| backend.announcement.instance == *instance)
-        else {
-            return;
-        };
-        let has_keys = !self.grants.is_empty() || !self.releases.is_empty();
-        if backend.draining_since.is_some() && has_keys {
-            // No grant outlasts the lease, even one whose release was not answered.
-            let until = match self.grants_expire_at {
-                Some(until) => until,
-                None => {
-                    tracing::info!(
-                        instance = instance.name,
-                        "a draining backend server refuses connections; waiting for its grants to expire"
-                    );
-                    now + self.lease.remaining(now)
-                }
-            };
-            self.grants_expire_at = Some(until);
-            if now < until {
-                return;
-            }
-        }
-        tracing::warn!(instance = instance.name, "the backend server has ended");
-        self.ended = Some(instance.clone());
-        self.backend = None;
-        self.reset();
-        self.renew(now);
-    }
-
-    /// Drops everything that one instance of the backend server held.
-    fn reset(&mut self) {
-        self.grants.clear();
-        self.releases.clear();
-        self.in_flight.clear();
-        self.unanswered.clear();
-        self.refences.clear();
-        self.parts.clear();
-        self.grants_expire_at = None;
-        self.lease.drop_lease();
-        self.way = delivery::Way::default();
-        self.collection = collect::Collection::default();
-        self.is_changed = true;
-    }
-
     /// Records the load that requests have caused.
     pub fn record_usage(&mut self, parts: Vec<usage::Part>, service_s: f64, failure_rate: f64) {
         self.failure_rate = failure_rate;
