Hand over no state of an earlier owner, and count only misses in a row

A backend server may report released keys again after a node has restarted; their state was kept and later given with keys that another owner had held since. It now counts only for grants that existed when it was reported. Responses that a backend server did not take were counted over its whole life, so that some lost ones led to a new fence; a taken one resets the count.

Tests: gateway collect::keys_that_come_back_... and only_responses_in_a_row_... failed before.

--- a/crates/gateway/src/coordinator/state/collect.rs
+++ b/crates/gateway/src/coordinator/state/collect.rs
@@ -38,6 +38,9 @@
     /// Keys that the backend server reported as released without a release of this process, which
     /// replaced the one that had released them.
     returned: Vec<holdings::Released>,
+    /// Latest fence that their grants may have. A later grant follows another owner, whose state
+    /// counts.
+    returned_fence: slice::Fence,
 }
 
 impl Delivery for Collect {
@@ -160,6 +163,7 @@
         let returned: Vec<_> = report.released.iter().filter(is_unexpected).collect();
         if !returned.is_empty() {
             self.collection.returned = returned.into_iter().cloned().collect();
+            self.collection.returned_fence = slice::Fence(self.view.index);
         }
     }
 
@@ -192,7 +196,7 @@
         if count > limit {
             tracing::warn!(count, limit, "too many ranges for one response");
         }
-        let returned = &self.collection.returned;
+        let (returned, last_fence) = (&self.collection.returned, self.collection.returned_fence);
         let mut offer = Offer {
             grants: Vec::new(),
             until,
@@ -201,7 +205,7 @@
         let mut grants = Vec::new();
         for grant in self.grants.iter_mut().take(holdings::MAX_GRANTS) {
             let handover = || {
-                let mut returned = returned.iter();
+                let mut returned = returned.iter().filter(|_| grant.fence <= last_fence);
                 let returned = returned.find(|returned| returned.range.covers(grant.range))?;
                 returned.handover.clone()
             };
--- a/crates/gateway/src/coordinator/state/grants.rs
+++ b/crates/gateway/src/coordinator/state/grants.rs
@@ -132,6 +132,7 @@
         for grant in &mut self.grants {
             if grant.fence == fence && range.covers(grant.range) {
                 grant.is_confirmed = true;
+                grant.misses = 0;
                 grant.until = grant.until.max(Some(until));
                 self.is_changed = true;
             }
--- a/crates/gateway/tests/collect.rs
+++ b/crates/gateway/tests/collect.rs
@@ -260,6 +260,42 @@
     assert_eq!(assignment.grants[0].handover.as_deref(), Some("value"));
 }
 
+/// Guards against the state of an earlier owner that is handed over with keys which another one has
+/// owned since.
+#[test]
+fn keys_that_come_back_from_another_owner_get_no_earlier_value() {
+    let mut state = unassigned();
+    announce(&mut state, 0, 7, &report(&[], &[]));
+    state.apply_state(at(0), owned(5, &[(0, 99, 5)]));
+    renew(&mut state, 1);
+    let returned = report(&[], &[(200, 299, "value")]);
+    announce(&mut state, 10, 8, &returned).expect("a lease");
+    state.apply_state(at(20), owned(9, &[(0, 99, 5), (200, 299, 9)]));
+    let next = report(&[(0, 99, 5)], &[]);
+    let assignment = announce(&mut state, 880, 9, &next).expect("a lease");
+    let mut grants = assignment.grants.iter();
+    let grant = grants.find(|grant| grant.range.first == 200);
+    assert_eq!(grant.expect("it is assigned").handover, None);
+}
+
+/// Guards against a new fence for keys whose responses were lost now and then.
+#[test]
+fn only_responses_in_a_row_that_are_not_taken_lead_to_a_new_fence() {
+    let mut state = owner();
+    let held = report(&[(0, 65_535, 5)], &[]);
+    let lost = report(&[], &[]);
+    let mut sequence = 3;
+    for _ in 0..4 {
+        for reported in [&lost, &lost, &held] {
+            sequence += 1;
+            announce(&mut state, sequence * 10, sequence, reported).expect("a lease");
+        }
+    }
+    state.tick(at(sequence * 10 + 700));
+    let renewals = renewals(&mut state);
+    assert!(renewals.iter().all(|renewal| renewal.refences.is_empty()));
+}
+
 /// Guards against a response beyond 4 KiB, which the backend server would not read.
 #[test]
 fn a_response_has_a_bounded_number_of_grants() {
