Take the number of slots from the accepted announcement

The reply to a backend server that collects its grants may wait for 400 ms, and the number of slots was set with the reply: after its start, a node gave its backend server one request at a time for that long. The traffic thread now follows the view, which shows accepted announcements only.

Read, not reproduced in a test.

--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -220,6 +220,7 @@
     task::spawn_local(session::run(commands, rc::Rc::clone(&context)));
     task::spawn_local(report_load(rc::Rc::clone(&context)));
     task::spawn_local(apply_reloads(rc::Rc::clone(&context)));
+    task::spawn_local(follow_backend(rc::Rc::clone(&context)));
     task::spawn_local(callers::accept(callers, rc::Rc::clone(&context)));
     let ready_context = rc::Rc::clone(&context);
     task::spawn_local(serve::serve(ready, move |_| {
@@ -370,6 +371,20 @@
     }
 }
 
+/// Keeps the number of slots of the backend server as it was announced. The view shows only
+/// announcements that were accepted.
+async fn follow_backend<Frontend>(context: rc::Rc<Context<Frontend>>) {
+    let mut changes = context.shared.changes.clone();
+    while changes.changed().await.is_ok() {
+        let view = context.view();
+        let slots = view.backend.as_ref();
+        let slots = slots.map(|backend| backend.announcement.slots);
+        if let Some(slots) = slots.filter(|slots| *slots != context.backend.load().slots) {
+            context.backend.set_slots(slots);
+        }
+    }
+}
+
 /// Reports load to the control thread.
 async fn report_load<Frontend>(context: rc::Rc<Context<Frontend>>)
 where
--- a/crates/gateway/src/traffic/announcements.rs
+++ b/crates/gateway/src/traffic/announcements.rs
@@ -53,7 +53,6 @@
         }
     };
     let (reply, replied) = oneshot::channel();
-    let mut announced_slots = None;
     let event = match announcement {
         frontend::Announcement::Running {
             instance,
@@ -76,7 +75,6 @@
                 );
                 return serve::Reply::new(400, "text/plain", "an invalid number of slots");
             }
-            announced_slots = Some(slots);
             coordinator::Event::Announced {
                 announcement: server::Announcement {
                     instance,
@@ -97,9 +95,6 @@
     context.send_event(event);
     match tokio::time::timeout(REPLY_TIMEOUT, replied).await {
         Ok(Ok(reply)) => {
-            if let Some(slots) = announced_slots.filter(|_| reply.is_accepted) {
-                context.backend.set_slots(slots);
-            }
             let assignment = reply.assignment.as_ref();
             context.frontend.acknowledgement(assignment)
         }
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -215,7 +215,6 @@
                     instance = instance.name,
                     "the backend server is the instance known to the leader"
                 );
-                self.set_slots(known.slots);
                 let (reply, _) = oneshot::channel();
                 context.send_event(coordinator::Event::Announced {
                     announcement: known,
