--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -83,6 +83,7 @@
         self.settings = os.path.join(folder, f"{name}.conf")
         self.log = open(os.path.join(folder, f"{name}.log"), "ab")
         self.process = None
+        self.started = []
 
     def start(self):
         with open(self.settings, "w", encoding="utf-8") as file:
@@ -92,6 +93,7 @@
         self.process = subprocess.Popen(
             self.run, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log
         )
+        self.started.append(self.process)
         self.record("platform: started", self.name)
 
     def signal(self, number):
@@ -181,11 +183,10 @@
             program.values["bootstrap"] = False
 
     def stop(self):
-        for program in self.programs:
-            if program.process and program.process.poll() is None:
-                program.process.kill()
-            if program.process:
-                program.process.wait()
+        for process in [process for program in self.programs for process in program.started]:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
         if os.environ.get("KEEP"):
             print("logs are in", self.folder)
         else:
