--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -326,9 +326,11 @@
 class Server:
     """A backend server of one service, on the machine of `node`."""
 
-    def __init__(self, record, node, name, is_keyed=False, sequence=0, work_s=0.02, slots=12):
+    def __init__(self, record, node, name, is_keyed=False, age_s=0.0, work_s=0.02, slots=12):
+        """`age_s`: for how long the server has run, and checked in, before the script began."""
         self.record, self.node, self.name, self.is_keyed = record, node, name, is_keyed
-        self.sequence, self.work_s, self.slots = sequence, work_s, slots
+        self.age_s, self.work_s, self.slots = age_s, work_s, slots
+        self.sequence = int(age_s / HEARTBEAT_S)
         self.born = 0
         self.state = "ready"
         self.is_up = self.beats = False
@@ -341,7 +343,7 @@
 
     async def start(self, first_late_s=0.0):
         """Starts a new life; its first check-in arrives `first_late_s` late."""
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() - self.age_s) * 1000)
         self.fences, self.until = [0] * KEYS, [0.0] * KEYS
         self.working, self.running = [], 0
         self.is_up = self.beats = True
