Keep the keys of a restarted backend server with its new instance

Cause: the join of a later instance at an address made the keys of the earlier one vacant at once. Its node does not learn of a restart before the first check-in, and renews the grants at the address; the new instance knows no fence and takes them until the lease lapses. The end of a server that a node reports had the same effect for a grant in flight.

Change: the entry that adds the later instance gives it the keys under a new fence, so that they leave it only by a release. Nodes are told these slices. Unanswered grants outlive the instance in the node's state, an end is reported only when no grant in flight may have reached the next instance, and no grant is sent for an instance that was replaced.

--- a/crates/catalog/src/machine.rs
+++ b/crates/catalog/src/machine.rs
@@ -198,11 +198,18 @@
             if known.born_ms > new.instance.born_ms {
                 return Err(Refusal::Outdated);
             }
-            let id = former.id;
-            self.remove(id);
         }
+        let former = former.map(|former| (former.id, former.announcement.service == new.service));
         let id = id::Server(self.next_server);
         self.next_server += 1;
+        if let Some((former, has_same_service)) = former {
+            // The node may have renewed grants of the former instance at the address, and the new
+            // instance takes them: it knows no fence. So the keys are not vacant, but its own.
+            if has_same_service && let Some(table) = self.tables.get_mut(&new.service) {
+                table.transfer(former, id, slice::Fence(index));
+            }
+            self.remove(former);
+        }
         let server = server::Server {
             id,
             incarnation: id::Incarnation(index),
--- a/crates/catalog/src/slice.rs
+++ b/crates/catalog/src/slice.rs
@@ -189,6 +189,41 @@
         changed
     }
 
+    /// Gives all slices of `owner` to `heir` under `fence`, without their handover values; returns
+    /// whether there were any.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_catalog::slice;
+    /// use sequoiayoke_model::id;
+    ///
+    /// let (owner, heir) = (id::Server(1), id::Server(2));
+    /// let mut table = slice::Table::new();
+    /// table.replace(slice::Slice {
+    ///     range: slice::Range::new(8, 11),
+    ///     fence: slice::Fence(3),
+    ///     owner: Some(owner),
+    ///     handover: None,
+    /// });
+    /// assert!(table.transfer(owner, heir, slice::Fence(5)));
+    /// assert_eq!(table.find(9).owner, Some(heir));
+    /// assert_eq!(table.find(9).fence, slice::Fence(5));
+    /// ```
+    pub fn transfer(&mut self, owner: id::Server, heir: id::Server, fence: Fence) -> bool {
+        let mut changed = false;
+        for slice in &mut self.slices {
+            if slice.owner == Some(owner) {
+                slice.owner = Some(heir);
+                slice.fence = fence;
+                slice.handover = None;
+                changed = true;
+            }
+        }
+        self.merge();
+        changed
+    }
+
     /// Returns the slices that have a key in `range`, in key order.
     ///
     /// # Examples
--- a/crates/director/src/coordinator/leader/changes.rs
+++ b/crates/director/src/coordinator/leader/changes.rs
@@ -66,13 +66,24 @@
             return None;
         }
         let servers = machine.servers();
+        let joined = std::mem::take(&mut self.joined);
+        // A backend server that replaces an earlier instance begins with the keys of that one.
+        let new = |owner: &id::Server| joined.contains(owner) && !self.known.contains(owner);
+        for (service, table) in machine.tables() {
+            let slices = table.slices().iter();
+            let inherited = slices.filter(|slice| slice.owner.as_ref().is_some_and(new));
+            let mut inherited = inherited.map(|slice| slice.range).peekable();
+            if inherited.peek().is_some() {
+                let ranges = self.ranges.entry(service.clone()).or_default();
+                ranges.extend(inherited);
+            }
+        }
         let mut left = Vec::new();
         if std::mem::take(&mut self.has_removals) {
             let known = self.known.iter().copied();
             left.extend(known.filter(|id| !servers.contains_key(id)));
             self.known = servers.keys().copied().collect();
         }
-        let joined = std::mem::take(&mut self.joined);
         let joined = joined.iter().filter_map(|id| servers.get(id)).cloned();
         let version = machine.version();
         let config = machine.order().filter(|_| version != self.version);
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -383,3 +383,38 @@
     };
     assert!(!harness.effects().iter().any(is_release));
 }
+
+/// Guards against nodes that do not learn the new grants of a backend server which has started again:
+/// they would go on with the fences of the former instance.
+#[test]
+fn nodes_are_told_the_keys_of_a_restarted_backend_server() {
+    let (mut harness, nodes, servers) = pair();
+    harness.effects();
+    let restarted = server::Announcement {
+        instance: server::Instance {
+            born_ms: 2_000,
+            ..servers[0].instance.clone()
+        },
+        ..servers[0].clone()
+    };
+    harness.renew(instant(2_000), nodes[0], renewal(3, &restarted));
+    harness.commit(instant(2_000));
+    let server = harness.machine.find_server(&restarted.instance);
+    let id = server.expect("the backend server has joined").id;
+    let effects = harness.effects();
+    let told = effects.iter().find_map(|effect| match effect {
+        leader::Effect::Broadcast(_, session::FromControl::Changes(changes)) => {
+            Some(&changes.slices)
+        }
+        _ => None,
+    });
+    let slices = &told.expect("the nodes are told")[0].1;
+    assert!(!slices.is_empty());
+    for slice in slices {
+        assert_eq!(slice.owner, Some(id));
+        assert_eq!(
+            harness.machine.tables()["status"].find(slice.range.first),
+            slice
+        );
+    }
+}
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -135,13 +135,32 @@
     draining_since: Option<clock::Instant>,
 }
 
+/// An instance of the backend server that has ended.
+#[derive(Debug)]
+struct Ended {
+    instance: server::Instance,
+    notice: Notice,
+}
+
+/// Whether the leader is told that an instance has ended, upon which its keys are vacant at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Notice {
+    /// Not while a grant is in flight, which may reach the next instance at the address.
+    Pending,
+    /// Never, since the next instance may have taken a grant: it knows no fence. The keys stay until
+    /// it has announced itself or the lease has lapsed.
+    Withheld,
+    /// In each renewal.
+    Given,
+}
+
 /// Control state of the node.
 #[derive(Debug)]
 pub struct State {
     config: Config,
     view: view::View,
     backend: Option<Backend>,
-    ended: Option<server::Instance>,
+    ended: Option<Ended>,
     /// Name of an instance that left before it announced itself, and when, in milliseconds since
     /// the Unix epoch.
     left: Option<(String, u64)>,
@@ -291,7 +310,7 @@
                 .backend
                 .as_ref()
                 .map(|backend| backend.announcement.clone()),
-            ended: self.ended.clone(),
+            ended: self.given_end().cloned(),
             released: released.collect(),
             refences: std::mem::take(&mut self.refences),
             parts: self.parts.clone(),
--- a/crates/gateway/src/coordinator/state/announced.rs
+++ b/crates/gateway/src/coordinator/state/announced.rs
@@ -3,7 +3,9 @@
 use sequoiayoke_catalog::server;
 use sequoiayoke_model::clock;
 
-use super::{Backend, Effect, State, collect, delivery};
+use super::{
+    Backend, Effect, Ended, MAX_GRANT_DELAY, Notice, State, UnansweredGrant, collect, delivery,
+};
 
 /// Largest difference between the sequence numbers of two announcements that arrive one after the
 /// other: more than a backend server sends in a week. An announcement of another writer with a very
@@ -58,7 +60,7 @@
                 return false;
             }
         }
-        if self.ended.as_ref() == Some(&announced.instance) {
+        if self.has_ended(&announced.instance) {
             return false;
         }
         tracing::info!(
@@ -68,6 +70,7 @@
             "the backend server has announced itself"
         );
         self.reset();
+        self.abandon_in_flight(now);
         let left = self.left.take();
         // An instance that was born later has started again under the same name.
         let has_left = left.is_some_and(|(name, unix_ms)| {
@@ -104,7 +107,7 @@
         let service = self.view.service(&known.service);
         let is_keyed = service.is_none_or(|service| service.is_keyed);
         let instance = Some(&known.instance);
-        if is_keyed || self.ended.as_ref() == instance || self.last_identified.as_ref() == instance
+        if is_keyed || self.has_ended(&known.instance) || self.last_identified.as_ref() == instance
         {
             return;
         }
@@ -163,18 +166,65 @@
             }
         }
         tracing::warn!(instance = instance.name, "the backend server has ended");
-        self.ended = Some(instance.clone());
+        self.ended = Some(Ended {
+            instance: instance.clone(),
+            notice: Notice::Pending,
+        });
         self.backend = None;
         self.reset();
+        self.update_notice();
         self.renew(now);
     }
 
-    /// Drops everything that one instance of the backend server held.
+    fn has_ended(&self, instance: &server::Instance) -> bool {
+        let ended = self.ended.as_ref();
+        ended.is_some_and(|ended| ended.instance == *instance)
+    }
+
+    /// Returns the instance that has ended, if the leader is told.
+    pub(super) fn given_end(&self) -> Option<&server::Instance> {
+        let ended = self.ended.as_ref()?;
+        (ended.notice == Notice::Given).then_some(&ended.instance)
+    }
+
+    /// Gives notice of an end once no grant is in flight.
+    pub(super) fn update_notice(&mut self) {
+        let is_pending = self.backend.is_none() && self.in_flight.is_empty();
+        if let Some(ended) = self.ended.as_mut().filter(|_| is_pending)
+            && ended.notice == Notice::Pending
+        {
+            ended.notice = Notice::Given;
+            self.is_renewal_due = true;
+        }
+    }
+
+    /// Withholds the notice of an end, since a grant may have been taken after it.
+    pub(super) fn withhold_notice(&mut self) {
+        if let Some(ended) = &mut self.ended
+            && ended.notice == Notice::Pending
+        {
+            ended.notice = Notice::Withheld;
+        }
+    }
+
+    /// Counts the grants in flight as unanswered: the new instance at the address may take them.
+    fn abandon_in_flight(&mut self, now: clock::Instant) {
+        self.withhold_notice();
+        let until = now + MAX_GRANT_DELAY;
+        let in_flight = self.in_flight.iter();
+        self.unanswered
+            .extend(in_flight.map(|(range, fence)| UnansweredGrant {
+                range: *range,
+                fence: *fence,
+                until,
+            }));
+    }
+
+    /// Drops what is to be granted to one instance of the backend server and released by it. Its
+    /// grants without an answer are kept.
     fn reset(&mut self) {
         self.grants.clear();
         self.releases.clear();
-        self.in_flight.clear();
-        self.unanswered.clear();
         self.refences.clear();
         self.parts.clear();
         self.grants_expire_at = None;
--- a/crates/gateway/src/coordinator/state/grants.rs
+++ b/crates/gateway/src/coordinator/state/grants.rs
@@ -110,12 +110,14 @@
             self.in_flight.swap_remove(index);
         }
         if let Some(until) = unanswered_until {
+            self.withhold_notice();
             self.unanswered.push(UnansweredGrant {
                 range,
                 fence,
                 until,
             });
         }
+        self.update_notice();
         self.send_releases(now);
     }
 
@@ -126,6 +128,7 @@
         fence: slice::Fence,
         until: clock::Instant,
     ) {
+        self.withhold_notice();
         for release in &mut self.releases {
             release.is_confirmed |= release.fence == fence && range.covers(release.range);
         }
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -15,7 +15,7 @@
 use tokio::task;
 use tokio_util::codec::Framed;
 
-use super::{Context, peers};
+use super::{Context, backend, peers};
 use crate::coordinator::{self, state};
 use crate::frontend;
 
@@ -212,6 +212,12 @@
 where
     Frontend: frontend::Frontend,
 {
+    // A grant for an instance that has been replaced would be taken by the one at its address now.
+    let is_current = |instance: &server::Instance| {
+        let view = context.view();
+        let backend = view.backend.as_ref();
+        backend.is_some_and(|backend| backend.announcement.instance == *instance)
+    };
     match effect {
         // Nothing to do for a renewal without a session, since the next session begins with one.
         state::Effect::Renew(_) | state::Effect::Identify(_) => {}
@@ -225,12 +231,15 @@
             is_renewal,
         } => {
             let now = clock::Instant::now();
-            let Some(left) = state::remaining_hold(at, hold, now) else {
+            let left = state::remaining_hold(at, hold, now);
+            let Some(left) = left.filter(|_| is_current(&instance)) else {
                 let (first, last) = (range.first, range.last);
+                let is_current = is_current(&instance);
                 tracing::warn!(
                     first,
                     last,
                     fence = fence.0,
+                    is_current,
                     "a grant was held up and is not sent"
                 );
                 let completed = coordinator::Event::GrantCompleted {
@@ -247,9 +256,10 @@
                 handover: handover.as_deref(),
                 is_renewal,
             };
-            let status = send_command(&command, &instance, context)
-                .await
-                .map(|response| response.status);
+            let result = send_command(&command, &instance, context).await;
+            // A grant that could not be delivered does not take effect later.
+            let is_undelivered = matches!(result, Err(backend::Error::Refused));
+            let status = result.ok().map(|response| response.status);
             let confirmed = match status {
                 Some(200) => Some(coordinator::Event::GrantConfirmed {
                     range,
@@ -259,7 +269,7 @@
                 Some(409) => Some(coordinator::Event::GrantRefused { range, fence }),
                 _ => None,
             };
-            let is_unanswered = status.is_none();
+            let is_unanswered = status.is_none() && !is_undelivered;
             let completed = coordinator::Event::GrantCompleted {
                 range,
                 fence,
@@ -288,9 +298,12 @@
             range,
             fence,
         } => {
+            if !is_current(&instance) {
+                return;
+            }
             let start = clock::Instant::now();
             let command = frontend::Command::Release { range, fence };
-            let response = send_command(&command, &instance, context).await;
+            let response = send_command(&command, &instance, context).await.ok();
             let waited_ms = clock::Instant::now().saturating_since(start).as_millis() as u64;
             let status = response.as_ref().map(|response| response.status);
             let (first, last) = (range.first, range.last);
@@ -321,7 +334,7 @@
     command: &frontend::Command<'_>,
     instance: &server::Instance,
     context: &Context<Frontend>,
-) -> Option<sequoiayoke_http1::response::Response>
+) -> Result<sequoiayoke_http1::response::Response, backend::Error>
 where
     Frontend: frontend::Frontend,
 {
@@ -333,11 +346,7 @@
     let response = context
         .backend
         .send_command(context, instance, command, &call, timeout);
-    match response.await {
-        Ok(response) => Some(response),
-        Err(error) => {
-            tracing::warn!(path = call.path, %error, "a command to the backend server failed");
-            None
-        }
-    }
+    response.await.inspect_err(|error| {
+        tracing::warn!(path = call.path, %error, "a command to the backend server failed");
+    })
 }
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -382,3 +382,63 @@
     state.tick(at(7_100));
     assert_eq!(reported(&mut state), Some(true));
 }
+
+/// Returns whether the latest renewal tells the leader of an end, if one was sent.
+fn reports_end(state: &mut State) -> Option<bool> {
+    let effects = state.take_effects().into_iter();
+    let mut ended = effects.filter_map(|effect| match effect {
+        Effect::Renew(renewal) => Some(renewal.ended.is_some()),
+        _ => None,
+    });
+    ended.next_back()
+}
+
+/// Guards against a second owner of the keys of a backend server that has crashed: a grant in flight
+/// may reach the instance that follows at its address, which takes it. Only a grant that nobody has
+/// taken lets the leader give the keys to others at once.
+#[test]
+fn the_end_of_an_instance_is_reported_once_no_grant_can_reach_the_next_one() {
+    let instance = announcement("i-1", 10).instance;
+    for (answer, is_reported) in [
+        ((false, None), true),
+        ((true, None), false),
+        ((false, Some(at(15_000))), false),
+    ] {
+        let (is_confirmed, unanswered_until) = answer;
+        let mut state = owner();
+        let (range, _) = grants(&state.take_effects())[0];
+        state.record_ended(at(20), &instance);
+        assert_eq!(reports_end(&mut state), Some(false));
+        if is_confirmed {
+            state.record_grant_confirmed(range, slice::Fence(5), at(6_600));
+        }
+        state.record_grant_completed(at(30), range, slice::Fence(5), unanswered_until);
+        state.tick(at(700));
+        assert_eq!(reports_end(&mut state), Some(is_reported), "{answer:?}");
+    }
+}
+
+/// Guards against keys that are released at a restarted backend server while a grant for the former
+/// instance is on its way there: the grant would take effect after the release.
+#[test]
+fn a_restarted_instance_confirms_its_grant_before_a_release() {
+    let mut state = owner();
+    assert_eq!(grants(&state.take_effects()).len(), 1);
+    assert!(state.record_announcement(at(20), announcement("i-1", 30), 1));
+    let server = server::Server {
+        id: id::Server(2),
+        incarnation: id::Incarnation(9),
+        announcement: announcement("i-1", 30),
+    };
+    state.apply_state(
+        at(30),
+        session::State {
+            servers: vec![server],
+            ..learned(9, &[(0, 65_535, 9, 2)])
+        },
+    );
+    let part = slice::Range::new(100, 199);
+    state.begin_release(at(40), "status", part, slice::Fence(9));
+    let effects = state.take_effects();
+    assert_eq!((releases(&effects), refences(&effects)), (0, 1));
+}
