Do not renew the lease of a backend server that is being removed

Two owners of a key were possible after the end of a backend server was reported: its restarted node, or one that heard late from the ended instance, renewed the lease while the removal was being committed. The lease outlasted the removal, which made the keys vacant at once.

Cause: a removal for a reported end did not end the lease in the registry; one for a lapsed lease has always done so. Change: the proposal of a removal ends the lease, so that renewals are refused; the removal is proposed again until it is applied.

The test of the leader failed before the change ("the_lease_of_a_backend_server_that_is_being_removed...").

--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -339,6 +339,8 @@
             return;
         }
         self.proposed_leaves.insert(server.id, now);
+        // A lease that is renewed until the removal is applied would outlast it.
+        self.leases.release(server.member());
         let instance = &server.announcement.instance.name;
         tracing::info!(
             server = server.id.0,
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -418,3 +418,27 @@
         );
     }
 }
+
+/// Guards against a lease that outlasts the removal of its backend server: a restarted node may hear
+/// late from an instance whose end was reported, and renew its lease before the removal is applied.
+#[test]
+fn the_lease_of_a_backend_server_that_is_being_removed_is_not_renewed() {
+    let (mut harness, nodes, servers) = pair();
+    let ended = session::Renewal {
+        sequence: 3,
+        ended: Some(servers[0].instance.clone()),
+        ..session::Renewal::default()
+    };
+    harness.renew(instant(2_000), nodes[0], ended);
+    harness.effects();
+    let restarted = harness.leader.node_up().expect("there is room");
+    harness.renew(instant(2_010), restarted, renewal(1, &servers[0]));
+    let effects = harness.effects();
+    let renewed = effects.iter().any(|effect| {
+        matches!(
+            effect,
+            leader::Effect::Send(_, session::FromControl::Renewed { .. })
+        )
+    });
+    assert!(!renewed, "{effects:?}");
+}
