Hold back a release while any grant of its keys is in flight

Two owners of a key were possible when keys moved soon after they had got a new fence: the release under the new fence was sent while a grant under an earlier one was in flight. The grant arrived after the release, and an instance that had not seen the new fence took it.

Cause: a release waited only for grants in flight under its own fence. Change: it waits for all that overlap its keys; they end within 0.5 s, with an answer or as unanswered, and unanswered ones already ask for a confirmed fence.

The new test and the extended one of unanswered grants failed before the change; the latter now completes the grant of all keys that is in flight before it expects the release.

--- a/crates/gateway/src/coordinator/state/push.rs
+++ b/crates/gateway/src/coordinator/state/push.rs
@@ -83,7 +83,7 @@
             let is_waiting = state
                 .in_flight
                 .iter()
-                .any(|(range, fence)| *fence == release.fence && range.overlaps(release.range));
+                .any(|(range, _)| range.overlaps(release.range));
             if release.handover.is_some() || is_sent || is_waiting {
                 continue;
             }
--- a/crates/gateway/src/coordinator/state/releases.rs
+++ b/crates/gateway/src/coordinator/state/releases.rs
@@ -73,8 +73,7 @@
             .releases
             .iter()
             .filter(|release| {
-                release.last_sent.is_none()
-                    && !self.is_grant_in_flight(release.range, release.fence)
+                release.last_sent.is_none() && !self.is_grant_in_flight(release.range)
             })
             .map(|release| (release.service.clone(), release.range, release.fence))
             .collect();
@@ -105,10 +104,11 @@
         self.renew(now);
     }
 
-    /// Returns whether a grant of these keys is in flight.
-    pub(super) fn is_grant_in_flight(&self, range: slice::Range, fence: slice::Fence) -> bool {
+    /// Returns whether a grant of these keys is in flight, under whichever fence: the backend server
+    /// may not have seen a later one.
+    pub(super) fn is_grant_in_flight(&self, range: slice::Range) -> bool {
         let mut in_flight = self.in_flight.iter();
-        in_flight.any(|(granted, granted_fence)| *granted_fence == fence && granted.overlaps(range))
+        in_flight.any(|(granted, _)| granted.overlaps(range))
     }
 
     /// Records that the backend server has confirmed a release.
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -290,6 +290,9 @@
     state.record_grant_confirmed(part, slice::Fence(9), at(6_000));
     state.record_grant_completed(at(22), part, slice::Fence(9), None);
     state.begin_release(at(23), "status", part, slice::Fence(9));
+    // The grant of all keys that was sent again when the first release was abandoned is in flight.
+    assert_eq!(releases(&state.take_effects()), 0);
+    state.record_grant_completed(at(24), range, slice::Fence(5), lost);
     assert_eq!(releases(&state.take_effects()), 1);
 }
 
@@ -423,7 +426,7 @@
 #[test]
 fn a_restarted_instance_confirms_its_grant_before_a_release() {
     let mut state = owner();
-    assert_eq!(grants(&state.take_effects()).len(), 1);
+    let (range, _) = grants(&state.take_effects())[0];
     assert!(state.record_announcement(at(20), announcement("i-1", 30), 1));
     let server = server::Server {
         id: id::Server(2),
@@ -440,5 +443,24 @@
     let part = slice::Range::new(100, 199);
     state.begin_release(at(40), "status", part, slice::Fence(9));
     let effects = state.take_effects();
+    assert_eq!((releases(&effects), refences(&effects)), (0, 0));
+    // The former instance's grant gets no answer.
+    state.record_grant_completed(at(500), range, slice::Fence(5), Some(at(15_000)));
+    let effects = state.take_effects();
     assert_eq!((releases(&effects), refences(&effects)), (0, 1));
 }
+
+/// Guards against a release that overtakes a grant under an earlier fence: the backend server has not
+/// seen the later fence, and would apply the earlier grant after the release.
+#[test]
+fn a_release_waits_for_a_grant_under_an_earlier_fence() {
+    let mut state = owner();
+    let (range, _) = grants(&state.take_effects())[0];
+    let part = slice::Range::new(100, 199);
+    state.apply_state(at(10), learned(9, &[(0, 65_535, 5, 1), (100, 199, 9, 1)]));
+    state.begin_release(at(11), "status", part, slice::Fence(9));
+    state.record_grant_completed(at(12), part, slice::Fence(9), None);
+    assert_eq!(releases(&state.take_effects()), 0);
+    state.record_grant_completed(at(13), range, slice::Fence(5), None);
+    assert_eq!(releases(&state.take_effects()), 1);
+}
