Send the state to a node before its renewed lease

Cause: the leader's messages of one round ended with the state. Change: they begin with it, so that a lease is valid only for a state that the node has. Nodes that know the state get the changes first for the same reason.

--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -176,8 +176,10 @@
         std::mem::take(&mut self.proposals)
     }
 
-    /// Removes and returns the messages to send; the last ones give the nodes the state of `machine`.
+    /// Removes and returns the messages to send; the first ones give the nodes the state of `machine`,
+    /// so that no node takes a renewed lease for keys that have moved.
     pub fn take_effects(&mut self, machine: &machine::Machine) -> Vec<Effect> {
+        let others = std::mem::take(&mut self.effects);
         if let Some(changes) = self.changes.take(machine) {
             let nodes = self.nodes.iter().filter(|(_, node)| node.has_state);
             let sessions: Vec<_> = nodes.map(|(session, _)| session).collect();
@@ -189,6 +191,7 @@
                 self.effects.push(Effect::State(session));
             }
         }
+        self.effects.extend(others);
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -442,3 +442,24 @@
     });
     assert!(!renewed, "{effects:?}");
 }
+
+/// Guards against a second owner after a restart of a node: a lease that is renewed before the node
+/// knows the state lets it grant keys that have moved.
+#[test]
+fn a_node_gets_the_state_before_its_lease() {
+    let (mut harness, _, servers) = pair();
+    harness.effects();
+    let restarted = harness.leader.node_up().expect("there is room");
+    harness.renew(instant(2_000), restarted, renewal(1, &servers[0]));
+    let effects = harness.effects();
+    let state = leader::Effect::State(restarted);
+    let state = effects.iter().position(|effect| *effect == state);
+    let is_renewed = |effect: &leader::Effect| {
+        matches!(
+            effect,
+            leader::Effect::Send(_, session::FromControl::Renewed { .. })
+        )
+    };
+    let renewed = effects.iter().position(is_renewed);
+    assert!(state.is_some() && state < renewed, "{effects:?}");
+}
