Keep the leaving of a backend server in the replicated state

Callers' requests ran at a backend server that had left: its deregistration was acknowledged, its node was restarted as planned, and a check-in from before the deregistration arrived 4 s late at the new process.

Cause: only the process that heard it remembered that an instance leaves. In the replicated state a join of the same instance replaced the announcement, so that is_draining went from true to false, and a removed instance was forgotten.

Change: a join does not end the draining of an instance; an instance that was draining when it was removed is kept in a bounded list and cannot join again, while one whose lease has lapsed can. A node takes its backend server as draining if the leader knows that, whichever it hears first.

The new tests of the catalog and of the node's state failed before.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -6,6 +6,7 @@
 //! front end can supply the configuration.
 
 pub mod config;
+pub mod departed;
 pub mod machine;
 pub mod server;
 pub mod slice;
--- a/crates/catalog/src/machine.rs
+++ b/crates/catalog/src/machine.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config;
+use crate::departed;
 use crate::server;
 use crate::slice;
 
@@ -85,6 +86,9 @@
     /// A later instance has joined at the same address.
     #[error("a later run of a backend server is known at the address")]
     Outdated,
+    /// The instance has left.
+    #[error("the run of the backend server has left")]
+    Departed,
 }
 
 /// Replicated configuration, backend servers and slices.
@@ -96,6 +100,8 @@
     next_server: u32,
     servers: collections::BTreeMap<id::Server, server::Server>,
     tables: collections::BTreeMap<String, slice::Table>,
+    // Must stay the last field; see `departed::Departed::deserialize`.
+    departed: departed::Departed,
 }
 
 impl Machine {
@@ -133,6 +139,11 @@
             .find(|server| server.announcement.instance == *instance)
     }
 
+    /// Returns whether this instance has left, so that it cannot join again.
+    pub fn has_departed(&self, instance: &server::Instance) -> bool {
+        self.departed.contains(instance)
+    }
+
     /// Checks whether an order would be accepted in the current state.
     ///
     /// # Errors
@@ -181,6 +192,9 @@
     }
 
     fn join(&mut self, index: u64, new: &server::Announcement) -> Result<Output, Refusal> {
+        if self.has_departed(&new.instance) {
+            return Err(Refusal::Departed);
+        }
         // Two instances cannot listen on the same address at the same time.
         let former = self
             .servers
@@ -191,7 +205,12 @@
             if *known == new.instance {
                 let id = former.id;
                 if let Some(server) = self.servers.get_mut(&id) {
-                    server.announcement = new.clone();
+                    // A restarted node may hear of an instance that leaves from a late announcement.
+                    let is_draining = server.announcement.is_draining || new.is_draining;
+                    server.announcement = server::Announcement {
+                        is_draining,
+                        ..new.clone()
+                    };
                 }
                 return Ok(Output::Joined(id));
             }
@@ -229,7 +248,11 @@
     }
 
     fn remove(&mut self, server: id::Server) {
-        self.servers.remove(&server);
+        let removed = self.servers.remove(&server);
+        // One that was not leaving may have been cut off, and joins again.
+        if let Some(removed) = removed.filter(|removed| removed.announcement.is_draining) {
+            self.departed.add(&removed.announcement.instance);
+        }
         for table in self.tables.values_mut() {
             table.vacate(server);
         }
--- a/crates/catalog/tests/machine.rs
+++ b/crates/catalog/tests/machine.rs
@@ -269,3 +269,61 @@
     let copy = postcard::from_bytes(&bytes).expect("the state can be decoded");
     assert_eq!(machine::Machine::with_snapshot(copy), machine);
 }
+
+/// Guards against an instance that has left and is given keys and requests anew: an announcement from
+/// before its leaving arrives late, at a node that has restarted and does not know of it.
+#[test]
+fn an_instance_that_leaves_does_not_come_back() {
+    let ready = announcement("i-1", 10, 1);
+    let draining = server::Announcement {
+        is_draining: true,
+        ..ready.clone()
+    };
+    let mut machine = machine::Machine::new();
+    let id = join(&mut machine, 1, ready.clone());
+    join(&mut machine, 2, draining);
+    join(&mut machine, 3, ready.clone());
+    assert!(machine.servers()[&id].announcement.is_draining);
+    let leave = machine::Command::Leave {
+        server: id,
+        incarnation: machine.servers()[&id].incarnation,
+    };
+    machine.apply(4, &leave);
+    let late = machine.apply(5, &machine::Command::Join(ready.clone()));
+    assert_eq!(late, machine::Output::Refused(machine::Refusal::Departed));
+    let snapshot = postcard::to_stdvec(&machine.to_snapshot()).expect("it can be encoded");
+    let restored = postcard::from_bytes(&snapshot).expect("it can be decoded");
+    let mut restored = machine::Machine::with_snapshot(restored);
+    assert_eq!(restored, machine);
+    let late = restored.apply(6, &machine::Command::Join(ready));
+    assert_eq!(late, machine::Output::Refused(machine::Refusal::Departed));
+    // A later run under the same name is another instance.
+    join(&mut restored, 7, announcement("i-1", 20, 1));
+}
+
+/// Guards against a backend server that stays out of use after its node was cut off: it was not
+/// leaving when its lease lapsed.
+#[test]
+fn an_instance_whose_lease_has_lapsed_joins_again() {
+    let mut machine = machine::Machine::new();
+    let id = join(&mut machine, 1, announcement("i-1", 10, 1));
+    let leave = machine::Command::Leave {
+        server: id,
+        incarnation: machine.servers()[&id].incarnation,
+    };
+    machine.apply(2, &leave);
+    join(&mut machine, 3, announcement("i-1", 10, 1));
+}
+
+/// Guards against a replica that cannot read the snapshot of an earlier version, which had no list of
+/// instances that have left.
+#[test]
+fn a_snapshot_without_departed_instances_can_be_read() {
+    let mut machine = machine::Machine::new();
+    machine.apply(1, &machine::Command::Configure(order(0, 3, 30)));
+    join(&mut machine, 2, announcement("i-1", 10, 1));
+    let mut snapshot = postcard::to_stdvec(&machine.to_snapshot()).expect("it can be encoded");
+    assert_eq!(snapshot.pop(), Some(0), "the length of the empty list");
+    let restored = postcard::from_bytes(&snapshot).expect("it can be decoded");
+    assert_eq!(machine::Machine::with_snapshot(restored), machine);
+}
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -244,7 +244,11 @@
             return;
         };
         let registered = machine.find_server(&announcement.instance);
-        if registered.is_none_or(|registered| registered.announcement != *announcement) {
+        let is_known = match registered {
+            Some(registered) => registered.announcement == *announcement,
+            None => machine.has_departed(&announcement.instance),
+        };
+        if !is_known {
             self.join(now, announcement);
         }
         let Some(registered) = registered else {
--- a/crates/director/tests/ownership/backend.rs
+++ b/crates/director/tests/ownership/backend.rs
@@ -39,6 +39,9 @@
     pub(crate) born_ms: u64,
     pub(crate) sequence: u64,
     pub(crate) next_announcement: clock::Instant,
+    /// Whether it has said that it leaves; it announces itself no more.
+    pub(crate) is_leaving: bool,
+    pub(crate) exits_at: Option<clock::Instant>,
     held: Vec<Held>,
     /// Fences that it has seen.
     seen: Vec<(slice::Range, slice::Fence)>,
@@ -55,6 +58,8 @@
             born_ms,
             sequence: 0,
             next_announcement: started,
+            is_leaving: false,
+            exits_at: None,
             held: Vec::new(),
             seen: Vec::new(),
             released: Vec::new(),
--- a/crates/director/tests/ownership/faults.rs
+++ b/crates/director/tests/ownership/faults.rs
@@ -7,7 +7,7 @@
 use sequoiayoke_director::coordinator::leader;
 use sequoiayoke_link::session;
 
-use super::{Message, SERVERS, World};
+use super::{Message, SERVERS, World, announcement};
 use crate::backend::Backend;
 
 impl World {
@@ -20,6 +20,7 @@
             let node = &mut self.nodes[number];
             node.state = state;
             node.run += 1;
+            node.restarted_at = now;
             let run = node.run;
             self.trace(&("restart", number, run));
             let node = &mut self.nodes[number];
@@ -38,13 +39,14 @@
             self.nodes[number].cut_until = now + Duration::from_millis(ms);
         }
         if self.random.random_bool(0.002) {
-            let is_long = self.random.random_bool(0.3);
-            let ms = self
-                .random
-                .random_range(if is_long { 500..4_000 } else { 10..300 });
-            let started = now + Duration::from_millis(ms);
-            let drift = self.nodes[number].backend.drift;
-            self.nodes[number].backend = Backend::new(started.as_micros() / 1_000, drift, started);
+            self.restart_backend(number);
+        }
+        if self.random.random_bool(0.001) {
+            self.leave(number);
+        }
+        let exits_at = self.nodes[number].backend.exits_at;
+        if exits_at.is_some_and(|at| now >= at) {
+            self.restart_backend(number);
         }
         if self.random.random_bool(0.001) {
             self.replace_leader();
@@ -54,6 +56,37 @@
         }
     }
 
+    /// Ends a backend server; the next run starts under its name.
+    fn restart_backend(&mut self, number: usize) {
+        let is_long = self.random.random_bool(0.3);
+        let ms = self
+            .random
+            .random_range(if is_long { 500..4_000 } else { 10..300 });
+        let started = self.now + Duration::from_millis(ms);
+        let drift = self.nodes[number].backend.drift;
+        self.nodes[number].backend = Backend::new(started.as_micros() / 1_000, drift, started);
+    }
+
+    /// Lets a backend server say that it leaves; it serves for some seconds more. Its last
+    /// announcement may arrive after that.
+    fn leave(&mut self, number: usize) {
+        let now = self.now;
+        let backend = &mut self.nodes[number].backend;
+        if backend.is_leaving || !backend.is_up(now) {
+            return;
+        }
+        let born_ms = backend.born_ms;
+        let (sequence, report) = backend.report(now);
+        backend.is_leaving = true;
+        let linger = Duration::from_millis(self.random.random_range(2_000..10_000));
+        self.nodes[number].backend.exits_at = Some(now + linger);
+        let late = now + Duration::from_millis(self.random.random_range(0..5_000));
+        let announced = announcement(number, born_ms);
+        let message = Message::Announcement(number, announced, sequence, now, report);
+        self.messages.push((late, message));
+        self.send(Message::Leaving(number, born_ms));
+    }
+
     /// Makes another replica the leader; entries that are not committed are committed or lost.
     fn replace_leader(&mut self) {
         self.trace(&"new leader");
--- a/crates/director/tests/ownership/world.rs
+++ b/crates/director/tests/ownership/world.rs
@@ -2,7 +2,7 @@
 
 mod faults;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -37,6 +37,8 @@
         clock::Instant,
         holdings::Report,
     ),
+    /// A run of a backend server is leaving.
+    Leaving(usize, u64),
     Response(
         usize,
         u64,
@@ -53,6 +55,8 @@
 struct Node {
     state: state::State,
     run: u64,
+    /// Start of the process.
+    restarted_at: clock::Instant,
     session: Option<leader::Session>,
     /// Until this time it cannot reach the leader.
     cut_until: clock::Instant,
@@ -75,6 +79,9 @@
     nodes: Vec<Node>,
     messages: Vec<(clock::Instant, Message)>,
     assignments: usize,
+    /// Instances that the replicated state has known as leaving.
+    leaving: BTreeSet<server::Instance>,
+    violation: Option<String>,
     is_traced: bool,
 }
 
@@ -138,6 +145,8 @@
             nodes: Vec::new(),
             messages: Vec::new(),
             assignments: 0,
+            leaving: BTreeSet::new(),
+            violation: None,
             is_traced,
             random: ChaCha8Rng::seed_from_u64(0),
         };
@@ -146,6 +155,7 @@
             world.nodes.push(Node {
                 state: world.new_state(number),
                 run: 0,
+                restarted_at: start,
                 session: None,
                 cut_until: start,
                 backend: Backend::new(10, drift, start),
@@ -205,7 +215,7 @@
             self.nodes[number].state.record_connected(now);
         }
         let backend = &self.nodes[number].backend;
-        if now >= backend.next_announcement {
+        if now >= backend.next_announcement && !backend.is_leaving {
             self.announce(number);
         } else if !backend.is_up(now) && self.random.random_bool(0.03) {
             // A request finds that no process listens.
@@ -265,11 +275,26 @@
             if let machine::Output::Assigned(count) = output {
                 self.assignments += count;
             }
+            self.check_leaving();
             self.leader
                 .applied(self.now, &self.machine, &command, &output);
         }
     }
 
+    /// Checks that no backend server that was leaving is in use again.
+    fn check_leaving(&mut self) {
+        let at = self.now.saturating_since(self.start);
+        for server in self.machine.servers().values() {
+            let instance = &server.announcement.instance;
+            if server.announcement.is_draining {
+                self.leaving.insert(instance.clone());
+            } else if self.leaving.contains(instance) {
+                let violation = format!("at {at:?} {instance:?} has left and is in use again");
+                self.violation.get_or_insert(violation);
+            }
+        }
+    }
+
     fn take_leader_output(&mut self) {
         for command in self.leader.take_proposals() {
             let stall = self.random.random_bool(0.1);
@@ -352,6 +377,11 @@
             Message::Announcement(number, announced, sequence, sent, report) => {
                 self.receive_announcement(number, announced, sequence, sent, &report);
             }
+            Message::Leaving(number, born_ms) => {
+                let name = announcement(number, born_ms).instance.name;
+                let unix_ms = now.as_micros() / 1_000;
+                self.nodes[number].state.record_leaving(now, &name, unix_ms);
+            }
             Message::Response(number, born_ms, number_and_time, assignment) => {
                 let work = Duration::from_millis(self.random.random_range(0..400));
                 let backend = &mut self.nodes[number].backend;
@@ -411,9 +441,12 @@
         arrived: Option<(clock::Instant, u64)>,
     ) {
         let now = self.now;
-        // Whichever run of the backend server listens at the address gets the command.
-        let born_ms = self.nodes[number].backend.born_ms;
-        if arrived.is_some_and(|(_, receiver)| receiver != born_ms) {
+        // Whichever run of the backend server listens at the address gets the command, but a process of
+        // the node that has ended opens no connection to a later run.
+        let node = &self.nodes[number];
+        let born_ms = node.backend.born_ms;
+        let is_cut = node.run != run && !node.backend.is_up(node.restarted_at);
+        if is_cut || arrived.is_some_and(|(_, receiver)| receiver != born_ms) {
             return;
         }
         if !self.nodes[number].backend.is_up(now) {
@@ -513,8 +546,11 @@
         }
     }
 
-    /// Checks that no key is held by two backend servers.
+    /// Checks that no key is held by two backend servers, and what was found before.
     fn check(&self) -> Result<(), String> {
+        if let Some(violation) = &self.violation {
+            return Err(violation.clone());
+        }
         let now = self.now;
         for (number, node) in self.nodes.iter().enumerate() {
             for other in number + 1..SERVERS {
--- a/crates/gateway/src/coordinator/state/announced.rs
+++ b/crates/gateway/src/coordinator/state/announced.rs
@@ -76,7 +76,7 @@
         let has_left = left.is_some_and(|(name, unix_ms)| {
             name == announced.instance.name && announced.instance.born_ms <= unix_ms
         });
-        let is_draining = announced.is_draining || has_left;
+        let is_draining = announced.is_draining || has_left || self.is_leaving(&announced.instance);
         self.backend = Some(Backend {
             draining_since: is_draining.then_some(now),
             announcement: server::Announcement {
@@ -176,6 +176,34 @@
         self.renew(now);
     }
 
+    /// Returns whether the leader knows that an instance is leaving.
+    fn is_leaving(&self, instance: &server::Instance) -> bool {
+        let mut servers = self.view.servers.values();
+        servers.any(|server| {
+            server.announcement.instance == *instance && server.announcement.is_draining
+        })
+    }
+
+    /// Begins to drain a backend server of which the leader knows that it is leaving, while this
+    /// process has heard from it late.
+    pub(super) fn follow_leaving(&mut self, now: clock::Instant) {
+        let announced = self.backend.as_ref().map(|backend| &backend.announcement);
+        let instance = announced.filter(|announced| !announced.is_draining);
+        if instance.is_none_or(|announced| !self.is_leaving(&announced.instance)) {
+            return;
+        }
+        if let Some(backend) = &mut self.backend {
+            let instance = &backend.announcement.instance.name;
+            tracing::info!(
+                instance,
+                "the leader knows that the backend server is leaving"
+            );
+            backend.draining_since = Some(now);
+            backend.announcement.is_draining = true;
+            self.is_changed = true;
+        }
+    }
+
     fn has_ended(&self, instance: &server::Instance) -> bool {
         let ended = self.ended.as_ref();
         ended.is_some_and(|ended| ended.instance == *instance)
--- a/crates/gateway/src/coordinator/state/replicated.rs
+++ b/crates/gateway/src/coordinator/state/replicated.rs
@@ -100,5 +100,6 @@
             self.renew(now);
         }
         self.identify_backend();
+        self.follow_leaving(now);
     }
 }
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -464,3 +464,29 @@
     state.record_grant_completed(at(13), range, slice::Fence(5), None);
     assert_eq!(releases(&state.take_effects()), 1);
 }
+
+/// Guards against new work for a backend server that has left: a restarted node hears from it late, in
+/// an announcement from before its leaving, before or after it hears from the leader.
+#[test]
+fn a_late_announcement_does_not_end_the_draining_that_the_leader_knows() {
+    for is_leader_first in [true, false] {
+        let mut state = State::new(Config {
+            lease: LEASE,
+            backend: ([127, 0, 0, 1], 1).into(),
+            max_hold: Duration::from_secs(10),
+        });
+        let mut known = learned(5, &[(0, 65_535, 5, 1)]);
+        known.servers[0].announcement.is_draining = true;
+        if is_leader_first {
+            state.apply_state(at(0), known.clone());
+        }
+        assert!(state.record_announcement(at(10), announcement("i-1", 10), 7));
+        if !is_leader_first {
+            state.apply_state(at(20), known);
+        }
+        let view = state.take_view().expect("the view has changed");
+        let backend = view.backend.expect("a backend server is known");
+        assert!(backend.draining_since.is_some());
+        assert!(backend.announcement.is_draining);
+    }
+}
