Ignore a late deregistration of an earlier instance

A backend server could be taken out of use for good by a message about an earlier run under its name: a deregistration that arrived late ended the present run, since only the name was compared.

Change: the adapter reads the start time that a deregistration may state, and one of an earlier run is ignored. Without a start time the name decides, as before.

Evidence: without the comparison of start times, a_late_message_of_an_earlier_run_does_not_drain_the_present_one fails.

--- a/crates/director/tests/ownership/world.rs
+++ b/crates/director/tests/ownership/world.rs
@@ -380,7 +380,9 @@
             Message::Leaving(number, born_ms) => {
                 let name = announcement(number, born_ms).instance.name;
                 let unix_ms = now.as_micros() / 1_000;
-                self.nodes[number].state.record_leaving(now, &name, unix_ms);
+                self.nodes[number]
+                    .state
+                    .record_leaving(now, &name, Some(born_ms), unix_ms);
             }
             Message::Response(number, born_ms, number_and_time, assignment) => {
                 let work = Duration::from_millis(self.random.random_range(0..400));
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -49,6 +49,8 @@
     Leaving {
         /// Name of the instance.
         name: String,
+        /// Start time of the instance, in milliseconds since the Unix epoch, if it is stated.
+        born_ms: Option<u64>,
         /// Receives the reply, once the view shows it.
         reply: oneshot::Sender<Reply>,
     },
@@ -243,8 +245,12 @@
                 report,
                 reply,
             } => self.handle_announced(now, announcement, sequence, report, reply),
-            Event::Leaving { name, reply } => {
-                let is_accepted = self.state.record_leaving(now, &name, unix_ms());
+            Event::Leaving {
+                name,
+                born_ms,
+                reply,
+            } => {
+                let is_accepted = self.state.record_leaving(now, &name, born_ms, unix_ms());
                 tracing::info!(
                     instance = name,
                     counts = is_accepted,
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -161,8 +161,8 @@
     view: view::View,
     backend: Option<Backend>,
     ended: Option<Ended>,
-    /// Name of an instance that left before it announced itself, and when, in milliseconds since
-    /// the Unix epoch.
+    /// Name of an instance that left before it announced itself, and its latest possible start, in
+    /// milliseconds since the Unix epoch.
     left: Option<(String, u64)>,
     /// The instance that was last checked, while no instance has announced itself.
     last_identified: Option<server::Instance>,
--- a/crates/gateway/src/coordinator/state/announced.rs
+++ b/crates/gateway/src/coordinator/state/announced.rs
@@ -73,8 +73,8 @@
         self.abandon_in_flight(now);
         let left = self.left.take();
         // An instance that was born later has started again under the same name.
-        let has_left = left.is_some_and(|(name, unix_ms)| {
-            name == announced.instance.name && announced.instance.born_ms <= unix_ms
+        let has_left = left.is_some_and(|(name, latest_born_ms)| {
+            name == announced.instance.name && announced.instance.born_ms <= latest_born_ms
         });
         let is_draining = announced.is_draining || has_left || self.is_leaving(&announced.instance);
         self.backend = Some(Backend {
@@ -118,14 +118,22 @@
     /// Records that the instance `name` is leaving, at `unix_ms` of the time of day; returns whether
     /// it is the current instance.
     ///
-    /// A node that has just started may hear that an instance leaves before it hears of the
-    /// instance, and acknowledges that as well.
-    pub fn record_leaving(&mut self, now: clock::Instant, name: &str, unix_ms: u64) -> bool {
+    /// The message may be late, from an instance that had the name before, if it states that it was
+    /// born at `born_ms`. A node that has just started may hear that an instance leaves before it
+    /// hears of the instance, and acknowledges that as well.
+    pub fn record_leaving(
+        &mut self,
+        now: clock::Instant,
+        name: &str,
+        born_ms: Option<u64>,
+        unix_ms: u64,
+    ) -> bool {
         let Some(backend) = &mut self.backend else {
-            self.left = Some((name.to_owned(), unix_ms));
+            self.left = Some((name.to_owned(), born_ms.unwrap_or(unix_ms)));
             return false;
         };
-        if backend.announcement.instance.name != name {
+        let instance = &backend.announcement.instance;
+        if instance.name != name || born_ms.is_some_and(|born_ms| born_ms < instance.born_ms) {
             return false;
         }
         if backend.draining_since.is_none() {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -103,6 +103,8 @@
     Leaving {
         /// Name of the instance.
         name: String,
+        /// Start time of the instance, in milliseconds since the Unix epoch, if it is stated.
+        born_ms: Option<u64>,
     },
 }
 
--- a/crates/gateway/src/traffic/announcements.rs
+++ b/crates/gateway/src/traffic/announcements.rs
@@ -90,7 +90,11 @@
                 reply,
             }
         }
-        frontend::Announcement::Leaving { name } => coordinator::Event::Leaving { name, reply },
+        frontend::Announcement::Leaving { name, born_ms } => coordinator::Event::Leaving {
+            name,
+            born_ms,
+            reply,
+        },
     };
     context.send_event(event);
     match tokio::time::timeout(REPLY_TIMEOUT, replied).await {
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -196,7 +196,7 @@
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
         });
-        state.record_leaving(at(0), "i-1", 1_000);
+        state.record_leaving(at(0), "i-1", None, 1_000);
         assert!(state.record_announcement(at(10), announcement("i-1", born_ms), 1));
         let view = state.take_view().expect("the view has changed");
         let backend = view.backend.expect("a backend server is known");
@@ -255,7 +255,7 @@
 #[test]
 fn a_leaving_backend_server_stays_draining() {
     let mut state = owner();
-    assert!(state.record_leaving(at(10), "i-1", 1_000));
+    assert!(state.record_leaving(at(10), "i-1", None, 1_000));
     assert!(state.record_announcement(at(20), announcement("i-1", 10), 9));
     let view = state.take_view().expect("the view has changed");
     let backend = view.backend.expect("a backend server is known");
@@ -367,7 +367,7 @@
     let (range, _) = grants(&state.take_effects())[0];
     state.record_grant_confirmed(range, slice::Fence(5), at(6_600));
     state.record_grant_completed(at(2), range, slice::Fence(5), None);
-    assert!(state.record_leaving(at(100), "i-1", 1_000));
+    assert!(state.record_leaving(at(100), "i-1", None, 1_000));
     // This release gets no answer.
     state.begin_release(at(200), "status", slice::Range::ALL, slice::Fence(5));
     let instance = announcement("i-1", 10).instance;
@@ -490,3 +490,14 @@
         assert!(backend.announcement.is_draining);
     }
 }
+
+/// Guards against a backend server that gets no more work because an earlier run under its name has
+/// left: that run's message arrives after the present one has announced itself.
+#[test]
+fn a_late_message_of_an_earlier_run_does_not_drain_the_present_one() {
+    let mut state = owner();
+    assert!(!state.record_leaving(at(10), "i-1", Some(9), 1_000));
+    let view = state.take_view().expect("the view has changed");
+    let backend = view.backend.expect("a backend server is known");
+    assert_eq!(backend.draining_since, None);
+}
