Remember a deregistration of an instance that is not known yet

A backend server that left could get work although its leaving was acknowledged: while another instance was the node's present one, the deregistration of the next one was acknowledged and dropped, and its announcement, which arrived later, made it ready.

Cause: only a node without a backend server remembered whom it had not heard of. Change: each node does.

Evidence: an_instance_that_leaves_before_it_replaces_another_one_stays_draining failed before the change.

--- a/crates/gateway/src/coordinator/state/announced.rs
+++ b/crates/gateway/src/coordinator/state/announced.rs
@@ -119,8 +119,8 @@
     /// it is the current instance.
     ///
     /// The message may be late, from an instance that had the name before, if it states that it was
-    /// born at `born_ms`. A node that has just started may hear that an instance leaves before it
-    /// hears of the instance, and acknowledges that as well.
+    /// born at `born_ms`. A node may also hear that an instance leaves before it hears of the
+    /// instance, and acknowledges that as well.
     pub fn record_leaving(
         &mut self,
         now: clock::Instant,
@@ -128,14 +128,14 @@
         born_ms: Option<u64>,
         unix_ms: u64,
     ) -> bool {
-        let Some(backend) = &mut self.backend else {
+        let is_current = |backend: &&mut Backend| {
+            let instance = &backend.announcement.instance;
+            instance.name == name && born_ms.is_none_or(|born_ms| born_ms >= instance.born_ms)
+        };
+        let Some(backend) = self.backend.as_mut().filter(is_current) else {
             self.left = Some((name.to_owned(), born_ms.unwrap_or(unix_ms)));
             return false;
         };
-        let instance = &backend.announcement.instance;
-        if instance.name != name || born_ms.is_some_and(|born_ms| born_ms < instance.born_ms) {
-            return false;
-        }
         if backend.draining_since.is_none() {
             backend.draining_since = Some(now);
             backend.announcement.is_draining = true;
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -501,3 +501,15 @@
     let backend = view.backend.expect("a backend server is known");
     assert_eq!(backend.draining_since, None);
 }
+
+/// Guards against an acknowledged leaving that is forgotten since another instance is the present one:
+/// the announcement of the instance that has left arrives later.
+#[test]
+fn an_instance_that_leaves_before_it_replaces_another_one_stays_draining() {
+    let mut state = owner();
+    assert!(!state.record_leaving(at(10), "i-2", None, 2_000));
+    assert!(state.record_announcement(at(20), announcement("i-2", 1_000), 1));
+    let view = state.take_view().expect("the view has changed");
+    let backend = view.backend.expect("a backend server is known");
+    assert_eq!(backend.draining_since, Some(at(20)));
+}
