Use an older backend server only once it says that it is in use

Cause: the acknowledgement rested on the memory of one process. The next one asked the instance that the leader knew for its identity and took "503" under the right name for a server to use. A late announcement from before the leaving had the same effect.

Change: an instance that is older than the process of its node is used once it answers its health check with 200 under its name, or, if it gives no answer at all, at its fifth announcement. A deregistration of an instance that only the leader knows is passed on to the leader (services without keys). One that states a start time concerns that run alone.

--- a/crates/director/tests/changes.rs
+++ b/crates/director/tests/changes.rs
@@ -117,6 +117,7 @@
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
+            started_ms: 0,
         };
         Self {
             state: state::State::new(config),
--- a/crates/director/tests/ownership/world.rs
+++ b/crates/director/tests/ownership/world.rs
@@ -10,7 +10,7 @@
 use sequoiayoke_catalog::{config, machine, server};
 use sequoiayoke_director::coordinator::leader;
 use sequoiayoke_gateway::coordinator::state;
-use sequoiayoke_gateway::holdings;
+use sequoiayoke_gateway::{holdings, view};
 use sequoiayoke_link::session;
 use sequoiayoke_model::{clock, replicated::Replicated};
 
@@ -39,6 +39,10 @@
     ),
     /// A run of a backend server is leaving.
     Leaving(usize, u64),
+    /// A run of a node asks its backend server which instance it is.
+    Question(usize, u64, server::Announcement),
+    /// The answer, which tells whether it is that instance, and in use.
+    Identity(usize, u64, server::Announcement, bool),
     Response(
         usize,
         u64,
@@ -81,6 +85,8 @@
     assignments: usize,
     /// Instances that the replicated state has known as leaving.
     leaving: BTreeSet<server::Instance>,
+    /// Runs of backend servers whose leaving was acknowledged.
+    acknowledged: BTreeSet<(usize, u64)>,
     violation: Option<String>,
     is_traced: bool,
 }
@@ -146,6 +152,7 @@
             messages: Vec::new(),
             assignments: 0,
             leaving: BTreeSet::new(),
+            acknowledged: BTreeSet::new(),
             violation: None,
             is_traced,
             random: ChaCha8Rng::seed_from_u64(0),
@@ -171,6 +178,7 @@
             lease: self.node_lease,
             backend: address(number),
             max_hold: Duration::from_secs(10),
+            started_ms: self.now.as_micros() / 1_000,
         })
     }
 
@@ -222,6 +230,7 @@
             self.record_refused(number);
         }
         self.nodes[number].state.tick(now);
+        self.observe(number);
         for effect in self.nodes[number].state.take_effects() {
             match effect {
                 state::Effect::Renew(renewal) => {
@@ -229,7 +238,10 @@
                         self.send(Message::ToLeader(number, session, renewal));
                     }
                 }
-                state::Effect::Identify(_) => {}
+                state::Effect::Identify(known) => {
+                    let run = self.nodes[number].run;
+                    self.send(Message::Question(number, run, known));
+                }
                 command => {
                     let run = self.nodes[number].run;
                     let at = now + self.delay().min(COMMAND_TIMEOUT);
@@ -380,9 +392,21 @@
             Message::Leaving(number, born_ms) => {
                 let name = announcement(number, born_ms).instance.name;
                 let unix_ms = now.as_micros() / 1_000;
-                self.nodes[number]
-                    .state
-                    .record_leaving(now, &name, Some(born_ms), unix_ms);
+                let state = &mut self.nodes[number].state;
+                state.record_leaving(now, &name, Some(born_ms), unix_ms);
+                self.acknowledged.insert((number, born_ms));
+            }
+            Message::Question(number, run, known) => {
+                let backend = &self.nodes[number].backend;
+                // All runs of a backend server have the same name.
+                let is_in_use = backend.is_up(now) && !backend.is_leaving;
+                self.send(Message::Identity(number, run, known, is_in_use));
+            }
+            Message::Identity(number, run, known, is_in_use) => {
+                let node = &mut self.nodes[number];
+                if node.run == run {
+                    node.state.record_identified(now, known, Some(is_in_use));
+                }
             }
             Message::Response(number, born_ms, number_and_time, assignment) => {
                 let work = Duration::from_millis(self.random.random_range(0..400));
@@ -496,16 +520,34 @@
         }
     }
 
+    /// Reads the view of a node, and checks that its backend server gets no requests once the leaving
+    /// of that was acknowledged.
+    fn observe(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let Some(view) = node.state.take_view() else {
+            return;
+        };
+        let backend = view.backend;
+        let instance = |known: &view::Backend| known.announcement.instance.clone();
+        node.instance = backend.as_ref().map(instance);
+        let Some(backend) = backend.filter(|known| known.draining_since.is_none()) else {
+            return;
+        };
+        let instance = backend.announcement.instance;
+        // A later run of the same name may answer under it.
+        let is_running = self.nodes[number].backend.born_ms == instance.born_ms;
+        if is_running && self.acknowledged.contains(&(number, instance.born_ms)) {
+            let at = self.now.saturating_since(self.start);
+            let violation = format!("at {at:?} {instance:?} gets requests after its leaving");
+            self.violation.get_or_insert(violation);
+        }
+    }
+
     /// Records that no process listens at the address of a backend server.
     fn record_refused(&mut self, number: usize) {
         let now = self.now;
-        let state = &mut self.nodes[number].state;
-        let view = state.take_view();
+        self.observe(number);
         let node = &mut self.nodes[number];
-        node.instance = match view {
-            Some(view) => view.backend.map(|backend| backend.announcement.instance),
-            None => node.instance.take(),
-        };
         if let Some(instance) = &node.instance {
             node.state.record_ended(now, instance);
         }
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -54,6 +54,13 @@
         /// Receives the reply, once the view shows it.
         reply: oneshot::Sender<Reply>,
     },
+    /// The backend server was asked which instance it is.
+    Identified {
+        /// The instance that the leader knows.
+        known: server::Announcement,
+        /// Whether it is this instance, and in use; `None` if it gave no answer.
+        is_in_use: Option<bool>,
+    },
     /// An instance of the backend server has ended.
     Ended(server::Instance),
     /// A connection to a control replica was opened.
@@ -258,6 +265,9 @@
                 );
                 self.push_reply(reply, is_accepted, None);
             }
+            Event::Identified { known, is_in_use } => {
+                self.state.record_identified(now, known, is_in_use);
+            }
             Event::Ended(instance) => self.state.record_ended(now, &instance),
             Event::Connected => self.state.record_connected(now),
             Event::Control(message) => self.handle_control(now, message),
@@ -427,7 +437,7 @@
 
 /// Returns the time of day in milliseconds since the Unix epoch, as backend servers state the time
 /// of their start.
-fn unix_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
     elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -49,6 +49,8 @@
     pub max_hold: Duration,
     /// Address of the backend server.
     pub backend: net::SocketAddr,
+    /// Start of this process, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
 }
 
 /// An action that the coordinator has to carry out.
@@ -56,7 +58,7 @@
 pub enum Effect {
     /// Sends a renewal to the leader.
     Renew(session::Renewal),
-    /// Checks whether this instance, which the leader knows, is still running.
+    /// Asks the backend server whether it is this instance, which the leader knows, and in use.
     Identify(server::Announcement),
     /// Sends a grant to the backend server.
     Grant {
@@ -154,6 +156,40 @@
     Given,
 }
 
+/// An instance that left before it announced itself. Times are in milliseconds since the Unix epoch.
+#[derive(Debug)]
+struct Left {
+    name: String,
+    /// Start of the instance, if it has stated that.
+    born_ms: Option<u64>,
+    /// When it said that it leaves. A later instance has the name only after that.
+    unix_ms: u64,
+}
+
+impl Left {
+    fn is(&self, instance: &server::Instance) -> bool {
+        let is_born = match self.born_ms {
+            Some(born_ms) => instance.born_ms == born_ms,
+            None => instance.born_ms <= self.unix_ms,
+        };
+        self.name == instance.name && is_born
+    }
+}
+
+/// An instance that is older than this process and has announced itself to it.
+///
+/// The announcement may be late, and an earlier process of this node may have acknowledged that the
+/// instance leaves. So it is in use only once the backend server has said that it is, or has gone on
+/// announcing itself.
+#[derive(Debug)]
+struct Candidate {
+    announcement: server::Announcement,
+    sequence: u64,
+    /// Number of its announcements.
+    heard: u32,
+    way: delivery::Way,
+}
+
 /// Control state of the node.
 #[derive(Debug)]
 pub struct State {
@@ -161,11 +197,12 @@
     view: view::View,
     backend: Option<Backend>,
     ended: Option<Ended>,
-    /// Name of an instance that left before it announced itself, and its latest possible start, in
-    /// milliseconds since the Unix epoch.
-    left: Option<(String, u64)>,
+    left: Option<Left>,
+    candidate: Option<Candidate>,
     /// The instance that was last checked, while no instance has announced itself.
     last_identified: Option<server::Instance>,
+    /// Whether a check has no result yet.
+    is_identifying: bool,
     /// When the grants expire of a draining backend server that refuses connections.
     grants_expire_at: Option<clock::Instant>,
     lease: holder::Holder,
@@ -209,7 +246,9 @@
             backend: None,
             ended: None,
             left: None,
+            candidate: None,
             last_identified: None,
+            is_identifying: false,
             grants_expire_at: None,
             sequence: 0,
             last_renewal: None,
--- a/crates/gateway/src/coordinator/state/announced.rs
+++ b/crates/gateway/src/coordinator/state/announced.rs
@@ -4,13 +4,17 @@
 use sequoiayoke_model::clock;
 
 use super::{
-    Backend, Effect, Ended, MAX_GRANT_DELAY, Notice, State, UnansweredGrant, collect, delivery,
+    Backend, Candidate, Effect, Ended, Left, MAX_GRANT_DELAY, Notice, State, UnansweredGrant,
+    collect, delivery,
 };
 
 /// Largest difference between the sequence numbers of two announcements that arrive one after the
 /// other: more than a backend server sends in a week. An announcement of another writer with a very
 /// large number would make all later ones late.
 const MAX_SEQUENCE_STEP: u64 = 1_000_000;
+/// Number of announcements after which an instance is in use although its backend server gives no
+/// answer: one that has left does not go on announcing itself.
+const MAX_CONSIDERED: u32 = 5;
 
 impl State {
     /// Records an announcement of the backend server; returns whether it is accepted.
@@ -63,6 +67,18 @@
         if self.has_ended(&announced.instance) {
             return false;
         }
+        // Both clocks are those of one VM.
+        let is_older = announced.instance.born_ms <= self.config.started_ms;
+        if announced.is_draining || !is_older {
+            self.accept(now, announced, sequence);
+        } else {
+            self.consider(now, announced, sequence);
+        }
+        true
+    }
+
+    /// Takes an instance as the backend server.
+    fn accept(&mut self, now: clock::Instant, announced: server::Announcement, sequence: u64) {
         tracing::info!(
             instance = announced.instance.name,
             born_ms = announced.instance.born_ms,
@@ -71,12 +87,12 @@
         );
         self.reset();
         self.abandon_in_flight(now);
-        let left = self.left.take();
-        // An instance that was born later has started again under the same name.
-        let has_left = left.is_some_and(|(name, latest_born_ms)| {
-            name == announced.instance.name && announced.instance.born_ms <= latest_born_ms
-        });
+        let has_left = self.has_left(&announced.instance);
         let is_draining = announced.is_draining || has_left || self.is_leaving(&announced.instance);
+        if has_left {
+            self.left = None;
+        }
+        self.candidate = None;
         self.backend = Some(Backend {
             draining_since: is_draining.then_some(now),
             announcement: server::Announcement {
@@ -87,39 +103,136 @@
             last_announced: now,
         });
         self.renew(now);
-        true
     }
 
-    /// Asks the backend server whether it is the instance that the leader knows at its address, so
-    /// that a restarted node need not wait for an announcement.
+    fn accept_candidate(&mut self, now: clock::Instant, candidate: Candidate) {
+        self.accept(now, candidate.announcement, candidate.sequence);
+        self.way = candidate.way;
+    }
+
+    /// Records that a candidate collects its grants.
+    pub(super) fn follow_collecting(&mut self, instance: &server::Instance) {
+        if let Some(candidate) = &mut self.candidate
+            && candidate.announcement.instance == *instance
+        {
+            candidate.way = delivery::Way::Collect;
+        }
+    }
+
+    /// Returns whether an instance has said that it leaves.
+    fn has_left(&self, instance: &server::Instance) -> bool {
+        self.left.as_ref().is_some_and(|left| left.is(instance))
+    }
+
+    /// Considers an older instance that has announced itself to this process for the first time.
+    fn consider(&mut self, now: clock::Instant, announced: server::Announcement, sequence: u64) {
+        let candidate = self.candidate.take();
+        let same = candidate.filter(|known| known.announcement.instance == announced.instance);
+        let heard = match &same {
+            Some(known) if sequence <= known.sequence => known.heard,
+            Some(known) => known.heard + 1,
+            None => 1,
+        };
+        let way = same.as_ref().map(|known| known.way).unwrap_or_default();
+        let sequence = same.map_or(sequence, |known| known.sequence.max(sequence));
+        self.candidate = Some(Candidate {
+            announcement: announced,
+            sequence,
+            heard,
+            way,
+        });
+        self.last_identified = None;
+        self.identify_backend(now);
+    }
+
+    /// Records whether the backend server has said that it is the instance `identified` and in use;
+    /// `None` if it gave no answer.
+    pub fn record_identified(
+        &mut self,
+        now: clock::Instant,
+        identified: server::Announcement,
+        is_in_use: Option<bool>,
+    ) {
+        self.is_identifying = false;
+        let instance = &identified.instance;
+        let is_same = |candidate: &mut Candidate| candidate.announcement.instance == *instance;
+        let candidate = self.candidate.take_if(is_same);
+        if self.has_ended(instance) {
+            return;
+        }
+        match (is_in_use, candidate) {
+            (Some(true), Some(candidate)) => self.accept_candidate(now, candidate),
+            (Some(true), None) if self.backend.is_none() && self.candidate.is_none() => {
+                self.accept(now, identified, 0);
+            }
+            // Announcements from before this answer show nothing.
+            (Some(false), Some(candidate)) => {
+                self.candidate = Some(Candidate {
+                    heard: 0,
+                    ..candidate
+                });
+            }
+            (None, Some(candidate)) => self.candidate = Some(candidate),
+            _ => {}
+        }
+    }
+
+    /// Decides whether an older backend server is in use, and asks it if an earlier process of the node
+    /// may have known more.
     ///
-    /// Only for services without keys: an instance that has restarted under the same name holds no
-    /// keys, and only its announcement shows the restart.
-    pub(super) fn identify_backend(&mut self) {
+    /// An instance without an announcement is only used for services without keys: one that has
+    /// restarted under the same name holds no keys, and only its announcement shows the restart.
+    pub(super) fn identify_backend(&mut self, now: clock::Instant) {
+        if let Some(candidate) = self.candidate.take() {
+            let instance = &candidate.announcement.instance;
+            let is_leaving = self.has_left(instance) || self.is_leaving(instance);
+            // Without a configuration, no request has been routed.
+            let is_unused = self.has_state && self.view.config.is_none();
+            if is_leaving || is_unused || candidate.heard >= MAX_CONSIDERED {
+                return self.accept_candidate(now, candidate);
+            }
+            let announcement = candidate.announcement.clone();
+            self.candidate = Some(candidate);
+            if self.has_state {
+                self.identify(announcement);
+            }
+            return;
+        }
         if self.backend.is_some() {
             return;
         }
         let mut servers = self.view.servers.values();
         let known = servers.find(|server| server.announcement.address == self.config.backend);
-        let Some(known) = known.map(|server| &server.announcement) else {
+        let known = known.map(|server| server.announcement.clone());
+        let Some(known) = known.filter(|known| !self.has_ended(&known.instance)) else {
             return;
         };
         let service = self.view.service(&known.service);
-        let is_keyed = service.is_none_or(|service| service.is_keyed);
-        let instance = Some(&known.instance);
-        if is_keyed || self.has_ended(&known.instance) || self.last_identified.as_ref() == instance
-        {
+        if service.is_none_or(|service| service.is_keyed) {
+            return;
+        }
+        match self.has_left(&known.instance) {
+            // The leader has yet to be told.
+            true => self.accept(now, known, 0),
+            false => self.identify(known),
+        }
+    }
+
+    fn identify(&mut self, known: server::Announcement) {
+        let is_repeated = self.last_identified.as_ref() == Some(&known.instance);
+        if self.is_identifying || is_repeated {
             return;
         }
+        self.is_identifying = true;
         self.last_identified = Some(known.instance.clone());
-        self.effects.push(Effect::Identify(known.clone()));
+        self.effects.push(Effect::Identify(known));
     }
 
     /// Records that the instance `name` is leaving, at `unix_ms` of the time of day; returns whether
     /// it is the current instance.
     ///
-    /// The message may be late, from an instance that had the name before, if it states that it was
-    /// born at `born_ms`. A node may also hear that an instance leaves before it hears of the
+    /// The message may be from an instance that had the name before or has it since, if it states that
+    /// it was born at `born_ms`. A node may also hear that an instance leaves before it hears of the
     /// instance, and acknowledges that as well.
     pub fn record_leaving(
         &mut self,
@@ -130,10 +243,15 @@
     ) -> bool {
         let is_current = |backend: &&mut Backend| {
             let instance = &backend.announcement.instance;
-            instance.name == name && born_ms.is_none_or(|born_ms| born_ms >= instance.born_ms)
+            instance.name == name && born_ms.is_none_or(|born_ms| born_ms == instance.born_ms)
         };
         let Some(backend) = self.backend.as_mut().filter(is_current) else {
-            self.left = Some((name.to_owned(), born_ms.unwrap_or(unix_ms)));
+            self.left = Some(Left {
+                name: name.to_owned(),
+                born_ms,
+                unix_ms,
+            });
+            self.identify_backend(now);
             return false;
         };
         if backend.draining_since.is_none() {
--- a/crates/gateway/src/coordinator/state/collect.rs
+++ b/crates/gateway/src/coordinator/state/collect.rs
@@ -64,6 +64,7 @@
     ) -> bool {
         let backend = self.backend.as_ref();
         if backend.is_none_or(|backend| backend.announcement.instance != *instance) {
+            self.follow_collecting(instance);
             return false;
         }
         if self.collection.sequence >= Some(sequence) {
--- a/crates/gateway/src/coordinator/state/replicated.rs
+++ b/crates/gateway/src/coordinator/state/replicated.rs
@@ -99,7 +99,7 @@
         if before != self.backend_id() {
             self.renew(now);
         }
-        self.identify_backend();
+        self.identify_backend(now);
         self.follow_leaving(now);
     }
 }
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -133,6 +133,7 @@
             backend: settings.backend,
             lease: settings.lease,
             max_hold: settings.max_hold,
+            started_ms: coordinator::unix_ms(),
         };
         let (coordinator, shared) = coordinator::Coordinator::new(config, commands);
         let until = stop.clone();
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -34,9 +34,12 @@
 /// Longest idle time of a connection that may carry a non-idempotent request: the backend server
 /// may have dropped the connection.
 const NON_IDEMPOTENT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest wait for the answer that identifies a backend server; later its announcement has
-/// arrived.
+/// Longest wait for the answer that identifies a backend server.
 const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of times that a backend server without an answer is asked: a full one rejects the question.
+const IDENTIFY_ATTEMPTS: u32 = 3;
+/// Pause between two of them.
+const IDENTIFY_PAUSE: Duration = Duration::from_millis(100);
 /// Largest number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Time beyond the deadline in which the backend server's own final response may arrive.
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -6,11 +6,11 @@
 use sequoiayoke_catalog::{server, slice};
 use sequoiayoke_http1::response;
 use sequoiayoke_model::clock;
-use tokio::sync::oneshot;
+use tokio::time;
 
 use super::{
-    Backend, Connection, Context, Error, IDENTIFY_TIMEOUT, MAX_IDLE_CONNECTIONS,
-    NON_IDEMPOTENT_IDLE_TIMEOUT, connect,
+    Backend, Connection, Context, Error, IDENTIFY_ATTEMPTS, IDENTIFY_PAUSE, IDENTIFY_TIMEOUT,
+    MAX_IDLE_CONNECTIONS, NON_IDEMPOTENT_IDLE_TIMEOUT, connect,
 };
 use crate::coordinator;
 use crate::frontend;
@@ -192,48 +192,62 @@
         request
     }
 
-    /// Announces the instance that the leader knows as running if it answers under its name.
+    /// Asks the backend server whether it is the instance that the leader knows, and in use.
     pub(in crate::traffic) async fn identify<Frontend>(
         &self,
         context: &Context<Frontend>,
         known: server::Announcement,
     ) where
         Frontend: frontend::Frontend,
+    {
+        let mut is_in_use = None;
+        for attempt in 0..IDENTIFY_ATTEMPTS {
+            if attempt > 0 {
+                time::sleep(IDENTIFY_PAUSE).await;
+            }
+            is_in_use = self.ask_identity(context, &known).await;
+            if is_in_use.is_some() {
+                break;
+            }
+        }
+        let identified = coordinator::Event::Identified { known, is_in_use };
+        context.deliver_event(identified).await;
+    }
+
+    /// Returns whether the backend server is the known instance and in use, or `None` if there is no
+    /// answer. One that is leaving or fails answers its health check with another status than 200.
+    async fn ask_identity<Frontend>(
+        &self,
+        context: &Context<Frontend>,
+        known: &server::Announcement,
+    ) -> Option<bool>
+    where
+        Frontend: frontend::Frontend,
     {
         let view = context.view();
-        let Some(service) = view.service(&known.service) else {
-            return;
-        };
-        let path = &service.health_path;
+        let path = &view.service(&known.service)?.health_path;
         let instance = &known.instance;
         let request = self.encode_request("GET", path, [&[], &[]]);
         let subject = Subject::Identity;
         let response = self.send_request(context, instance, subject, request, IDENTIFY_TIMEOUT);
         match response.await {
-            Ok(response) if context.frontend.identity(&response) == Some(&instance.name) => {
-                tracing::info!(
-                    instance = instance.name,
-                    "the backend server is the instance known to the leader"
-                );
-                let (reply, _) = oneshot::channel();
-                context.send_event(coordinator::Event::Announced {
-                    announcement: known,
-                    sequence: 0,
-                    report: None,
-                    reply,
-                });
-            }
             Ok(response) => {
-                let (instance, status) = (&instance.name, response.status);
+                let status = response.status;
+                let is_same = context.frontend.identity(&response) == Some(&instance.name);
+                let is_in_use = is_same && status == 200;
                 tracing::info!(
-                    instance,
+                    instance = instance.name,
+                    is_same,
                     status,
-                    "the backend server is not the instance known to the leader"
+                    is_in_use,
+                    "asked the backend server whether it is the instance known to the leader"
                 );
+                Some(is_in_use)
             }
             Err(error) => {
                 let instance = &instance.name;
                 tracing::info!(instance, %error, "the backend server could not be identified");
+                matches!(error, Error::Refused).then_some(false)
             }
         }
     }
--- a/crates/gateway/tests/collect.rs
+++ b/crates/gateway/tests/collect.rs
@@ -105,6 +105,7 @@
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
+        started_ms: 0,
     })
 }
 
@@ -316,3 +317,25 @@
     let second = announce(&mut state, 880, 3, &report(&held, &[])).expect("a lease");
     assert_eq!(ranges(&second), ranges(&first));
 }
+
+/// Guards against commands to a backend server that collects its grants: a restarted node asks it which
+/// instance it is, and has a lease before its next announcement.
+#[test]
+fn an_instance_that_a_restarted_node_asks_first_gets_no_commands() {
+    let mut state = State::new(Config {
+        lease: LEASE,
+        backend: ([127, 0, 0, 1], 1).into(),
+        max_hold: Duration::from_secs(10),
+        started_ms: 1_000,
+    });
+    let held = report(&[(0, 65_535, 5)], &[]);
+    assert_eq!(announce(&mut state, 0, 8, &held), None);
+    state.apply_state(at(5), owned(5, &[(0, 65_535, 5)]));
+    state.record_identified(at(6), announcement(), Some(true));
+    renew(&mut state, 7);
+    state.tick(at(8));
+    let effects = state.take_effects();
+    let is_grant = |effect: &Effect| matches!(effect, Effect::Grant { .. });
+    assert!(!effects.iter().any(is_grant), "{effects:?}");
+    assert!(announce(&mut state, 20, 9, &held).is_some());
+}
--- a/crates/gateway/tests/coordinator.rs
+++ b/crates/gateway/tests/coordinator.rs
@@ -72,6 +72,7 @@
         lease: Duration::from_millis(4_500),
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
+        started_ms: 0,
     };
     let (commands, mut sent) = mpsc::channel(2);
     let (events, inbox) = mpsc::channel(64);
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -68,6 +68,7 @@
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
+        started_ms: 0,
     });
     assert!(state.record_announcement(at(0), announcement("i-1", 10), 1));
     // No earlier process of the node has granted keys: its backend server joins later.
@@ -195,6 +196,7 @@
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
+            started_ms: 0,
         });
         state.record_leaving(at(0), "i-1", None, 1_000);
         assert!(state.record_announcement(at(10), announcement("i-1", born_ms), 1));
@@ -335,6 +337,7 @@
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
+            started_ms: 0,
         });
         let service = config::Service {
             name: "status".to_owned(),
@@ -474,6 +477,7 @@
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
+            started_ms: 0,
         });
         let mut known = learned(5, &[(0, 65_535, 5, 1)]);
         known.servers[0].announcement.is_draining = true;
@@ -508,8 +512,128 @@
 fn an_instance_that_leaves_before_it_replaces_another_one_stays_draining() {
     let mut state = owner();
     assert!(!state.record_leaving(at(10), "i-2", None, 2_000));
+    // One that comes between them has not left.
+    assert!(state.record_announcement(at(15), announcement("i-3", 500), 1));
     assert!(state.record_announcement(at(20), announcement("i-2", 1_000), 1));
     let view = state.take_view().expect("the view has changed");
     let backend = view.backend.expect("a backend server is known");
     assert_eq!(backend.draining_since, Some(at(20)));
 }
+
+/// Returns the state `learned` with a configuration.
+fn configured(is_keyed: bool) -> session::State {
+    session::State {
+        config: Some(config::Config {
+            version: config::Version(1),
+            services: vec![config::Service {
+                name: "status".to_owned(),
+                health_path: "/health".to_owned(),
+                max_connections: 10,
+                is_keyed,
+                warm_up_ms: 0,
+            }],
+            ..config::Config::default()
+        }),
+        ..learned(5, &[(0, 65_535, 5, 1)])
+    }
+}
+
+/// Returns the instances that the backend server is asked about.
+fn questions(state: &mut State) -> Vec<server::Announcement> {
+    let effects = state.take_effects().into_iter();
+    let questions = effects.filter_map(|effect| match effect {
+        Effect::Identify(known) => Some(known),
+        _ => None,
+    });
+    questions.collect()
+}
+
+fn backend(state: &mut State) -> Option<server::Announcement> {
+    let view = state.take_view().expect("the view has changed");
+    view.backend.map(|backend| backend.announcement)
+}
+
+/// Guards against requests for a backend server that has left: a former process of the node has
+/// acknowledged that and ended before it could tell the leader, and an announcement from before the
+/// leaving arrives late at the new process.
+#[test]
+fn a_restarted_node_asks_an_instance_known_to_the_leader_before_it_is_in_use() {
+    for (is_in_use, expected) in [(true, Some(announcement("i-1", 10))), (false, None)] {
+        let mut state = State::new(Config {
+            lease: LEASE,
+            backend: ([127, 0, 0, 1], 1).into(),
+            max_hold: Duration::from_secs(10),
+            started_ms: 50,
+        });
+        assert!(state.record_announcement(at(0), announcement("i-1", 10), 7));
+        state.apply_state(at(5), configured(true));
+        assert_eq!(backend(&mut state), None);
+        let asked = questions(&mut state);
+        assert_eq!(asked, [announcement("i-1", 10)]);
+        state.record_identified(at(10), asked[0].clone(), Some(is_in_use));
+        state.tick(at(20));
+        assert_eq!(
+            state
+                .take_view()
+                .and_then(|view| view.backend)
+                .map(|backend| backend.announcement),
+            expected
+        );
+    }
+}
+
+/// Guards against a backend server that stays out of use since it is too busy to answer its node: one
+/// that goes on announcing itself has not left. Repeated announcements show nothing, nor do those of a
+/// backend server that says that it is not in use.
+#[test]
+fn an_instance_that_goes_on_announcing_itself_is_in_use_without_an_answer() {
+    for (answer, expected) in [(None, Some(announcement("i-1", 10))), (Some(false), None)] {
+        let mut state = State::new(Config {
+            lease: LEASE,
+            backend: ([127, 0, 0, 1], 1).into(),
+            max_hold: Duration::from_secs(10),
+            started_ms: 50,
+        });
+        state.apply_state(at(0), configured(true));
+        for sequence in [7, 7, 8, 9, 10] {
+            state.record_announcement(at(10), announcement("i-1", 10), sequence);
+            for asked in questions(&mut state) {
+                state.record_identified(at(11), asked, answer);
+            }
+            let view = state.take_view();
+            assert!(view.is_none_or(|view| view.backend.is_none()));
+        }
+        state.record_announcement(at(1_800), announcement("i-1", 10), 11);
+        let view = state.take_view();
+        let backend = view.and_then(|view| view.backend);
+        assert_eq!(backend.map(|backend| backend.announcement), expected);
+    }
+}
+
+/// Guards against a leaving that only the process which acknowledged it knows: the leader is told of the
+/// instance that it knows at the address, although that does not announce itself any more.
+#[test]
+fn a_restarted_node_tells_the_leader_that_the_known_instance_leaves() {
+    for is_leader_first in [true, false] {
+        let mut state = State::new(Config {
+            lease: LEASE,
+            backend: ([127, 0, 0, 1], 1).into(),
+            max_hold: Duration::from_secs(10),
+            started_ms: 50,
+        });
+        let known = configured(false);
+        if is_leader_first {
+            state.apply_state(at(0), known.clone());
+        }
+        state.record_leaving(at(10), "i-1", None, 1_000);
+        if !is_leader_first {
+            state.apply_state(at(20), known);
+        }
+        let effects = state.take_effects().into_iter();
+        let told = effects.filter_map(|effect| match effect {
+            Effect::Renew(renewal) => renewal.server,
+            _ => None,
+        });
+        assert!(told.last().is_some_and(|server| server.is_draining));
+    }
+}
