--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -630,10 +630,10 @@
             state.apply_state(at(20), known);
         }
         let effects = state.take_effects().into_iter();
-        let told = effects.filter_map(|effect| match effect {
+        let mut told = effects.filter_map(|effect| match effect {
             Effect::Renew(renewal) => renewal.server,
             _ => None,
         });
-        assert!(told.last().is_some_and(|server| server.is_draining));
+        assert!(told.next_back().is_some_and(|server| server.is_draining));
     }
 }
