Do not take a missing sync marker for a damaged log

Cause: a power failure keeps or loses each unsynced write on its own. The unsynced sync marker was missing and the record after it was there, which the replay took as the proof that the missing bytes had been durable.

Change: only a sync marker after an invalid record proves that. A record without one was not acknowledged, and is cut off.

Evidence: the model of a disk in the storage tests kept a prefix of the unsynced bytes; it may now keep any of the unsynced writes, and a_crash_while_opening_loses_nothing failed at operation 24 before the change. All tests of the crate pass with it, those of flipped bits and truncated logs unchanged.

--- a/crates/storage/src/frame.rs
+++ b/crates/storage/src/frame.rs
@@ -49,9 +49,13 @@
     Ok(start..start + length)
 }
 
-/// Returns whether a valid record starts anywhere after `offset`.
-pub(crate) fn has_valid_record_after(content: &[u8], sequence: u64, offset: usize) -> bool {
-    (offset + 1..content.len()).any(|start| decode(content, sequence, start).is_ok())
+/// Returns the ranges of the bodies of all valid records that start after `offset`.
+pub(crate) fn valid_records_after(
+    content: &[u8],
+    sequence: u64,
+    offset: usize,
+) -> impl Iterator<Item = ops::Range<usize>> {
+    (offset + 1..content.len()).filter_map(move |start| decode(content, sequence, start).ok())
 }
 
 fn checksum(sequence: u64, offset: u64, body: &[u8]) -> u32 {
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -45,8 +45,10 @@
 impl Replay {
     /// Reads all segments.
     ///
-    /// An incomplete record at the end of the last segment is ignored if no valid record
-    /// follows it.
+    /// An invalid record in the last segment is ignored, with all that follows it, if no sync
+    /// marker does. A power failure keeps or loses each write since the last sync on its own, so
+    /// that a sync marker may be missing before a record that is there; such a record was not
+    /// acknowledged.
     ///
     /// # Errors
     ///
@@ -96,7 +98,7 @@
         while offset < content.len() {
             let body = match frame::decode(&content, sequence, offset) {
                 Ok(body) => body,
-                Err(_) if is_last && !frame::has_valid_record_after(&content, sequence, offset) => {
+                Err(_) if is_last && !has_sync_marker_after(&content, sequence, offset) => {
                     tracing::warn!(
                         file = name,
                         offset,
@@ -202,6 +204,13 @@
     }
 }
 
+/// Returns whether a sync marker follows an invalid record at `offset`, which was durable then.
+fn has_sync_marker_after(content: &Bytes, sequence: u64, offset: usize) -> bool {
+    frame::valid_records_after(content, sequence, offset)
+        .filter_map(|body| record::Record::decode(content.slice(body)).ok())
+        .any(|record| record.synced)
+}
+
 fn damaged(file: &str, offset: usize, reason: &'static str) -> fault::Fault {
     fault::Fault::Damaged {
         file: file.to_owned(),
--- a/crates/storage/tests/folder/volatile.rs
+++ b/crates/storage/tests/folder/volatile.rs
@@ -17,8 +17,9 @@
     /// Everything: the process was killed. A later power failure can still lose
     /// the unsynced changes.
     Kept,
-    /// A prefix of the changes to the directory, and of each file a prefix whose unsynced
-    /// bytes may be corrupt. The number is the seed of the random choices.
+    /// A prefix of the changes to the directory, and of each file either a prefix whose unsynced
+    /// bytes may be corrupt, or any of the unsynced writes. The number is the seed of the random
+    /// choices.
     Torn(u64),
 }
 
@@ -26,6 +27,8 @@
 struct Inode {
     content: Vec<u8>,
     synced: Vec<u8>,
+    /// Offsets of the writes that are not synced.
+    writes: Vec<usize>,
 }
 
 type Names = BTreeMap<String, usize>;
@@ -115,6 +118,7 @@
                 None => inode.content.clone_from(&inode.synced),
             }
             inode.synced.clone_from(&inode.content);
+            inode.writes.clear();
         }
     }
 
@@ -135,6 +139,9 @@
     if synced >= length {
         return;
     }
+    if random.random() {
+        return drop_writes(inode, random);
+    }
     inode.content.truncate(random.random_range(synced..=length));
     if random.random() {
         for byte in &mut inode.content[synced..] {
@@ -145,6 +152,20 @@
     }
 }
 
+/// Keeps or drops each unsynced write. Where an earlier one is missing, the file has zeros.
+fn drop_writes(inode: &mut Inode, random: &mut ChaCha8Rng) {
+    let mut length = inode.synced.len();
+    let ends = inode.writes.iter().skip(1).copied();
+    let ends = ends.chain([inode.content.len()]).collect::<Vec<_>>();
+    for (start, end) in inode.writes.iter().zip(ends) {
+        match random.random() {
+            true => length = end,
+            false => inode.content[*start..end].fill(0),
+        }
+    }
+    inode.content.truncate(length);
+}
+
 impl medium::Medium for Volatile {
     type File = File;
 
@@ -211,23 +232,27 @@
         let result = state.count_operation();
         // A failed write may have written some of the bytes.
         let written = bytes.len() / if result.is_ok() { 1 } else { 2 };
-        let content = &mut state.inodes[self.1].content;
-        content.extend_from_slice(&bytes[..written]);
+        let inode = &mut state.inodes[self.1];
+        inode.writes.push(inode.content.len());
+        inode.content.extend_from_slice(&bytes[..written]);
         result
     }
 
     fn sync(&mut self) -> io::Result<()> {
         let state = &mut *self.0.state.borrow_mut();
         state.count_operation()?;
-        let Inode { content, synced } = &mut state.inodes[self.1];
-        synced.clone_from(content);
+        let inode = &mut state.inodes[self.1];
+        inode.synced.clone_from(&inode.content);
+        inode.writes.clear();
         Ok(())
     }
 
     fn truncate(&mut self, length: u64) -> io::Result<()> {
         let state = &mut *self.0.state.borrow_mut();
         state.count_operation()?;
-        state.inodes[self.1].content.truncate(length as usize);
+        let inode = &mut state.inodes[self.1];
+        inode.content.truncate(length as usize);
+        inode.writes.retain(|start| *start < length as usize);
         Ok(())
     }
 }
