--- a/crates/catalog/src/config.rs
+++ b/crates/catalog/src/config.rs
@@ -39,6 +39,17 @@
     pub is_keyed: bool,
     /// Time for which keys that are assigned without a handover are served slowly, in milliseconds.
     pub warm_up_ms: u64,
+    /// What a backend server bears after its start, if it bears less than later.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a backend server bears while it is cold: after its start, or whenever it says so.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which a backend server is cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests that it bears in a second.
+    pub rate_per_s: f64,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/catalog/src/machine.rs
+++ b/crates/catalog/src/machine.rs
@@ -14,6 +14,8 @@
 /// Maximum number of accepted orders that are kept, so that a retry of one gets the
 /// same answer. Some thousands of orders are accepted per day.
 const MAX_HISTORY: usize = 4_096;
+/// Maximum number of failure domains that are evacuated at the same time.
+pub const MAX_EVACUATED: usize = 64;
 
 /// An operator's request to replace the configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -44,6 +46,17 @@
     },
     /// Changes the owners of key ranges; each move succeeds or fails on its own.
     Assign(Vec<slice::Move>),
+    /// Begins or ends the evacuation of a failure domain.
+    Evacuate(Evacuation),
+}
+
+/// An operator's request about the evacuation of a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// The failure domain.
+    pub domain: String,
+    /// Whether its backend servers are to get no requests from now on, or requests again.
+    pub is_evacuated: bool,
 }
 
 /// Result of a command.
@@ -57,6 +70,8 @@
     Left(bool),
     /// Number of moves that took effect.
     Assigned(usize),
+    /// The evacuation is as it was requested.
+    Evacuated,
     /// The command was refused.
     Refused(Refusal),
 }
@@ -89,6 +104,12 @@
     /// The instance has left.
     #[error("the run of the backend server has left")]
     Departed,
+    /// Neither the settings nor a backend server names the failure domain.
+    #[error("the failure domain {0} is unknown")]
+    UnknownDomain(String),
+    /// Too many failure domains are evacuated.
+    #[error("no more than {MAX_EVACUATED} failure domains can be evacuated at the same time")]
+    TooManyDomains,
 }
 
 /// Replicated configuration, backend servers and slices.
@@ -100,6 +121,7 @@
     next_server: u32,
     servers: collections::BTreeMap<id::Server, server::Server>,
     tables: collections::BTreeMap<String, slice::Table>,
+    evacuated: collections::BTreeSet<String>,
     // Must stay the last field; see `departed::Departed::deserialize`.
     departed: departed::Departed,
 }
@@ -132,6 +154,11 @@
         &self.tables
     }
 
+    /// Returns the failure domains whose backend servers get no requests.
+    pub const fn evacuated(&self) -> &collections::BTreeSet<String> {
+        &self.evacuated
+    }
+
     /// Returns the backend server that announced this instance.
     pub fn find_server(&self, instance: &server::Instance) -> Option<&server::Server> {
         self.servers
@@ -273,6 +300,24 @@
     }
 }
 
+impl Machine {
+    /// Begins or ends an evacuation. An order that is repeated changes nothing.
+    fn evacuate(&mut self, evacuation: &Evacuation) -> Result<Output, Refusal> {
+        let domain = &evacuation.domain;
+        if !evacuation.is_evacuated {
+            self.evacuated.remove(domain);
+            return Ok(Output::Evacuated);
+        }
+        if !self.evacuated.contains(domain) {
+            if self.evacuated.len() >= MAX_EVACUATED {
+                return Err(Refusal::TooManyDomains);
+            }
+            self.evacuated.insert(domain.clone());
+        }
+        Ok(Output::Evacuated)
+    }
+}
+
 impl replicated::Replicated for Machine {
     type Command = Command;
     type Snapshot = Self;
@@ -292,6 +337,7 @@
                 incarnation,
             } => Ok(self.leave(*server, *incarnation)),
             Command::Assign(moves) => Ok(self.assign(index, moves)),
+            Command::Evacuate(evacuation) => self.evacuate(evacuation),
         };
         result.unwrap_or_else(Output::Refused)
     }
--- a/crates/catalog/tests/machine.rs
+++ b/crates/catalog/tests/machine.rs
@@ -14,6 +14,7 @@
                 max_connections: 10,
                 is_keyed: true,
                 warm_up_ms: 1_000,
+                cold_start: None,
             }],
             routes: vec![config::Route {
                 name: "r".to_owned(),
@@ -327,3 +328,49 @@
     let restored = postcard::from_bytes(&snapshot).expect("it can be decoded");
     assert_eq!(machine::Machine::with_snapshot(restored), machine);
 }
+
+/// Guards against an evacuation that is lost with a restart, and against an order that fails when
+/// it is sent again.
+#[test]
+fn evacuations_are_idempotent_and_part_of_the_snapshot() {
+    let mut machine = machine::Machine::new();
+    let evacuate = |domain: &str, is_evacuated| {
+        machine::Command::Evacuate(machine::Evacuation {
+            domain: domain.to_owned(),
+            is_evacuated,
+        })
+    };
+    let orders = [
+        ("a", true),
+        ("b", true),
+        ("a", true),
+        ("b", false),
+        ("b", false),
+    ];
+    for (index, (domain, is_evacuated)) in (1..).zip(orders) {
+        let output = machine.apply(index, &evacuate(domain, is_evacuated));
+        assert_eq!(output, machine::Output::Evacuated);
+    }
+    let snapshot = postcard::to_stdvec(&machine.to_snapshot()).expect("it can be encoded");
+    let restored = postcard::from_bytes(&snapshot).expect("it can be decoded");
+    let restored = machine::Machine::with_snapshot(restored);
+    assert_eq!(restored.evacuated().iter().collect::<Vec<_>>(), ["a"]);
+}
+
+/// Guards against a state that grows without bound by evacuations.
+#[test]
+fn the_number_of_evacuated_domains_is_bounded() {
+    let mut machine = machine::Machine::new();
+    let evacuate = |number: usize| {
+        machine::Command::Evacuate(machine::Evacuation {
+            domain: format!("domain-{number}"),
+            is_evacuated: true,
+        })
+    };
+    for number in 0..machine::MAX_EVACUATED {
+        machine.apply(1, &evacuate(number));
+    }
+    let refused = machine::Output::Refused(machine::Refusal::TooManyDomains);
+    assert_eq!(machine.apply(2, &evacuate(machine::MAX_EVACUATED)), refused);
+    assert_eq!(machine.apply(3, &evacuate(0)), machine::Output::Evacuated);
+}
--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -105,6 +105,8 @@
 #[derive(Debug)]
 pub struct Coordinator {
     region: String,
+    /// Failure domains that the settings list.
+    domains: Vec<String>,
     lease: Duration,
     session_port: u16,
     /// Replicas that the settings list, in their latest version.
@@ -151,6 +153,7 @@
             Driver::new(disk, log, stored, now).change_context(supervisor::Error::Child("log"))?;
         Ok(Self {
             region: settings.region.clone(),
+            domains: settings.domains.clone(),
             lease: settings.lease,
             session_port: settings.session_port,
             seeds,
@@ -389,6 +392,14 @@
                 let outcome = &applied.result;
                 tracing::info!(version, %position, ?outcome, "an order was applied");
             }
+            if let machine::Command::Evacuate(evacuation) = &applied.command {
+                let machine::Evacuation {
+                    domain,
+                    is_evacuated,
+                } = evacuation;
+                let position = applied.position;
+                tracing::info!(domain, is_evacuated, %position, "an evacuation was applied");
+            }
             if let Some(leader) = &mut self.leader {
                 let machine = self.driver.machine();
                 leader.applied(now, machine, &applied.command, &applied.result);
@@ -465,6 +476,7 @@
         config: machine.order().map(|order| order.config.clone()),
         servers: machine.servers().values().cloned().collect(),
         tables: machine.tables().clone(),
+        evacuated: machine.evacuated().clone(),
     })
 }
 
--- a/crates/director/src/coordinator/leader.rs
+++ b/crates/director/src/coordinator/leader.rs
@@ -475,7 +475,9 @@
                 let is_failing = self.failing.contains(&server.id);
                 let report = self.reports.get(&server.id);
                 let absence = self.absent.get(&server.announcement.instance);
-                let is_draining = server.announcement.is_draining;
+                // Until its domain is taken back, it gets nothing, and its keys move away.
+                let is_evacuated = machine.evacuated().contains(&server.announcement.domain);
+                let is_draining = server.announcement.is_draining || is_evacuated;
                 let last_moved = self.last_moved.get(&server.id);
                 planner::Owner {
                     id: server.id,
--- a/crates/director/src/coordinator/leader/changes.rs
+++ b/crates/director/src/coordinator/leader/changes.rs
@@ -24,6 +24,8 @@
     ranges: collections::BTreeMap<String, Vec<slice::Range>>,
     /// Keyed services that the nodes know.
     services: collections::BTreeSet<String>,
+    /// Evacuated failure domains that the nodes know.
+    evacuated: collections::BTreeSet<String>,
 }
 
 impl Changes {
@@ -37,6 +39,7 @@
             has_removals: false,
             ranges: collections::BTreeMap::new(),
             services: machine.tables().keys().cloned().collect(),
+            evacuated: machine.evacuated().clone(),
         }
     }
 
@@ -55,7 +58,7 @@
                     ranges.push(assigned.range);
                 }
             }
-            // A changed configuration is found by its version.
+            // A changed configuration is found by its version, changed evacuations by comparison.
             _ => {}
         }
     }
@@ -93,6 +96,10 @@
                 self.ranges.insert(service.clone(), vec![slice::Range::ALL]);
             }
         }
+        let has_evacuated = *machine.evacuated() != self.evacuated;
+        if has_evacuated {
+            self.evacuated.clone_from(machine.evacuated());
+        }
         let ranges = std::mem::take(&mut self.ranges);
         let slices = ranges.into_iter().filter_map(|(service, ranges)| {
             let slices = slices_of(machine.tables().get(&service)?, &ranges);
@@ -105,11 +112,13 @@
             joined: joined.collect(),
             left,
             slices: slices.collect(),
+            evacuated: has_evacuated.then(|| machine.evacuated().clone()),
         };
         let is_empty = changes.config.is_none()
             && changes.joined.is_empty()
             && changes.left.is_empty()
-            && changes.slices.is_empty();
+            && changes.slices.is_empty()
+            && changes.evacuated.is_none();
         if is_empty {
             // The nodes are not told the new index either.
             return None;
--- a/crates/director/src/coordinator/members.rs
+++ b/crates/director/src/coordinator/members.rs
@@ -42,6 +42,7 @@
             commit: replica.commit().0,
             nodes: self.node_queues.len(),
             voters: replica.members().voters().count(),
+            evacuated: self.driver.machine().evacuated().len(),
         });
         if self.leader.is_none() {
             return Ok(());
--- a/crates/director/src/coordinator/orders.rs
+++ b/crates/director/src/coordinator/orders.rs
@@ -31,29 +31,64 @@
             (true, operator::Call::Configure(order)) => match self.driver.machine().check(&order) {
                 // An order that is not in the log when the leadership is transferred has no effect.
                 Ok(()) if self.stage != Stage::Running => operator::Answer::Unavailable,
-                Ok(()) => return self.propose_order(now, order, reply),
+                Ok(()) => {
+                    let version = order.config.version.0;
+                    let command = machine::Command::Configure(order);
+                    let position = self.propose_order(now, &command, reply);
+                    tracing::info!(version, position, "an order entered the log");
+                    return;
+                }
                 Err(refusal) => operator::Answer::Refused(refusal),
             },
+            (true, operator::Call::Evacuate(_)) if self.stage != Stage::Running => {
+                operator::Answer::Unavailable
+            }
+            (true, operator::Call::Evacuate(evacuation)) => {
+                if !self.is_domain(&evacuation.domain) {
+                    let refusal = machine::Refusal::UnknownDomain(evacuation.domain);
+                    return send_answer(reply, operator::Answer::Refused(refusal));
+                }
+                let machine::Evacuation {
+                    domain,
+                    is_evacuated,
+                } = evacuation.clone();
+                let command = machine::Command::Evacuate(evacuation);
+                let position = self.propose_order(now, &command, reply);
+                tracing::info!(
+                    domain,
+                    is_evacuated,
+                    position,
+                    "an evacuation entered the log"
+                );
+                return;
+            }
         };
         send_answer(reply, answer);
     }
 
-    /// Proposes an order to the log; the operator is answered once it is committed.
-    pub(super) fn propose_order(
+    /// Returns whether a failure domain exists. One whose backend servers are all lost is known from
+    /// the settings.
+    fn is_domain(&self, domain: &str) -> bool {
+        let mut servers = self.driver.machine().servers().values();
+        self.domains.iter().any(|known| known == domain)
+            || servers.any(|server| server.announcement.domain == domain)
+            || self.driver.machine().evacuated().contains(domain)
+    }
+
+    /// Proposes an order to the log; the operator is answered once it is committed. Returns the
+    /// position in the log, if it was proposed, as text.
+    fn propose_order(
         &mut self,
         now: clock::Instant,
-        order: machine::Order,
+        command: &machine::Command,
         reply: oneshot::Sender<operator::Answer>,
-    ) {
-        let version = order.config.version.0;
-        let command = machine::Command::Configure(order);
-        match self.driver.propose(now, &command) {
-            Some(position) => {
-                tracing::info!(version, %position, "an order entered the log");
-                self.pending_orders.push(now, position, reply);
-            }
-            None => send_answer(reply, operator::Answer::Unavailable),
-        }
+    ) -> Option<String> {
+        let Some(position) = self.driver.propose(now, command) else {
+            send_answer(reply, operator::Answer::Unavailable);
+            return None;
+        };
+        self.pending_orders.push(now, position, reply);
+        Some(position.to_string())
     }
 
     /// Answers the operator whose order was at the index of a committed entry.
--- a/crates/director/src/measure.rs
+++ b/crates/director/src/measure.rs
@@ -16,6 +16,7 @@
     commit: metrics::Gauge,
     nodes: metrics::Gauge,
     voters: metrics::Gauge,
+    evacuated: metrics::Gauge,
 }
 
 /// Current status of a replica.
@@ -31,6 +32,8 @@
     pub(crate) nodes: usize,
     /// Number of voters in the group.
     pub(crate) voters: usize,
+    /// Number of evacuated failure domains.
+    pub(crate) evacuated: usize,
 }
 
 impl Measure {
@@ -46,6 +49,7 @@
             commit: metrics.gauge("commit_index", "Last committed entry."),
             nodes: metrics.gauge("nodes", "Nodes in session."),
             voters: metrics.gauge("voters", "Voters of the group."),
+            evacuated: metrics.gauge("evacuated_domains", "Evacuated failure domains."),
             metrics,
         })
     }
@@ -75,6 +79,7 @@
         self.commit.set(status.commit as f64, &labels);
         self.nodes.set(status.nodes as f64, &labels);
         self.voters.set(status.voters as f64, &labels);
+        self.evacuated.set(status.evacuated as f64, &labels);
     }
 
     /// Returns the metrics in the Prometheus text format.
--- a/crates/director/src/operator.rs
+++ b/crates/director/src/operator.rs
@@ -11,6 +11,8 @@
 pub enum Call {
     /// Replaces the configuration.
     Configure(machine::Order),
+    /// Begins or ends the evacuation of a failure domain.
+    Evacuate(machine::Evacuation),
     /// Reads the current configuration.
     Read,
 }
@@ -18,9 +20,9 @@
 /// Answer to a call.
 #[derive(Clone, Debug)]
 pub enum Answer {
-    /// The configuration is accepted.
+    /// The order is accepted.
     Accepted,
-    /// The configuration is refused and never takes effect.
+    /// The order is refused and never takes effect.
     Refused(machine::Refusal),
     /// The current configuration, as its operator sent it.
     Document(Bytes),
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -39,6 +39,8 @@
     pub name: String,
     /// Region, part of the identity of the data directory.
     pub region: String,
+    /// Failure domains of the deployment, which can be evacuated.
+    pub domains: Vec<String>,
     /// Directory of the replica's durable state.
     pub data: path::PathBuf,
     /// Address for operators; it also identifies the replica to the others.
--- a/crates/director/tests/changes.rs
+++ b/crates/director/tests/changes.rs
@@ -29,6 +29,7 @@
         max_connections: 10,
         is_keyed: number != 1,
         warm_up_ms: 0,
+        cold_start: None,
     }
 }
 
@@ -83,7 +84,11 @@
 }
 
 fn random_command(machine: &machine::Machine, random: &mut ChaCha8Rng) -> machine::Command {
-    match random.random_range(0..10) {
+    match random.random_range(0..11) {
+        10 => machine::Command::Evacuate(machine::Evacuation {
+            domain: format!("domain-{}", random.random_range(0..3)),
+            is_evacuated: random.random_bool(0.5),
+        }),
         0 => configure(machine, random.random_range(1..4)),
         1 | 2 => machine::Command::Join(announcement(random)),
         3 => {
@@ -114,6 +119,7 @@
 impl Node {
     fn new() -> Self {
         let config = state::Config {
+            domain: "a".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -159,6 +165,7 @@
                     config: machine.order().map(|order| order.config.clone()),
                     servers: machine.servers().values().cloned().collect(),
                     tables: machine.tables().clone(),
+                    evacuated: machine.evacuated().clone(),
                 };
                 (vec![session], session::FromControl::State(state))
             }
@@ -226,6 +233,7 @@
         };
         assert_eq!(*view.servers, *machine.servers());
         assert_eq!(*view.tables, *machine.tables());
+        assert_eq!(*view.evacuated, *machine.evacuated());
         let version = view
             .config
             .map_or(config::Version(0), |config| config.version);
--- a/crates/director/tests/leader.rs
+++ b/crates/director/tests/leader.rs
@@ -48,6 +48,7 @@
                     max_connections: 10,
                     is_keyed: true,
                     warm_up_ms: 0,
+                    cold_start: None,
                 }],
                 ..config::Config::default()
             },
--- a/crates/director/tests/ownership/world.rs
+++ b/crates/director/tests/ownership/world.rs
@@ -130,6 +130,7 @@
                     max_connections: 10,
                     is_keyed: true,
                     warm_up_ms: 0,
+                    cold_start: None,
                 }],
                 ..config::Config::default()
             },
@@ -175,6 +176,7 @@
 
     fn new_state(&self, number: usize) -> state::State {
         state::State::new(state::Config {
+            domain: "a".to_owned(),
             lease: self.node_lease,
             backend: address(number),
             max_hold: Duration::from_secs(10),
@@ -327,6 +329,7 @@
                         config: self.machine.order().map(|order| order.config.clone()),
                         servers: self.machine.servers().values().cloned().collect(),
                         tables: self.machine.tables().clone(),
+                        evacuated: BTreeSet::new(),
                     };
                     (vec![session], session::FromControl::State(state))
                 }
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -4,30 +4,16 @@
 //! run concurrently. A request that cannot finish in time is refused on arrival instead of
 //! after its deadline.
 
+mod estimate;
+mod fairness;
+
 use std::collections;
 use std::time::Duration;
 
 use sequoiayoke_model::clock;
 
-/// Weight of a new observation in the exponential moving averages.
-const SMOOTHING_FACTOR: f64 = 0.1;
-/// Number of first observations that are averaged with equal weight, so that a node that has
-/// just started learns the service time of a cold backend server quickly.
-const WARM_UP_OBSERVATIONS: u32 = 10;
-/// Service time assumed before the first observation, in seconds.
-const INITIAL_SERVICE_TIME_S: f64 = 0.1;
-/// Largest service time that is assumed before the first observation of a class, as a fraction of its
-/// target: a target leaves room for some wait.
-const TARGET_FRACTION: f64 = 0.5;
-/// Number of offers at which the counts are halved, so that recent offers weigh more.
-const MAX_COUNTED_OFFERS: f64 = 60.0;
-/// Admission ratio of a class, relative to that of all classes, below which its requests are
-/// queued ahead of all other requests except calls between services.
-const STARVED_RATIO: f64 = 0.4;
-/// Relative admission ratio below which the requests of a class are queued ahead of calls too.
-const SEVERELY_STARVED_RATIO: f64 = 0.25;
-/// Minimum number of offers of a class before its ratio is reliable enough for that.
-const MIN_RATIO_OFFERS: f64 = 12.0;
+use crate::{pace, speed};
+
 /// Lowest rank of a request that is not a call between services. Calls are queued first, also
 /// ahead of starved classes, because a waiting call occupies a slot of another backend server.
 pub const MIN_REQUEST_RANK: u32 = 1 << 31;
@@ -93,8 +79,10 @@
     pub waiting: u32,
     /// Number of requests that may run concurrently.
     pub slots: u32,
-    /// Mean service time of a request, in seconds.
+    /// Mean service time of a request at the present speed, in seconds.
     pub service_s: f64,
+    /// Mean service time of a request at the usual speed, in seconds.
+    pub usual_s: f64,
 }
 
 /// Admission state of one backend server.
@@ -124,56 +112,12 @@
     running: u32,
     next_ticket: u64,
     waiting: collections::BTreeMap<(u32, Ticket), Offer>,
-    overall_service_time: MovingAverage,
-    class_service_times: collections::HashMap<u64, MovingAverage>,
-    overall_count: AdmissionCount,
-    class_counts: collections::HashMap<u64, AdmissionCount>,
-}
-
-/// Decaying counts of the requests that were offered and admitted.
-#[derive(Clone, Copy, Debug, Default)]
-struct AdmissionCount {
-    offered: f64,
-    admitted: f64,
-}
-
-impl AdmissionCount {
-    fn record_offer(&mut self) {
-        if self.offered >= MAX_COUNTED_OFFERS {
-            self.offered /= 2.0;
-            self.admitted /= 2.0;
-        }
-        self.offered += 1.0;
-    }
-
-    /// Returns the ratio of admitted to offered requests, or 1 before the first offer.
-    fn ratio(&self) -> f64 {
-        if self.offered < 1.0 {
-            return 1.0;
-        }
-        self.admitted / self.offered
-    }
-}
-
-/// Exponential moving average in seconds, with the mean absolute deviation from it.
-#[derive(Clone, Copy, Debug, Default)]
-struct MovingAverage {
-    value_s: f64,
-    deviation_s: f64,
-    count: u32,
-}
-
-impl MovingAverage {
-    fn add(&mut self, seconds: f64) {
-        self.count = (self.count + 1).min(WARM_UP_OBSERVATIONS);
-        let weight = SMOOTHING_FACTOR.max(1.0 / f64::from(self.count));
-        let distance = (seconds - self.value_s).abs();
-        self.value_s += weight * (seconds - self.value_s);
-        // The first observation becomes the mean, so it has no deviation.
-        if self.count > 1 {
-            self.deviation_s += weight * (distance - self.deviation_s);
-        }
-    }
+    service_times: estimate::ServiceTimes,
+    shares: fairness::Shares,
+    /// Latest starts, if the backend server may be cold.
+    window: Option<pace::Window>,
+    /// Whether the window limits the starts.
+    is_paced: bool,
 }
 
 impl Gate {
@@ -184,14 +128,10 @@
             running: 0,
             next_ticket: 0,
             waiting: collections::BTreeMap::new(),
-            overall_service_time: MovingAverage {
-                value_s: INITIAL_SERVICE_TIME_S,
-                deviation_s: 0.0,
-                count: 0,
-            },
-            class_service_times: collections::HashMap::new(),
-            overall_count: AdmissionCount::default(),
-            class_counts: collections::HashMap::new(),
+            service_times: estimate::ServiceTimes::new(),
+            shares: fairness::Shares::default(),
+            window: None,
+            is_paced: false,
         }
     }
 
@@ -200,77 +140,97 @@
         self.slots = slots.max(1);
     }
 
+    /// Returns the number of slots.
+    pub const fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Sets the window that limits the starts while the backend server is paced.
+    pub fn set_window(&mut self, window: Option<pace::Window>) {
+        self.is_paced &= window.is_some();
+        self.window = window;
+    }
+
+    /// Returns the window that limits the starts.
+    pub const fn window_mut(&mut self) -> Option<&mut pace::Window> {
+        self.window.as_mut()
+    }
+
+    /// Sets whether the window limits the starts.
+    pub const fn set_paced(&mut self, is_paced: bool) {
+        self.is_paced = is_paced && self.window.is_some();
+    }
+
+    /// Returns the window if it limits the starts.
+    fn pace(&self) -> Option<&pace::Window> {
+        self.window.as_ref().filter(|_| self.is_paced)
+    }
+
+    /// Returns the speed of the backend server.
+    pub const fn speed(&self) -> &speed::Speed {
+        self.service_times.speed()
+    }
+
+    /// Records how much slower than usual the backend server says that it is.
+    pub fn record_slowness(&mut self, now: clock::Instant, slowness: f64) {
+        self.service_times.speed_mut().record(now, slowness);
+    }
+
     /// Returns the load of the backend server.
-    pub fn load(&self) -> Load {
+    ///
+    /// A paced backend server has only as many slots as its pace can fill.
+    pub fn load(&self, now: clock::Instant) -> Load {
+        let service_s = self.service_times.mean_s(now);
+        let filled = self.pace().map(|window| {
+            let starts_per_s = f64::from(window.limit()) / pace::WINDOW.as_secs_f64();
+            (starts_per_s * service_s).ceil().max(1.0) as u32
+        });
         Load {
             running: self.running,
             waiting: self.waiting.len() as u32,
-            slots: self.slots,
-            service_s: self.overall_service_time.value_s,
+            slots: filled.map_or(self.slots, |filled| filled.min(self.slots)),
+            service_s,
+            usual_s: self.service_times.usual_s(),
         }
     }
 
     /// Starts, queues or refuses a request that has arrived.
     pub fn offer(&mut self, now: clock::Instant, offer: Offer) -> Decision {
-        self.estimate_service_time(now, &offer);
+        let target = now.saturating_until(offer.useful_until);
+        self.service_times.assume(offer.class, target);
         // This refusal does not count against the admission ratio of the class: the request is
         // sent to another backend server first, and offered here again if that one is full too.
-        if let Some(after) = self.retry_after_long_wait(&offer) {
+        if let Some(after) = self.retry_after_long_wait(now, &offer) {
             return Decision::Refuse(after);
         }
-        let overall_ratio = self.overall_count.ratio();
-        let count = self.class_counts.entry(offer.class).or_default();
         // Ordering by rank alone would starve the lowest class of a full backend server.
-        let rank = match count.ratio() / overall_ratio {
-            relative if relative < SEVERELY_STARVED_RATIO && count.offered >= MIN_RATIO_OFFERS => 0,
-            relative if relative < STARVED_RATIO => offer.rank.min(MIN_REQUEST_RANK),
-            _ => offer.rank,
+        let rank = match self.shares.offer(offer.class) {
+            fairness::Share::SeverelyStarved => 0,
+            fairness::Share::Starved => offer.rank.min(MIN_REQUEST_RANK),
+            fairness::Share::Sufficient => offer.rank,
         };
-        count.record_offer();
-        self.overall_count.record_offer();
         let decision = self.admit(now, Offer { rank, ..offer });
         if !matches!(decision, Decision::Refuse(_)) {
-            self.overall_count.admitted += 1.0;
-            let count = self.class_counts.entry(offer.class).or_default();
-            count.admitted += 1.0;
+            self.shares.admit(offer.class);
         }
         decision
     }
 
-    /// Estimates the service time of a class without an observation: the overall mean, or less if the
-    /// target of the request is short.
-    ///
-    /// A backend server that is full of long requests would refuse all short ones otherwise, and never
-    /// observe how long they run.
-    fn estimate_service_time(&mut self, now: clock::Instant, offer: &Offer) {
-        let target_s = now.saturating_until(offer.useful_until).as_secs_f64();
-        let estimate_s = self
-            .overall_service_time
-            .value_s
-            .min(target_s * TARGET_FRACTION);
-        self.class_service_times
-            .entry(offer.class)
-            .or_insert(MovingAverage {
-                value_s: estimate_s,
-                ..MovingAverage::default()
-            });
-    }
-
     /// Returns the retry delay of a request if it would be refused now.
     ///
     /// Unlike [`Gate::offer`], this changes no state.
     pub fn refusal(&self, now: clock::Instant, offer: &Offer) -> Option<Duration> {
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.has_room(now) && self.waiting.is_empty() {
             return None;
         }
         let ahead = self.count_ahead(offer.rank);
-        self.retry_after_long_wait(offer)
+        self.retry_after_long_wait(now, offer)
             .or_else(|| self.retry_after_late_end(now, offer, ahead))
     }
 
     /// Returns the retry delay if the expected wait is longer than the request accepts.
-    fn retry_after_long_wait(&self, offer: &Offer) -> Option<Duration> {
-        let wait = self.wait_behind(self.count_ahead(offer.rank));
+    fn retry_after_long_wait(&self, now: clock::Instant, offer: &Offer) -> Option<Duration> {
+        let wait = self.wait_behind(now, self.count_ahead(offer.rank));
         let excess = wait.saturating_sub(offer.max_wait);
         (!excess.is_zero()).then(|| excess.max(MIN_RETRY_AFTER))
     }
@@ -284,14 +244,14 @@
     fn admit(&mut self, now: clock::Instant, mut offer: Offer) -> Decision {
         // A response after its target is worth less than one in time, so this request is queued
         // behind those that can still meet theirs.
-        if now + self.service_time(offer.class) > offer.useful_until {
+        if now + self.service_time(now, offer.class) > offer.useful_until {
             offer.rank |= LATE_BIT;
         }
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.has_room(now) && self.waiting.is_empty() {
             if self.is_hopeless(now, &offer) {
                 return Decision::Refuse(MIN_RETRY_AFTER);
             }
-            self.running += 1;
+            self.start(now);
             return Decision::Start;
         }
         if let Some(after) = self.retry_after_late_end(now, &offer, self.count_ahead(offer.rank)) {
@@ -313,11 +273,11 @@
         offer: &Offer,
         ahead: usize,
     ) -> Option<Duration> {
-        let service = self.service_time(offer.class);
-        let mut end = now + self.wait_behind(ahead) + service;
+        let service = self.service_time(now, offer.class);
+        let mut end = now + self.wait_behind(now, ahead) + service;
         let limit = if now + service <= offer.useful_until {
             // With the mean alone, half of the requests at the end of the queue would be late.
-            end = end + self.service_time_deviation(offer.class);
+            end = end + self.service_times.deviation(now, offer.class);
             offer.useful_until.max(now + MIN_TIME_LIMIT)
         } else {
             // A request that misses its target anyway must not wait for long.
@@ -340,7 +300,7 @@
         }
         for (rank, ticket, _) in &evicted {
             if let Some(offer) = self.waiting.remove(&(*rank, *ticket)) {
-                self.uncount_admitted(offer.class);
+                self.shares.revoke(offer.class);
             }
         }
         let refuse = |(_, ticket, after)| Release::Refuse(ticket, after);
@@ -355,7 +315,7 @@
     /// Refuses a waiting request that can no longer end in time.
     pub fn expire(&mut self, ticket: Ticket) {
         if let Some(offer) = self.remove(ticket) {
-            self.uncount_admitted(offer.class);
+            self.shares.revoke(offer.class);
         }
     }
 
@@ -365,21 +325,10 @@
         self.waiting.remove(&place)
     }
 
-    /// Takes a request that was refused after all out of the admission ratio of its class.
-    fn uncount_admitted(&mut self, class: u64) {
-        let count = self.class_counts.entry(class).or_default();
-        count.admitted = (count.admitted - 1.0).max(0.0);
-        self.overall_count.admitted = (self.overall_count.admitted - 1.0).max(0.0);
-    }
-
-    /// Records the service time of a request of `class`.
-    pub fn observe(&mut self, class: u64, run_time: Duration) {
-        let run_time = run_time.as_secs_f64();
-        self.overall_service_time.add(run_time);
-        self.class_service_times
-            .entry(class)
-            .or_default()
-            .add(run_time);
+    /// Records the service time of a request of `class` that ran while the backend server had this
+    /// slowness.
+    pub fn observe(&mut self, class: u64, run_time: Duration, slowness: f64) {
+        self.service_times.observe(class, run_time, slowness);
     }
 
     /// Frees the slot of a finished request and starts waiting requests.
@@ -395,14 +344,14 @@
     /// deadline.
     pub fn release(&mut self, now: clock::Instant) -> Vec<Release> {
         let mut releases = Vec::new();
-        while self.running < self.slots
+        while self.has_room(now)
             && let Some(((_, ticket), offer)) = self.waiting.pop_first()
         {
-            if now >= self.latest_start(&offer) {
-                self.uncount_admitted(offer.class);
+            if now >= self.latest_start(now, &offer) {
+                self.shares.revoke(offer.class);
                 releases.push(Release::Refuse(ticket, MIN_RETRY_AFTER));
             } else {
-                self.running += 1;
+                self.start(now);
                 releases.push(Release::Start(ticket));
             }
         }
@@ -410,44 +359,50 @@
     }
 
     /// Returns the time from which a request is expected to be answered after its deadline.
-    pub fn latest_start(&self, offer: &Offer) -> clock::Instant {
-        offer.deadline - self.service_time(offer.class) - DELIVERY_TIME
+    pub fn latest_start(&self, now: clock::Instant, offer: &Offer) -> clock::Instant {
+        offer.deadline - self.service_time(now, offer.class) - DELIVERY_TIME
     }
 
     /// Returns whether a request would hardly end before its deadline if it started now: its work would
     /// be lost, and a request that is not idempotent could not be sent again.
     fn is_hopeless(&self, now: clock::Instant, offer: &Offer) -> bool {
-        let service = self.service_time(offer.class);
-        let shortest = service.saturating_sub(self.service_time_deviation(offer.class));
+        let service = self.service_time(now, offer.class);
+        let shortest = service.saturating_sub(self.service_times.deviation(now, offer.class));
         now + shortest > offer.deadline
     }
 
-    /// Returns the expected time until a request with `ahead` others before it starts.
-    fn wait_behind(&self, ahead: usize) -> Duration {
-        let busy = f64::from(self.running) + ahead as f64 + 1.0 - f64::from(self.slots);
-        Duration::from_secs_f64(
-            busy.max(0.0) * self.overall_service_time.value_s / f64::from(self.slots),
-        )
+    /// Returns whether a request may start now: a slot is free, and the pace allows a start.
+    fn has_room(&self, now: clock::Instant) -> bool {
+        self.running < self.slots && self.pace().is_none_or(|window| window.allows(now))
     }
 
-    /// Returns the mean absolute deviation of the service time of `class`.
-    fn service_time_deviation(&self, class: u64) -> Duration {
-        let average = self
-            .class_service_times
-            .get(&class)
-            .copied()
-            .unwrap_or(self.overall_service_time);
-        Duration::from_secs_f64(average.deviation_s)
+    fn start(&mut self, now: clock::Instant) {
+        self.running += 1;
+        if let Some(window) = &mut self.window {
+            window.record(now);
+        }
+    }
+
+    /// Returns when the pace allows the next start, if requests wait for that and for no slot.
+    pub fn next_paced_start(&self, now: clock::Instant) -> Option<clock::Instant> {
+        let window = self.pace()?;
+        let is_waiting = self.running < self.slots && !self.waiting.is_empty();
+        is_waiting.then(|| now + window.wait(now, 0))
+    }
+
+    /// Returns the expected time until a request with `ahead` others before it starts.
+    fn wait_behind(&self, now: clock::Instant, ahead: usize) -> Duration {
+        let busy = f64::from(self.running) + ahead as f64 + 1.0 - f64::from(self.slots);
+        let for_slot = Duration::from_secs_f64(
+            busy.max(0.0) * self.service_times.mean_s(now) / f64::from(self.slots),
+        );
+        let for_pace = self.pace().map(|window| window.wait(now, ahead));
+        for_slot.max(for_pace.unwrap_or_default())
     }
 
-    /// Returns the expected service time of a request of `class`.
-    pub fn service_time(&self, class: u64) -> Duration {
-        let average = self
-            .class_service_times
-            .get(&class)
-            .copied()
-            .unwrap_or(self.overall_service_time);
-        Duration::from_secs_f64(average.value_s)
+    /// Returns the expected service time of a request of `class` that starts at `now`.
+    pub fn service_time(&self, now: clock::Instant, class: u64) -> Duration {
+        self.service_times.expected(now, class)
     }
 }
 
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -52,7 +52,7 @@
     /// use std::time::Duration;
     /// use sequoiayoke_dispatch::{admission, choice, transfer};
     ///
-    /// let load = admission::Load { running: 2, waiting: 0, slots: 4, service_s: 0.1 };
+    /// let load = admission::Load { running: 2, waiting: 0, slots: 4, service_s: 0.1, usual_s: 0.1 };
     /// let same_domain = choice::Candidate {
     ///     load,
     ///     link: transfer::Load::default(),
@@ -70,8 +70,9 @@
         let occupied = freshness * self.reported_requests() + (1.0 - freshness) * mean_busy * slots;
         let busy = occupied.max(f64::from(self.outstanding)) + 1.0;
         // A backend server slows down before all of its slots are occupied.
-        let wait = (busy / slots).powi(2) * self.load.service_s * 0.5;
-        let queue = (busy - slots).max(0.0) / slots * self.load.service_s;
+        let service_s = freshness * self.load.service_s + (1.0 - freshness) * self.load.usual_s;
+        let wait = (busy / slots).powi(2) * service_s * 0.5;
+        let queue = (busy - slots).max(0.0) / slots * service_s;
         let domain_cost = if self.is_same_domain {
             0.0
         } else {
@@ -81,7 +82,7 @@
             0 => 0.0,
             bytes => self.link.expected_time(bytes).as_secs_f64() * freshness,
         };
-        let response_time = self.load.service_s + wait + queue + domain_cost + transfer;
+        let response_time = service_s + wait + queue + domain_cost + transfer;
         response_time / (1.0 - self.failure_rate.clamp(0.0, 0.9))
     }
 
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -26,7 +26,7 @@
     let mut gate = admission::Gate::new(4);
     let work = Duration::from_millis(160);
     for _ in 0..50 {
-        gate.observe(1, work);
+        gate.observe(1, work, 1.0);
     }
     let mut ends: Vec<(clock::Instant, clock::Instant)> = Vec::new();
     let mut waiting = std::collections::HashMap::new();
@@ -94,7 +94,7 @@
     };
     gate.cancel(ticket);
     assert_eq!(gate.finish(at(10)), []);
-    assert_eq!(gate.load().running, 0);
+    assert_eq!(gate.load(at(0)).running, 0);
 }
 
 /// Guards against more retries than the budget shared by all nodes allows, when every request
@@ -131,6 +131,7 @@
         waiting: 0,
         slots: 12,
         service_s: 0.1,
+        usual_s: 0.1,
     };
     let good = choice::Candidate {
         load,
@@ -143,6 +144,7 @@
     let slow = choice::Candidate {
         load: admission::Load {
             service_s: 0.5,
+            usual_s: 0.5,
             ..load
         },
         is_same_domain: true,
@@ -182,7 +184,7 @@
     let mut gate = admission::Gate::new(2);
     for class in [1, 2] {
         for _ in 0..50 {
-            gate.observe(class, Duration::from_millis(150));
+            gate.observe(class, Duration::from_millis(150), 1.0);
         }
     }
     let now = at(0);
@@ -213,7 +215,7 @@
 fn a_late_request_is_queued_behind_those_in_time() {
     let mut gate = admission::Gate::new(1);
     for _ in 0..20 {
-        gate.observe(1, Duration::from_millis(100));
+        gate.observe(1, Duration::from_millis(100), 1.0);
     }
     let now = at(0);
     gate.offer(now, offer(now, 1));
@@ -238,7 +240,7 @@
     let work = Duration::from_millis(200);
     for class in [1, 3] {
         for _ in 0..20 {
-            gate.observe(class, work);
+            gate.observe(class, work, 1.0);
         }
     }
     let mut ends: Vec<clock::Instant> = Vec::new();
@@ -310,6 +312,7 @@
                 load: admission::Load {
                     slots: SLOTS,
                     service_s: 0.1,
+                    usual_s: 0.1,
                     ..*load
                 },
                 link: transfer::Load::default(),
@@ -340,7 +343,7 @@
 fn a_request_does_not_wait_longer_than_its_max_wait() {
     let mut gate = admission::Gate::new(2);
     for _ in 0..50 {
-        gate.observe(1, Duration::from_millis(200));
+        gate.observe(1, Duration::from_millis(200), 1.0);
     }
     let now = at(0);
     let short_wait = admission::Offer {
@@ -412,6 +415,7 @@
             waiting: 0,
             slots: 9,
             service_s: 0.2,
+            usual_s: 0.2,
         },
         link: transfer::Load {
             wait: Duration::from_millis(600),
@@ -473,8 +477,8 @@
 {
     let mut gate = admission::Gate::new(1);
     let now = at(0);
-    gate.observe(1, Duration::from_millis(50));
-    gate.observe(3, Duration::from_millis(50));
+    gate.observe(1, Duration::from_millis(50), 1.0);
+    gate.observe(3, Duration::from_millis(50), 1.0);
     gate.offer(now, offer(now, 1));
     offer_requests(&mut gate, 1, 20, 0);
     starve(&mut gate);
@@ -560,13 +564,13 @@
     let waiting = |works: [u64; 2]| {
         let mut gate = admission::Gate::new(4);
         for work in works.iter().cycle().take(60) {
-            gate.observe(1, Duration::from_millis(*work));
+            gate.observe(1, Duration::from_millis(*work), 1.0);
         }
         let now = at(0);
         for _ in 0..100 {
             gate.offer(now, offer(now, 1));
         }
-        gate.load().waiting
+        gate.load(at(0)).waiting
     };
     let (steady, varying) = (waiting([200, 200]), waiting([80, 320]));
     assert!(varying + 2 <= steady, "{varying} and {steady} wait");
--- a/crates/dispatch/tests/short_calls.rs
+++ b/crates/dispatch/tests/short_calls.rs
@@ -41,7 +41,7 @@
 fn full_gate(now: clock::Instant) -> admission::Gate {
     let mut gate = admission::Gate::new(SLOTS);
     for _ in 0..50 {
-        gate.observe(LONG_CLASS, LONG);
+        gate.observe(LONG_CLASS, LONG, 1.0);
     }
     for _ in 0..SLOTS {
         let decision = gate.offer(now, long_request(now));
@@ -78,6 +78,6 @@
     let now = at(0);
     let mut gate = full_gate(now);
     gate.offer(now, call(now));
-    gate.observe(CALL_CLASS, SHORT);
-    assert_eq!(gate.service_time(CALL_CLASS), SHORT);
+    gate.observe(CALL_CLASS, SHORT, 1.0);
+    assert_eq!(gate.service_time(now, CALL_CLASS), SHORT);
 }
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -41,7 +41,7 @@
 const RELEASE_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Settings of the state.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Length of a lease.
     pub lease: Duration,
@@ -49,6 +49,8 @@
     pub max_hold: Duration,
     /// Address of the backend server.
     pub backend: net::SocketAddr,
+    /// Failure domain of the VM.
+    pub domain: String,
     /// Start of this process, in milliseconds since the Unix epoch.
     pub started_ms: u64,
 }
@@ -203,6 +205,8 @@
     last_identified: Option<server::Instance>,
     /// Whether a check has no result yet.
     is_identifying: bool,
+    /// Time since which the failure domain is evacuated.
+    evacuated_since: Option<clock::Instant>,
     /// When the grants expire of a draining backend server that refuses connections.
     grants_expire_at: Option<clock::Instant>,
     lease: holder::Holder,
@@ -249,6 +253,7 @@
             candidate: None,
             last_identified: None,
             is_identifying: false,
+            evacuated_since: None,
             grants_expire_at: None,
             sequence: 0,
             last_renewal: None,
@@ -285,6 +290,7 @@
             announcement: backend.announcement.clone(),
             id: self.backend_id(),
             draining_since: backend.draining_since,
+            evacuated_since: self.evacuated_since,
             held: self
                 .grants
                 .iter()
--- a/crates/gateway/src/coordinator/state/replicated.rs
+++ b/crates/gateway/src/coordinator/state/replicated.rs
@@ -30,6 +30,12 @@
         let servers = state.servers.into_iter().map(|server| (server.id, server));
         self.apply_servers(now, servers.collect());
         self.view.tables = sync::Arc::new(state.tables);
+        // A process that has just started does not know for how long its domain is evacuated.
+        let since = match is_first {
+            true => clock::Instant::default(),
+            false => now,
+        };
+        self.apply_evacuated(since, state.evacuated);
         self.is_changed = true;
         self.reconcile_grants(now);
     }
@@ -63,11 +69,27 @@
             let table = tables.entry(service).or_default();
             slices.into_iter().for_each(|slice| table.replace(slice));
         }
+        if let Some(evacuated) = changes.evacuated {
+            self.apply_evacuated(now, evacuated);
+        }
         self.is_changed = true;
         self.reconcile_grants(now);
         true
     }
 
+    fn apply_evacuated(&mut self, since: clock::Instant, evacuated: collections::BTreeSet<String>) {
+        if *self.view.evacuated == evacuated {
+            return;
+        }
+        tracing::info!(?evacuated, index = self.view.index, "evacuations in force");
+        let is_evacuated = evacuated.contains(&self.config.domain);
+        self.evacuated_since = match is_evacuated {
+            true => self.evacuated_since.or(Some(since)),
+            false => None,
+        };
+        self.view.evacuated = sync::Arc::new(evacuated);
+    }
+
     fn apply_config(&mut self, config: Option<config::Config>) {
         let Some(config) = config else {
             return;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -29,7 +29,7 @@
 }
 
 /// Metadata of a backend server's response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Metadata<'a> {
     /// Id of the request that it answers, if given.
     pub id: Option<&'a str>,
@@ -39,6 +39,17 @@
     pub is_misdirected: bool,
     /// Whether the response has the backend server's stamp.
     pub has_stamp: bool,
+    /// Time that work takes now, relative to its usual time, if the backend server states it.
+    pub slowness: Option<f64>,
+}
+
+/// Answer to a health check.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Health<'a> {
+    /// Name of the instance that has answered.
+    pub instance: Option<&'a str>,
+    /// Time for which it stays cold.
+    pub cold_left: Duration,
 }
 
 /// A command to a backend server about its keys.
@@ -94,6 +105,8 @@
         slots: u32,
         /// Whether it is draining.
         is_draining: bool,
+        /// Time for which it stays cold.
+        cold_left: Duration,
         /// Increases with each announcement of one instance.
         sequence: u64,
         /// Keys that it reports, if it collects its grants with its announcements.
@@ -126,8 +139,8 @@
     /// Reads the metadata of a response.
     fn response_metadata<'a>(&self, response: &'a response::Response) -> Metadata<'a>;
 
-    /// Reads the name of the instance that has answered a health check.
-    fn identity<'a>(&self, response: &'a response::Response) -> Option<&'a str>;
+    /// Reads the answer to a health check.
+    fn health<'a>(&self, response: &'a response::Response) -> Health<'a>;
 
     /// Encodes a command to a backend server.
     fn encode_command(&self, command: &Command<'_>) -> Call;
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -51,6 +51,24 @@
     pub drain: Duration,
     /// Time between the request to stop and the end of the process.
     pub grace: Duration,
+    /// Time from the start of an evacuation until the backend servers of the failure domain get no
+    /// requests.
+    pub evacuate: Duration,
+    /// Backend servers that are cold.
+    pub cold_start: ColdStart,
+}
+
+/// Pace of backend servers that are cold, in services whose configuration states what they bear.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Requests in a second, in multiples of the rate that the configuration states.
+    pub factor: f64,
+}
+
+impl Default for ColdStart {
+    fn default() -> Self {
+        Self { factor: 1.0 }
+    }
 }
 
 /// Errors of a node.
@@ -131,6 +149,7 @@
         let (commands, command_inbox) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let config = coordinator::state::Config {
             backend: settings.backend,
+            domain: settings.domain.clone(),
             lease: settings.lease,
             max_hold: settings.max_hold,
             started_ms: coordinator::unix_ms(),
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 
 use error_stack::ResultExt;
-use sequoiayoke_dispatch::{budget, probe, quota, route, shutdown};
+use sequoiayoke_dispatch::{budget, probe, quota, route, shutdown, warmth};
 use sequoiayoke_http1::serve;
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_supervise::{Stop, supervisor};
@@ -221,6 +221,7 @@
     task::spawn_local(report_load(rc::Rc::clone(&context)));
     task::spawn_local(apply_reloads(rc::Rc::clone(&context)));
     task::spawn_local(follow_backend(rc::Rc::clone(&context)));
+    task::spawn_local(backend::Backend::keep_pace(rc::Rc::clone(&context)));
     task::spawn_local(callers::accept(callers, rc::Rc::clone(&context)));
     let ready_context = rc::Rc::clone(&context);
     task::spawn_local(serve::serve(ready, move |_| {
@@ -371,17 +372,36 @@
     }
 }
 
-/// Keeps the number of slots of the backend server as it was announced. The view shows only
-/// announcements that were accepted.
+/// Applies to the backend server what its announcement, the configuration and evacuations state.
+/// The view shows only announcements that were accepted.
 async fn follow_backend<Frontend>(context: rc::Rc<Context<Frontend>>) {
     let mut changes = context.shared.changes.clone();
+    let mut known_cold_start = None;
+    let mut instance = None;
+    let mut is_evacuated = false;
     while changes.changed().await.is_ok() {
         let view = context.view();
-        let slots = view.backend.as_ref();
-        let slots = slots.map(|backend| backend.announcement.slots);
-        if let Some(slots) = slots.filter(|slots| *slots != context.backend.load().slots) {
+        let announced = view.backend.as_ref().map(|backend| &backend.announcement);
+        let slots = announced.map(|announced| announced.slots);
+        if let Some(slots) = slots.filter(|slots| *slots != context.backend.slots()) {
             context.backend.set_slots(slots);
         }
+        let service = view.service(&context.settings.service);
+        let cold_start = service.and_then(|service| service.cold_start);
+        if cold_start != known_cold_start {
+            known_cold_start = cold_start;
+            let factor = context.settings.cold_start.factor;
+            context.backend.set_cold_start(cold_start, factor);
+        }
+        let next = announced.map(|announced| &announced.instance);
+        if next.is_some() && next != instance.as_ref() {
+            instance = next.cloned();
+            context.backend.doubt(warmth::Doubt::Started);
+        }
+        let next = view.is_evacuated(&context.settings.domain);
+        if std::mem::replace(&mut is_evacuated, next) && !next {
+            context.backend.doubt(warmth::Doubt::Returned);
+        }
     }
 }
 
--- a/crates/gateway/src/traffic/announcements.rs
+++ b/crates/gateway/src/traffic/announcements.rs
@@ -53,6 +53,7 @@
         }
     };
     let (reply, replied) = oneshot::channel();
+    let mut cold_left = Duration::ZERO;
     let event = match announcement {
         frontend::Announcement::Running {
             instance,
@@ -61,9 +62,11 @@
             domain,
             slots,
             is_draining,
+            cold_left: left,
             sequence,
             report,
         } => {
+            cold_left = left;
             if address != context.settings.backend {
                 tracing::warn!(%address, "rejected an announcement with another address");
                 return serve::Reply::new(400, "text/plain", "another address");
@@ -99,6 +102,9 @@
     context.send_event(event);
     match tokio::time::timeout(REPLY_TIMEOUT, replied).await {
         Ok(Ok(reply)) => {
+            if reply.is_accepted {
+                context.backend.record_announced_cold(cold_left);
+            }
             let assignment = reply.assignment.as_ref();
             context.frontend.acknowledgement(assignment)
         }
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -5,6 +5,7 @@
 //! owner, even if the sending node has an outdated view.
 
 mod bodies;
+mod cold;
 mod connections;
 mod exchange;
 mod slots;
@@ -25,7 +26,6 @@
 use super::{Context, peers, serving};
 use crate::coordinator;
 use crate::frontend;
-use crate::view;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -49,6 +49,8 @@
 /// Percentage of the drain time for which a draining backend server still accepts requests for its
 /// keys.
 const DRAIN_PERCENT: u32 = 60;
+/// The same percentage of the time in which an evacuation takes effect.
+const EVACUATE_PERCENT: u32 = 60;
 
 /// The backend server.
 pub(super) struct Backend {
@@ -60,6 +62,7 @@
     transfers: bodies::Transfers,
     outcomes: cell::RefCell<outcomes::Outcomes>,
     memory: exchange::Memory,
+    cold: cold::Cold,
 }
 
 #[derive(Debug)]
@@ -148,6 +151,7 @@
             transfers: bodies::Transfers::new(bandwidth),
             outcomes: cell::RefCell::default(),
             memory: exchange::Memory::default(),
+            cold: cold::Cold::default(),
         }
     }
 
@@ -157,8 +161,9 @@
         self.apply_releases(releases);
     }
 
-    pub(super) fn load(&self) -> admission::Load {
-        self.gate.borrow().load()
+    /// Returns the number of requests that the backend server runs concurrently.
+    pub(super) fn slots(&self) -> u32 {
+        self.gate.borrow().slots()
     }
 
     /// Returns the load that bodies cause on the link.
@@ -203,7 +208,7 @@
         let arrived = clock::Instant::now();
         let now = arrived;
         let deadline = now + Duration::from_millis(u64::from(open.left_ms));
-        if let Err(reason) = check(&context.view(), open, now, context.settings.drain) {
+        if let Err(reason) = check(context, open, now) {
             return not_run(reason, Duration::ZERO, false);
         }
         let mut offer = admission::Offer {
@@ -243,13 +248,14 @@
         }
         stage.set(Stage::WaitingForSlot);
         let now = clock::Instant::now();
+        self.doubt_if_silent(now);
         let mut slot = match self.acquire_slot(now, offer, open.key).await {
             Ok(slot) => slot,
             Err(retry_after) => return self.refuse_busy(context, open, retry_after),
         };
         // The view may have changed while the request waited.
         let now = clock::Instant::now();
-        if let Err(reason) = check(&context.view(), open, now, context.settings.drain) {
+        if let Err(reason) = check(context, open, now) {
             return not_run(reason, Duration::ZERO, false);
         }
         let max_idle = match open.is_idempotent {
@@ -261,6 +267,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 tracing::info!(id = open.id, %error, "cannot connect to the backend server");
+                self.doubt_after(&error);
                 if matches!(error, Error::Refused) {
                     context.send_event(coordinator::Event::Ended(open.instance.clone()));
                 }
@@ -275,7 +282,7 @@
         let left = now.saturating_until(deadline);
         let request = self.encode(&context.frontend, open, body.as_deref(), left);
         stage.set(Stage::Running);
-        slot.start = now;
+        slot.start(now);
         let exchange = self.exchange(context, connection, request, Some(&open.id));
         let timeout = left + RESPONSE_MARGIN;
         let result = tokio::time::timeout(timeout, exchange).await;
@@ -288,6 +295,7 @@
             }
             Err(error) => {
                 self.outcomes.borrow_mut().add(true);
+                self.doubt_after(&error);
                 tracing::info!(id = open.id, %error, "no usable answer of the backend server");
                 peer::Outcome::Unknown(match error {
                     Error::Timeout => peer::Reason::Deadline,
@@ -331,7 +339,8 @@
     /// server shows more load than its slots allow and its keys are moved.
     fn record_refused_usage(&self, open: &peer::Open) {
         if let Some(key) = open.key {
-            let service = self.gate.borrow().service_time(open.class);
+            let now = clock::Instant::now();
+            let service = self.gate.borrow().service_time(now, open.class);
             let mut usage = self.usage.borrow_mut();
             usage.add(key, service.as_secs_f64());
         }
@@ -374,6 +383,7 @@
         Frontend: frontend::Frontend,
     {
         let metadata = context.frontend.response_metadata(response);
+        self.record_answer(clock::Instant::now(), &metadata);
         if metadata.is_refusal || metadata.is_misdirected {
             let reason = match (metadata.is_misdirected, open.key) {
                 (true, Some(_)) => peer::Reason::NotOwner,
@@ -454,23 +464,31 @@
 }
 
 /// Checks whether a request may be sent to the backend server now.
-fn check(
-    view: &view::View,
+fn check<Frontend>(
+    context: &Context<Frontend>,
     open: &peer::Open,
     now: clock::Instant,
-    drain: Duration,
 ) -> Result<(), peer::Reason> {
+    let view = context.view();
+    let settings = &context.settings;
     let backend = view.backend.as_ref().ok_or(peer::Reason::OtherInstance)?;
     let announced = &backend.announcement;
     if announced.instance != open.instance || announced.service != open.service {
         return Err(peer::Reason::OtherInstance);
     }
     if let Some(since) = backend.draining_since {
-        let limit = drain * DRAIN_PERCENT / 100;
+        let limit = settings.drain * DRAIN_PERCENT / 100;
         if open.key.is_none() || now.saturating_since(since) >= limit {
             return Err(peer::Reason::Draining);
         }
     }
+    if let Some(since) = backend.evacuated_since {
+        // Keys are served until they have moved.
+        let limit = settings.evacuate * EVACUATE_PERCENT / 100;
+        if open.key.is_none() || now.saturating_since(since) >= limit {
+            return Err(peer::Reason::Evacuated);
+        }
+    }
     match open.key {
         Some(key) if !backend.holds(key, now) => Err(peer::Reason::NotOwner),
         _ => Ok(()),
--- a/crates/gateway/src/traffic/backend/bodies.rs
+++ b/crates/gateway/src/traffic/backend/bodies.rs
@@ -82,7 +82,7 @@
         };
         let pull = pull.ok_or(Refusal::Missing)?;
         let now = clock::Instant::now();
-        let service = self.gate.borrow().service_time(offer.class);
+        let service = self.gate.borrow().service_time(now, offer.class);
         let link = &self.transfers.link;
         if let Some(retry_after) = self.gate.borrow().refusal(now, offer) {
             return Err(Refusal::Full(retry_after));
@@ -112,7 +112,7 @@
             return Err(Refusal::LinkFull(link.borrow().expected_time(0)));
         };
         let start = clock::Instant::now();
-        let latest_start = self.gate.borrow().latest_start(offer);
+        let latest_start = self.gate.borrow().latest_start(now, offer);
         let time_left = start.saturating_until(latest_start);
         let body = time::timeout(time_left, pull.fetch(length)).await;
         let body = body.ok().flatten().ok_or(Refusal::Missing)?;
--- a/crates/gateway/src/traffic/backend/connections.rs
+++ b/crates/gateway/src/traffic/backend/connections.rs
@@ -229,11 +229,16 @@
         let instance = &known.instance;
         let request = self.encode_request("GET", path, [&[], &[]]);
         let subject = Subject::Identity;
+        let sent = clock::Instant::now();
         let response = self.send_request(context, instance, subject, request, IDENTIFY_TIMEOUT);
         match response.await {
             Ok(response) => {
                 let status = response.status;
-                let is_same = context.frontend.identity(&response) == Some(&instance.name);
+                let health = context.frontend.health(&response);
+                let is_same = health.instance == Some(&instance.name);
+                if is_same {
+                    self.record_health(sent, &health);
+                }
                 let is_in_use = is_same && status == 200;
                 tracing::info!(
                     instance = instance.name,
@@ -252,6 +257,25 @@
         }
     }
 
+    /// Requests the health of the backend server over a new connection.
+    pub(super) async fn request_health<Frontend>(
+        &self,
+        context: &Context<Frontend>,
+        path: &str,
+    ) -> Result<response::Response, Error>
+    where
+        Frontend: frontend::Frontend,
+    {
+        let request = self.encode_request("GET", path, [&[], &[]]);
+        let exchange = async {
+            let mut connection = connect(self.address).await?;
+            connection.subject = Some(Subject::Identity);
+            self.exchange(context, connection, request, None).await
+        };
+        let result = time::timeout(IDENTIFY_TIMEOUT, exchange).await;
+        result.unwrap_or(Err(Error::Timeout))
+    }
+
     /// Checks whether a backend server that stopped announcing itself has ended.
     pub(in crate::traffic) async fn probe<Frontend>(
         &self,
@@ -267,6 +291,7 @@
                     %error,
                     "cannot connect to a backend server that stopped announcing itself"
                 );
+                self.doubt_after(&error);
                 if matches!(error, Error::Refused) {
                     context.send_event(coordinator::Event::Ended(instance.clone()));
                 }
--- a/crates/gateway/src/traffic/backend/slots.rs
+++ b/crates/gateway/src/traffic/backend/slots.rs
@@ -29,16 +29,28 @@
     backend: &'a Backend,
     key: Option<slice::Key>,
     class: u64,
-    pub(super) start: clock::Instant,
+    start: clock::Instant,
+    /// Slowness of the backend server at the start.
+    slowness: f64,
     pub(super) is_observed: bool,
 }
 
+impl Slot<'_> {
+    /// Records that the request is sent now.
+    pub(super) fn start(&mut self, now: clock::Instant) {
+        self.start = now;
+        self.slowness = self.backend.gate.borrow().speed().slowness(now);
+    }
+}
+
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
         let now = clock::Instant::now();
         let ran = now.saturating_since(self.start);
         if self.is_observed {
-            self.backend.gate.borrow_mut().observe(self.class, ran);
+            let mut gate = self.backend.gate.borrow_mut();
+            let slowness = (self.slowness + gate.speed().slowness(now)) / 2.0;
+            gate.observe(self.class, ran, slowness);
         }
         if let Some(key) = self.key {
             let mut usage = self.backend.usage.borrow_mut();
@@ -112,7 +124,7 @@
                 let evicted = self.gate.borrow_mut().evict(now);
                 self.apply_releases(evicted);
                 // No slot may become free: the backend server may not answer any request.
-                let latest_start = self.gate.borrow().latest_start(&offer);
+                let latest_start = self.gate.borrow().latest_start(now, &offer);
                 let max_wait = now.saturating_until(latest_start);
                 match time::timeout(max_wait, waiting.as_mut()).await {
                     Ok(admitted) => admitted?,
@@ -128,6 +140,7 @@
             key,
             class: offer.class,
             start: clock::Instant::now(),
+            slowness: 1.0,
             is_observed: false,
         })
     }
--- a/crates/gateway/src/traffic/path/retry.rs
+++ b/crates/gateway/src/traffic/path/retry.rs
@@ -36,6 +36,12 @@
             tokio::time::sleep(NOT_OWNER_RETRY_DELAY).await;
             true
         }
+        // The operator's order goes first, also if nobody can take the keys.
+        peer::Reason::Evacuated
+            if delivery.key.is_some() && !has_other_domain(context, service) =>
+        {
+            false
+        }
         _ if delivery.key.is_some() => {
             delivery.tried.clear();
             tokio::time::sleep(NOT_OWNER_RETRY_DELAY).await;
@@ -45,6 +51,13 @@
     }
 }
 
+/// Returns whether a service has backend servers in a failure domain that is not evacuated.
+fn has_other_domain<Frontend>(context: &Context<Frontend>, service: &str) -> bool {
+    let view = context.view();
+    let mut servers = view.servers_of(service).map(|server| &server.announcement);
+    servers.any(|announced| !announced.is_draining && !view.is_evacuated(&announced.domain))
+}
+
 /// Decides whether a request may be sent to a backend server once more, and charges the retry
 /// budget if so.
 pub(super) fn decide_retry<Frontend>(
@@ -83,6 +96,7 @@
         peer::Reason::Busy => "busy",
         peer::Reason::OtherInstance => "other-instance",
         peer::Reason::Draining => "draining",
+        peer::Reason::Evacuated => "evacuated",
         peer::Reason::NotOwner => "not-owner",
         peer::Reason::Unreachable => "unreachable",
         peer::Reason::RefusedByServer => "refused-by-server",
--- a/crates/gateway/src/traffic/path/target.rs
+++ b/crates/gateway/src/traffic/path/target.rs
@@ -68,6 +68,7 @@
     let available: Vec<_> = view
         .servers_of(&delivery.service)
         .filter(|server| !server.announcement.is_draining && !is_down(server))
+        .filter(|server| !view.is_evacuated(&server.announcement.domain))
         .filter(|server| !delivery.tried.contains(&server.id))
         .collect();
     let is_unprobed = |server: &&server::Server| !delivery.full.contains(&server.id);
@@ -86,6 +87,7 @@
                 let load = admission::Load {
                     slots: server.announcement.slots,
                     service_s: DEFAULT_SERVICE_S,
+                    usual_s: DEFAULT_SERVICE_S,
                     ..admission::Load::default()
                 };
                 (load, UNKNOWN_LOAD_AGE)
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -20,6 +20,8 @@
     pub tables: sync::Arc<collections::BTreeMap<String, slice::Table>>,
     /// The backend server beside this node.
     pub backend: Option<Backend>,
+    /// Failure domains whose backend servers get no requests.
+    pub evacuated: sync::Arc<collections::BTreeSet<String>>,
     /// Whether the node is stopping.
     pub is_stopping: bool,
 }
@@ -33,6 +35,8 @@
     pub id: Option<id::Server>,
     /// Time since which it is draining.
     pub draining_since: Option<clock::Instant>,
+    /// Time since which the node knows that the failure domain is evacuated.
+    pub evacuated_since: Option<clock::Instant>,
     /// Keys that it holds.
     pub held: Vec<Held>,
 }
@@ -54,6 +58,11 @@
         self.config.as_ref()?.service(name)
     }
 
+    /// Returns whether the backend servers of a failure domain get no requests.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuated.contains(domain)
+    }
+
     /// Returns the owner of a key.
     pub fn owner(&self, service: &str, key: slice::Key) -> Option<&server::Server> {
         let owner = self.tables.get(service)?.find(key).owner?;
--- a/crates/gateway/tests/collect.rs
+++ b/crates/gateway/tests/collect.rs
@@ -1,6 +1,6 @@
 //! Backend servers that collect their grants with their announcements, without a network.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use sequoiayoke_catalog::{server, slice};
@@ -52,6 +52,7 @@
             announcement: announcement(),
         }],
         tables: BTreeMap::from([("status".to_owned(), table)]),
+        evacuated: BTreeSet::new(),
     }
 }
 
@@ -102,6 +103,7 @@
 
 fn unassigned() -> State {
     State::new(Config {
+        domain: "a".to_owned(),
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
@@ -323,6 +325,7 @@
 #[test]
 fn an_instance_that_a_restarted_node_asks_first_gets_no_commands() {
     let mut state = State::new(Config {
+        domain: "a".to_owned(),
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
--- a/crates/gateway/tests/coordinator.rs
+++ b/crates/gateway/tests/coordinator.rs
@@ -47,6 +47,7 @@
         max_connections: 10,
         is_keyed: true,
         warm_up_ms: 0,
+        cold_start: None,
     };
     session::State {
         index: 20,
@@ -61,6 +62,7 @@
             announcement: announcement(),
         }],
         tables: BTreeMap::from([("status".to_owned(), table)]),
+        evacuated: BTreeSet::new(),
     }
 }
 
@@ -69,6 +71,7 @@
 #[tokio::test]
 async fn grants_that_find_the_queue_full_are_sent_later() {
     let config = state::Config {
+        domain: "a".to_owned(),
         lease: Duration::from_millis(4_500),
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -1,6 +1,6 @@
 //! Tests of the control state of a node (lease, grants and releases) without a network.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use sequoiayoke_catalog::{config, server, slice};
@@ -58,6 +58,7 @@
         config: None,
         servers: vec![server],
         tables: table(slices),
+        evacuated: BTreeSet::new(),
     }
 }
 
@@ -65,6 +66,7 @@
 /// at `at(0)`.
 fn owner() -> State {
     let mut state = State::new(Config {
+        domain: "a".to_owned(),
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
@@ -193,6 +195,7 @@
 fn an_instance_that_leaves_before_it_is_known_stays_draining() {
     for (born_ms, is_draining) in [(10, true), (2_000, false)] {
         let mut state = State::new(Config {
+            domain: "a".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -334,6 +337,7 @@
 fn a_restarted_node_identifies_the_instance_known_to_the_leader() {
     for is_keyed in [false, true] {
         let mut state = State::new(Config {
+            domain: "a".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -345,6 +349,7 @@
             max_connections: 10,
             is_keyed,
             warm_up_ms: 0,
+            cold_start: None,
         };
         let known = session::State {
             config: Some(config::Config {
@@ -474,6 +479,7 @@
 fn a_late_announcement_does_not_end_the_draining_that_the_leader_knows() {
     for is_leader_first in [true, false] {
         let mut state = State::new(Config {
+            domain: "a".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -531,6 +537,7 @@
                 max_connections: 10,
                 is_keyed,
                 warm_up_ms: 0,
+                cold_start: None,
             }],
             ..config::Config::default()
         }),
@@ -560,6 +567,7 @@
 fn a_restarted_node_asks_an_instance_known_to_the_leader_before_it_is_in_use() {
     for (is_in_use, expected) in [(true, Some(announcement("i-1", 10))), (false, None)] {
         let mut state = State::new(Config {
+            domain: "a".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -589,6 +597,7 @@
 fn an_instance_that_goes_on_announcing_itself_is_in_use_without_an_answer() {
     for (answer, expected) in [(None, Some(announcement("i-1", 10))), (Some(false), None)] {
         let mut state = State::new(Config {
+            domain: "a".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -616,6 +625,7 @@
 fn a_restarted_node_tells_the_leader_that_the_known_instance_leaves() {
     for is_leader_first in [true, false] {
         let mut state = State::new(Config {
+            domain: "a".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -85,6 +85,8 @@
     OtherInstance,
     /// The backend server is draining.
     Draining,
+    /// The failure domain of the backend server is evacuated.
+    Evacuated,
     /// The backend server does not currently own the key.
     NotOwner,
     /// The backend server cannot be reached.
@@ -139,8 +141,10 @@
     pub waiting: u32,
     /// Number of requests that may run at the same time.
     pub slots: u32,
-    /// Mean service time of a request, in microseconds.
+    /// Mean service time of a request at the present speed, in microseconds.
     pub service_us: u32,
+    /// Mean service time of a request at the usual speed, in microseconds.
+    pub usual_us: u32,
     /// Time until the bodies in transit to the node have arrived, in microseconds.
     pub link_wait_us: u32,
     /// Transfer time of one kibibyte on the link to the node, in microseconds.
@@ -167,6 +171,7 @@
             waiting: load.waiting,
             slots: load.slots,
             service_us: (load.service_s * 1e6) as u32,
+            usual_us: (load.usual_s * 1e6) as u32,
             link_wait_us: micros(link.wait),
             link_kib_us: micros(link.time_per_kib),
         }
@@ -180,6 +185,7 @@
             waiting: load.waiting,
             slots: load.slots,
             service_s: f64::from(load.service_us) / 1e6,
+            usual_s: f64::from(load.usual_us) / 1e6,
         }
     }
 }
--- a/crates/link/src/session.rs
+++ b/crates/link/src/session.rs
@@ -72,6 +72,8 @@
     pub servers: Vec<server::Server>,
     /// The slices of all keyed services.
     pub tables: collections::BTreeMap<String, slice::Table>,
+    /// Failure domains whose backend servers get no requests.
+    pub evacuated: collections::BTreeSet<String>,
 }
 
 /// Changes of the state between two log indexes.
@@ -89,6 +91,8 @@
     pub left: Vec<id::Server>,
     /// Slices with keys whose owner or grant has changed since the removals, by service.
     pub slices: Vec<(String, Vec<slice::Slice>)>,
+    /// All evacuated failure domains, if they have changed.
+    pub evacuated: Option<collections::BTreeSet<String>>,
 }
 
 /// Message from a node to a control replica.
--- a/crates/settings/src/director.rs
+++ b/crates/settings/src/director.rs
@@ -14,6 +14,9 @@
     pub name: String,
     /// Region of the VM.
     pub region: String,
+    /// Failure domains of the deployment, which operators can evacuate.
+    #[serde(default)]
+    pub failure_domains: Vec<String>,
     /// Directory of the replica's state.
     pub data: path::PathBuf,
     /// Addresses to listen on.
@@ -67,6 +70,13 @@
                     "1 to 64 characters",
                     "Region of the VM.",
                 ),
+                field::Field::new(
+                    "failure_domains",
+                    "list of names",
+                    "none",
+                    "text",
+                    "Failure domains of the deployment, which operators can evacuate; those of the backend servers are known without it.",
+                ),
                 field::Field::new(
                     "data",
                     "path",
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -30,6 +30,13 @@
     pub drain: span::Span,
     /// Time between SIGTERM and the end of the process.
     pub grace: span::Span,
+    /// Time from the start of an evacuation until the backend servers of the failure domain get no
+    /// requests.
+    #[serde(default = "default_evacuate")]
+    pub evacuate: span::Span,
+    /// Backend servers that are cold.
+    #[serde(default)]
+    pub cold_start: ColdStart,
     /// Log output.
     #[serde(default)]
     pub log: common::Log,
@@ -39,6 +46,24 @@
     1_000.0
 }
 
+fn default_evacuate() -> span::Span {
+    span::Span(Duration::from_secs(5))
+}
+
+/// Pace of backend servers that are cold, in services whose configuration states what they bear.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// Requests in a second, in multiples of the rate that the configuration states.
+    pub factor: f64,
+}
+
+impl Default for ColdStart {
+    fn default() -> Self {
+        Self { factor: 1.0 }
+    }
+}
+
 /// Addresses on which a node listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
@@ -220,6 +245,20 @@
                     "time",
                     "Time between SIGTERM and the end of the process.",
                 ),
+                field::Field::new(
+                    "evacuate",
+                    "time",
+                    "5s",
+                    "above 0",
+                    "Time from the start of an evacuation until the backend servers of the failure domain get no requests.",
+                ),
+                field::Field::new(
+                    "cold_start.factor",
+                    "number",
+                    "1",
+                    "above 0",
+                    "Requests that a cold backend server is sent in a second, in multiples of the rate that the configuration states.",
+                ),
             ],
         ),
         ("log", common::Log::FIELDS),
@@ -258,6 +297,12 @@
             "retries.window",
             "must be positive",
         );
+        problems.require(!self.evacuate.0.is_zero(), "evacuate", "must be positive");
+        problems.require(
+            self.cold_start.factor > 0.0 && self.cold_start.factor.is_finite(),
+            "cold_start.factor",
+            "must be positive",
+        );
         problems.within("log", |nested| self.log.check(nested));
     }
 }
