Let late requests give way, keep responses in their failure domain, fix class of added routes

Causes: (1) requests with short targets were admitted up to 400 ms after their arrival, a limit for calls; (2) a request that misses its target took the slot of one that could meet it; (3) the cost of leaving a failure domain counted the request only, a millisecond a KiB, while responses of 5 kB are most of the traffic; (4) the class of a route was its index, so that an added route inherited the run time of another.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -21,9 +21,11 @@
 const LATE_BIT: u32 = 1;
 /// Time limit of a request that will miss its target, in multiples of its expected service time.
 const LATE_SERVICE_TIMES: u32 = 2;
-/// Shortest time limit of a request that can meet its target when it runs at once. A call with a
-/// short target is part of another request, which fails as a whole when the call is refused.
-const MIN_TIME_LIMIT: Duration = Duration::from_millis(400);
+/// Shortest time limit of a call that can meet its target when it runs at once. A call is part of
+/// another request, which fails as a whole when the call is refused.
+const MIN_CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Assumed value of a late answer, relative to that of an answer in time.
+const LATE_VALUE: f64 = 0.3;
 /// Time for an answer to reach the caller from the backend server.
 const DELIVERY_TIME: Duration = Duration::from_millis(50);
 /// Shortest delay before a retry that a refused caller is given.
@@ -114,6 +116,7 @@
     waiting: collections::BTreeMap<(u32, Ticket), Offer>,
     service_times: estimate::ServiceTimes,
     shares: fairness::Shares,
+    timely: fairness::Timely,
     /// Latest starts, if the backend server may be cold.
     window: Option<pace::Window>,
     /// Whether the window limits the starts.
@@ -130,6 +133,7 @@
             waiting: collections::BTreeMap::new(),
             service_times: estimate::ServiceTimes::new(),
             shares: fairness::Shares::default(),
+            timely: fairness::Timely::new(),
             window: None,
             is_paced: false,
         }
@@ -209,13 +213,38 @@
             fairness::Share::Starved => offer.rank.min(MIN_REQUEST_RANK),
             fairness::Share::Sufficient => offer.rank,
         };
+        let is_late = self.is_late(now, &offer);
+        if is_late && self.must_yield(&offer) {
+            return Decision::Refuse(self.service_time(now, offer.class).max(MIN_RETRY_AFTER));
+        }
         let decision = self.admit(now, Offer { rank, ..offer });
-        if !matches!(decision, Decision::Refuse(_)) {
+        let is_admitted = !matches!(decision, Decision::Refuse(_));
+        if is_admitted {
             self.shares.admit(offer.class);
         }
+        if !is_late {
+            self.timely.record(is_admitted);
+        }
         decision
     }
 
+    /// Returns whether a request misses its target even if it starts now.
+    fn is_late(&self, now: clock::Instant, offer: &Offer) -> bool {
+        now + self.service_time(now, offer.class) > offer.useful_until
+    }
+
+    /// Returns whether a request that misses its target leaves its slot to others.
+    ///
+    /// A late request displaces one that could be in time as often as such requests are refused. When
+    /// that costs more than its own answer is worth, it may only use the part of the slots that they
+    /// leave. A call always may run: the request behind it can be in time.
+    fn must_yield(&self, offer: &Offer) -> bool {
+        let ratio = self.timely.ratio();
+        let left = (f64::from(self.slots) * ratio).ceil();
+        let is_displacing = 1.0 - ratio > LATE_VALUE && f64::from(self.running + 1) > left;
+        is_displacing && offer.rank >= MIN_REQUEST_RANK
+    }
+
     /// Returns the retry delay of a request if it would be refused now.
     ///
     /// Unlike [`Gate::offer`], this changes no state.
@@ -244,7 +273,7 @@
     fn admit(&mut self, now: clock::Instant, mut offer: Offer) -> Decision {
         // A response after its target is worth less than one in time, so this request is queued
         // behind those that can still meet theirs.
-        if now + self.service_time(now, offer.class) > offer.useful_until {
+        if self.is_late(now, &offer) {
             offer.rank |= LATE_BIT;
         }
         if self.has_room(now) && self.waiting.is_empty() {
@@ -278,7 +307,10 @@
         let limit = if now + service <= offer.useful_until {
             // With the mean alone, half of the requests at the end of the queue would be late.
             end = end + self.service_times.deviation(now, offer.class);
-            offer.useful_until.max(now + MIN_TIME_LIMIT)
+            match offer.rank < MIN_REQUEST_RANK {
+                true => offer.useful_until.max(now + MIN_CALL_LIMIT),
+                false => offer.useful_until,
+            }
         } else {
             // A request that misses its target anyway must not wait for long.
             now + service * LATE_SERVICE_TIMES
--- a/crates/dispatch/src/admission/fairness.rs
+++ b/crates/dispatch/src/admission/fairness.rs
@@ -37,6 +37,27 @@
     }
 }
 
+/// Weight of a new request in the moving average of the admitted part.
+const TIMELY_WEIGHT: f64 = 0.03;
+
+/// Part of the requests in time for their target that were admitted lately.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Timely(f64);
+
+impl Timely {
+    pub(super) const fn new() -> Self {
+        Self(1.0)
+    }
+
+    pub(super) fn record(&mut self, is_admitted: bool) {
+        self.0 += TIMELY_WEIGHT * (f64::from(u8::from(is_admitted)) - self.0);
+    }
+
+    pub(super) const fn ratio(self) -> f64 {
+        self.0
+    }
+}
+
 /// How far a class gets less than its share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Share {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -12,9 +12,12 @@
 /// Cost of a request to another failure domain, in seconds: the round trip, and the charge for
 /// traffic between domains.
 const CROSS_DOMAIN_S: f64 = 0.012;
-/// Cost of each kibibyte sent to another failure domain, in seconds. Traffic between domains is
-/// charged, so an upload leaves its domain only to avoid a considerable wait.
-const CROSS_DOMAIN_PER_KIB_S: f64 = 0.001;
+/// Cost of each kibibyte that crosses to another failure domain or back, in seconds. Traffic between
+/// domains is charged, so a request leaves its domain only to avoid a considerable wait.
+const CROSS_DOMAIN_PER_KIB_S: f64 = 0.02;
+/// Largest such cost, as a part of the time left until the target of the request: the traffic must
+/// not make it late.
+const MAX_CROSS_DOMAIN_FRACTION: f64 = 0.2;
 /// Time constant of the decay of load reports, after which one has about a third of its weight;
 /// close to the service time of requests.
 const LOAD_DECAY_TIME: Duration = Duration::from_millis(400);
@@ -23,6 +26,26 @@
 /// Maximum number of backend servers that are compared in other failure domains.
 const CROSS_DOMAIN_SAMPLE: usize = 2;
 
+/// What the cost of a request depends on, apart from the backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Request {
+    /// Length of its body, in bytes.
+    pub bytes: usize,
+    /// Expected length of the body of its response, in bytes.
+    pub response_bytes: usize,
+    /// Time left until its target.
+    pub useful: Duration,
+}
+
+impl Request {
+    /// Returns the cost of sending it to another failure domain, in seconds.
+    fn cross_domain_cost(&self) -> f64 {
+        let kib = (self.bytes + self.response_bytes) as f64 / 1_024.0;
+        let limit = self.useful.as_secs_f64() * MAX_CROSS_DOMAIN_FRACTION;
+        CROSS_DOMAIN_S + (kib * CROSS_DOMAIN_PER_KIB_S).min(limit)
+    }
+}
+
 /// A backend server that the request may be sent to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -41,8 +64,8 @@
 }
 
 impl Candidate {
-    /// Returns the cost of sending a request with a body of `body_bytes` to this backend server:
-    /// its expected response time in seconds, raised by its failure rate.
+    /// Returns the cost of sending a request to this backend server: its expected response time in
+    /// seconds, raised by its failure rate.
     ///
     /// `mean_busy` is the estimated share of occupied slots in the whole service.
     ///
@@ -62,9 +85,14 @@
     ///     failure_rate: 0.0,
     /// };
     /// let cross_domain = choice::Candidate { is_same_domain: false, ..same_domain };
-    /// assert!(same_domain.cost(1_000, 0.5) < cross_domain.cost(1_000, 0.5));
+    /// let request = choice::Request {
+    ///     bytes: 1_000,
+    ///     response_bytes: 200,
+    ///     useful: Duration::from_millis(500),
+    /// };
+    /// assert!(same_domain.cost(&request, 0.5) < cross_domain.cost(&request, 0.5));
     /// ```
-    pub fn cost(&self, body_bytes: usize, mean_busy: f64) -> f64 {
+    pub fn cost(&self, request: &Request, mean_busy: f64) -> f64 {
         let slots = f64::from(self.load.slots.max(1));
         let freshness = self.freshness();
         let occupied = freshness * self.reported_requests() + (1.0 - freshness) * mean_busy * slots;
@@ -76,9 +104,9 @@
         let domain_cost = if self.is_same_domain {
             0.0
         } else {
-            CROSS_DOMAIN_S + body_bytes as f64 / 1_024.0 * CROSS_DOMAIN_PER_KIB_S
+            request.cross_domain_cost()
         };
-        let transfer = match body_bytes {
+        let transfer = match request.bytes {
             0 => 0.0,
             bytes => self.link.expected_time(bytes).as_secs_f64() * freshness,
         };
@@ -106,9 +134,9 @@
 /// ```
 /// use sequoiayoke_dispatch::choice;
 ///
-/// assert_eq!(choice::best(&[], 0, 7), None);
+/// assert_eq!(choice::best(&[], &choice::Request::default(), 7), None);
 /// ```
-pub fn best(candidates: &[Candidate], body_bytes: usize, seed: u64) -> Option<usize> {
+pub fn best(candidates: &[Candidate], request: &Request, seed: u64) -> Option<usize> {
     let (mut busy, mut weight) = (0.0, 0.0);
     for candidate in candidates {
         let freshness = candidate.freshness();
@@ -131,7 +159,7 @@
     ));
     compared
         .into_iter()
-        .map(|index| (index, candidates[index].cost(body_bytes, mean_busy)))
+        .map(|index| (index, candidates[index].cost(request, mean_busy)))
         .min_by(|(_, left), (_, right)| left.total_cmp(right))
         .map(|(index, _)| index)
 }
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -1,6 +1,7 @@
 //! Route lookup, and weighted choice between the services of a route.
 
 use std::collections;
+use std::hash::{self, Hash, Hasher};
 use std::time::Duration;
 
 use sequoiayoke_catalog::config;
@@ -26,7 +27,8 @@
 pub struct Entry {
     /// The route.
     pub route: config::Route,
-    /// Index of the route in its configuration, used as the class in service time statistics.
+    /// Class of the route's requests in the statistics of all nodes. It stays the same when other routes
+    /// are added or removed.
     pub class: u64,
     current_weights: Vec<f64>,
     /// Wait that callers accept on their first attempt.
@@ -47,9 +49,9 @@
     /// ```
     pub fn new(config: &config::Config) -> Self {
         let mut hosts: collections::HashMap<String, Vec<Entry>> = collections::HashMap::new();
-        for (index, route) in config.routes.iter().enumerate() {
+        for route in &config.routes {
             let entry = Entry {
-                class: index as u64,
+                class: class(route),
                 first_max_wait: None,
                 current_weights: vec![0.0; route.shares.len()],
                 route: route.clone(),
@@ -73,6 +75,13 @@
     }
 }
 
+/// Returns the class of a route's requests.
+fn class(route: &config::Route) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    (&route.name, &route.host, &route.prefix).hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Entry {
     /// Estimates how long a caller that accepts a wait of `max_wait` has waited already.
     ///
--- a/crates/dispatch/tests/first_attempts.rs
+++ b/crates/dispatch/tests/first_attempts.rs
@@ -66,3 +66,33 @@
     let estimate = waited(&mut table, FIRST);
     assert!(estimate < Duration::from_millis(100), "{estimate:?}");
 }
+
+/// Guards against a route that inherits the measured run time of another one, and is refused for good
+/// if that is long: a route is added before it.
+#[test]
+fn a_route_keeps_its_class_when_another_is_added_before_it() {
+    let route = |name: &str| config::Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: format!("/{name}/"),
+        kind: config::Kind::Idempotent,
+        timeout_ms: 800,
+        target_ms: 400,
+        priority: 0,
+        max_attempts: 2,
+        shares: Vec::new(),
+    };
+    let class = |routes: &[&str], path: &str| {
+        let mut table = route::Table::new(&config::Config {
+            routes: routes.iter().map(|name| route(name)).collect(),
+            ..config::Config::default()
+        });
+        table
+            .find("a.example", path)
+            .expect("the route exists")
+            .class
+    };
+    let before = class(&["report"], "/report/x");
+    assert_eq!(class(&["status", "report"], "/report/x"), before);
+    assert_ne!(class(&["status", "report"], "/status/x"), before);
+}
--- a/crates/dispatch/tests/overload.rs
+++ b/crates/dispatch/tests/overload.rs
@@ -19,6 +19,14 @@
     }
 }
 
+fn request(bytes: usize) -> choice::Request {
+    choice::Request {
+        bytes,
+        response_bytes: 0,
+        useful: Duration::from_millis(500),
+    }
+}
+
 /// Guards against a queue that grows under overload until every request misses its target.
 /// Admitted requests must finish within theirs.
 #[test]
@@ -155,7 +163,10 @@
         is_same_domain: true,
         ..good
     };
-    assert_eq!(choice::best(&[slow, failing, good], 1_000, 0), Some(2));
+    assert_eq!(
+        choice::best(&[slow, failing, good], &request(1_000), 0),
+        Some(2)
+    );
 }
 
 /// Guards against a report that merges a hot key with its neighbours, so that it cannot be moved
@@ -322,7 +333,8 @@
                 failure_rate: 0.0,
             })
             .collect();
-        let best = choice::best(&candidates, 0, number as u64).expect("there are candidates");
+        let best =
+            choice::best(&candidates, &request(0), number as u64).expect("there are candidates");
         running[best] += 1;
         ends.push((ms + work, best));
         let load = admission::Load {
@@ -432,11 +444,14 @@
         ..same_domain
     };
     assert_eq!(
-        choice::best(&[same_domain, cross_domain], 60_000, 0),
+        choice::best(&[same_domain, cross_domain], &request(60_000), 0),
         Some(1)
     );
     // A request without a body is not affected by the load of the links.
-    assert_eq!(choice::best(&[same_domain, cross_domain], 0, 0), Some(0));
+    assert_eq!(
+        choice::best(&[same_domain, cross_domain], &request(0), 0),
+        Some(0)
+    );
 }
 
 /// Offers requests of a class of which `admitted` are queued and cancelled, and `refused` refused.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -48,6 +48,11 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Largest number of log lines about requests that the end of the process drops.
 const MAX_DROPPED_LINES: usize = 50;
+/// Weight of a new response in the mean size of those of its class.
+const RESPONSE_SIZE_WEIGHT: f64 = 0.05;
+/// Largest number of classes whose sizes are kept; those of former configurations are dropped beyond it.
+const MAX_CLASSES: usize = 4_096;
+
 /// Listeners that were opened at the start.
 #[derive(Debug)]
 pub struct Listeners {
@@ -84,6 +89,8 @@
     observations: cell::RefCell<collections::HashMap<id::Server, path::Observation>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
     probes: cell::RefCell<collections::HashMap<String, probe::Probes>>,
+    /// Mean size of the bodies of responses, in bytes, by class.
+    response_sizes: cell::RefCell<collections::HashMap<u64, f64>>,
     requests: rc::Rc<requests::Requests>,
     /// Number of callers' connections on which a part of a request was read.
     partly_read: count::Count,
@@ -120,6 +127,22 @@
 }
 
 impl<Frontend> Context<Frontend> {
+    /// Returns the expected size of the body of a response to a request of `class`, in bytes.
+    fn response_size(&self, class: u64) -> usize {
+        let sizes = self.response_sizes.borrow();
+        sizes.get(&class).map_or(0, |mean| *mean as usize)
+    }
+
+    /// Records the size of the body of a response to a request of `class`.
+    fn record_response_size(&self, class: u64, bytes: usize) {
+        let mut sizes = self.response_sizes.borrow_mut();
+        if sizes.len() > MAX_CLASSES {
+            sizes.clear();
+        }
+        let mean = sizes.entry(class).or_insert(bytes as f64);
+        *mean += RESPONSE_SIZE_WEIGHT * (bytes as f64 - *mean);
+    }
+
     fn view(&self) -> sync::Arc<view::View> {
         self.shared.view.load_full()
     }
@@ -202,6 +225,7 @@
         observations: cell::RefCell::default(),
         budgets: cell::RefCell::default(),
         probes: cell::RefCell::default(),
+        response_sizes: cell::RefCell::default(),
         requests: rc::Rc::default(),
         partly_read: count::Count::default(),
         log_quota: cell::RefCell::new(quota::Quota::new(MAX_LOG_LINES, LOG_LINES_INTERVAL)),
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -276,6 +276,7 @@
                 body,
             } => {
                 log_late(context, &delivery, target.id);
+                context.record_response_size(delivery.class, body.len());
                 return Ok(build_answer(&delivery, status, &fields, body));
             }
             peer::Outcome::NotRun {
--- a/crates/gateway/src/traffic/path/target.rs
+++ b/crates/gateway/src/traffic/path/target.rs
@@ -106,8 +106,12 @@
             }
         })
         .collect();
-    let bytes = delivery.body.as_ref().map_or(0, Bytes::len);
-    let best = choice::best(&candidates, bytes, seed(delivery))?;
+    let request = choice::Request {
+        bytes: delivery.body.as_ref().map_or(0, Bytes::len),
+        response_bytes: context.response_size(delivery.class),
+        useful: now.saturating_until(delivery.useful_until),
+    };
+    let best = choice::best(&candidates, &request, seed(delivery))?;
     Some(Choice {
         server: available[best].clone(),
         is_last,
