Bound what callers hold of a gateway, and choose who gives way

Cause: each connection of a caller could hold a body of the configured limit, 16 requests and their answers, and all connections together had no bound.

Change: an account of bytes and connections (dispatch::ledger) with a part of the memory and descriptors of the new settings limits.memory_mib and limits.descriptors. Reading stops while there is no room; the connection that awaits its caller and has held the most for the longest without progress is closed, a request that was read in part is refused with 503. Bodies grow by half instead of doubling. The memory for responses follows the setting.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod ledger;
 pub mod memory;
 pub mod outcomes;
 pub mod pace;
--- a/crates/dispatch/tests/yielding.rs
+++ b/crates/dispatch/tests/yielding.rs
@@ -52,8 +52,9 @@
                 }
             }
         }
-        if ms < 20_000 && ms % interval_ms == 0 {
-            let useful_ms = if ms / interval_ms % 3 == 0 { 20 } else { 250 };
+        if ms < 20_000 && ms.is_multiple_of(interval_ms) {
+            let is_late = (ms / interval_ms).is_multiple_of(3);
+            let useful_ms = if is_late { 20 } else { 250 };
             let offered = offer(now, useful_ms);
             match gate.offer(now, offered) {
                 admission::Decision::Start => started.push(offered.useful_until),
--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -27,6 +27,8 @@
     cancelled: metrics::Counter,
     in_progress: metrics::Gauge,
     partly_read: metrics::Gauge,
+    held_by_callers: metrics::Gauge,
+    closed_callers: metrics::Counter,
     response_peak: metrics::Gauge,
     index: metrics::Gauge,
     version: metrics::Gauge,
@@ -88,6 +90,14 @@
                 "connections_partly_read",
                 "Connections of callers on which a part of a request was read.",
             ),
+            held_by_callers: metrics.gauge(
+                "callers_held_bytes",
+                "Bytes of requests that are being read or run and of answers that are not read.",
+            ),
+            closed_callers: metrics.counter(
+                "callers_closed",
+                "Connections of callers that were closed for lack of room, by reason.",
+            ),
             response_peak: metrics.gauge(
                 "response_bytes_peak",
                 "Largest size of all responses that were read and requests that were answered early at the same time.",
@@ -148,6 +158,15 @@
         self.partly_read.set(connections as f64, &labels);
     }
 
+    pub(crate) fn set_held_by_callers(&self, bytes: usize) {
+        self.held_by_callers.set(bytes as f64, &label::Set::empty());
+    }
+
+    pub(crate) fn record_closed_caller(&self, reason: &'static str) {
+        let labels = label::Set::new([label::Label::Kind(reason)]);
+        self.closed_callers.add(1, &labels);
+    }
+
     pub(crate) fn set_response_peak(&self, bytes: usize) {
         self.response_peak.set(bytes as f64, &label::Set::empty());
     }
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -56,6 +56,26 @@
     pub evacuate: Duration,
     /// Backend servers that are cold.
     pub cold_start: ColdStart,
+    /// Limits of the process.
+    pub limits: Limits,
+}
+
+/// Limits of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory, in bytes.
+    pub memory: usize,
+    /// Number of descriptors.
+    pub descriptors: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory: 160 * 1024 * 1024,
+            descriptors: 4_096,
+        }
+    }
 }
 
 /// Pace of backend servers that are cold, in services whose configuration states what they bear.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -86,6 +86,8 @@
     routes: cell::RefCell<Routes>,
     backend: backend::Backend,
     peers: peers::Peers,
+    /// What callers hold.
+    account: rc::Rc<callers::Account>,
     observations: cell::RefCell<collections::HashMap<id::Server, path::Observation>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
     probes: cell::RefCell<collections::HashMap<String, probe::Probes>>,
@@ -215,7 +217,8 @@
         TcpListener::from_std(listeners.announcements).change_context_lazy(error)?;
     let peers = TcpListener::from_std(listeners.peers).change_context_lazy(error)?;
     let context = rc::Rc::new(Context {
-        backend: backend::Backend::new(settings.backend, settings.bandwidth),
+        backend: backend::Backend::new(&settings),
+        account: rc::Rc::new(callers::Account::new(&settings.limits)),
         settings,
         frontend,
         shared,
@@ -336,6 +339,7 @@
         context.measure.set_in_progress(stage, count);
     }
     context.measure.set_partly_read(context.partly_read.get());
+    context.measure.set_held_by_callers(context.account.used());
     let (load, link) = (context.backend.load(), context.backend.link_load());
     match context
         .measure
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -26,6 +26,7 @@
 use super::{Context, peers, serving};
 use crate::coordinator;
 use crate::frontend;
+use crate::root;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -139,18 +140,17 @@
 }
 
 impl Backend {
-    /// Creates the backend server at `address`, to whose VM a link with this bandwidth leads, in
-    /// bits per second.
-    pub(super) fn new(address: net::SocketAddr, bandwidth: f64) -> Self {
+    /// Creates the backend server beside a node with these settings.
+    pub(super) fn new(settings: &root::Settings) -> Self {
         Self {
-            address,
+            address: settings.backend,
             gate: cell::RefCell::new(admission::Gate::new(1)),
             waiting: cell::RefCell::default(),
             idle: cell::RefCell::default(),
             usage: cell::RefCell::default(),
-            transfers: bodies::Transfers::new(bandwidth),
+            transfers: bodies::Transfers::new(settings.bandwidth),
             outcomes: cell::RefCell::default(),
-            memory: exchange::Memory::default(),
+            memory: exchange::Memory::new(settings.limits.memory),
             cold: cold::Cold::default(),
         }
     }
--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -20,9 +20,9 @@
 };
 /// Smallest size of the buffer for one read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
-/// Largest size of all responses that are read at the same time and of all requests that were
-/// answered early, in bytes. One of the largest size fits beside small ones; see [`memory::Pool`].
-const MAX_MEMORY: usize = 40 * 1024 * 1024;
+/// Percentage of the memory of the process for all responses that are read at the same time and all
+/// requests that were answered early.
+const MEMORY_PERCENT: usize = 25;
 /// Percentage of the backend server's own idle timeout after which a connection is not reused.
 const IDLE_TIMEOUT_PERCENT: u32 = 80;
 /// Longest time to write the remainder of a body after an early answer.
@@ -34,9 +34,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct Memory(rc::Rc<cell::RefCell<memory::Pool>>);
 
-impl Default for Memory {
-    fn default() -> Self {
-        let pool = memory::Pool::new(MAX_MEMORY);
+impl Memory {
+    /// Creates the part of the memory of the process that is for responses.
+    pub(super) fn new(process_memory: usize) -> Self {
+        let pool = memory::Pool::new(process_memory / 100 * MEMORY_PERCENT);
         Self(rc::Rc::new(cell::RefCell::new(pool)))
     }
 }
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -4,16 +4,18 @@
 //! The connection is read meanwhile, so that its end is noticed at once: its requests are dropped,
 //! which cancels them at the backend servers.
 
+mod account;
+
 use std::io;
 use std::net;
 use std::rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use futures_util::stream::FuturesOrdered;
 use futures_util::{FutureExt, StreamExt};
 use sequoiayoke_catalog::config;
-use sequoiayoke_dispatch::shutdown;
+use sequoiayoke_dispatch::{ledger, shutdown};
 use sequoiayoke_http1::request;
 use sequoiayoke_model::clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -24,8 +26,8 @@
 use super::{Context, path};
 use crate::frontend;
 
-/// Largest number of requests of one connection that run concurrently; further ones stay unread.
-const MAX_PIPELINED: usize = 16;
+pub(super) use account::Account;
+
 /// Largest body that is accepted, in bytes. Bodies are held whole, so that a request that did not
 /// run can be retried.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
@@ -39,6 +41,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Bytes of buffer that are reserved for each read.
 const READ_BYTES: usize = 8 * 1024;
+/// Longest time to write the refusal to a caller that gives way to others.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Accepts connections of callers until the node takes no more.
 ///
@@ -50,8 +54,12 @@
 {
     let mut closed = std::pin::pin!(context.reached(shutdown::Phase::Closed));
     loop {
+        let accepted = async {
+            context.account.wait_for_connection().await;
+            listener.accept().await
+        };
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = accepted => match accepted {
                 Ok((io, address)) => spawn(io, address, &context),
                 Err(error) => {
                     tracing::warn!(%error, "no connection could be accepted");
@@ -72,10 +80,11 @@
 {
     // A connection counts from its accept: a request may already have been sent on it.
     let open = context.caller_connections.enter();
+    let holding = rc::Rc::new(account::Holding::new(&context.account));
     let context = rc::Rc::clone(context);
     tokio::task::spawn_local(async move {
         let _open = open;
-        if let Err(error) = serve(io, &context).await {
+        if let Err(error) = serve(io, &holding, &context).await {
             tracing::debug!(%address, %error, "the connection of a caller ended");
         }
     });
@@ -92,6 +101,8 @@
     Stopping,
     /// The caller sent bytes that are no request within the limits.
     Malformed,
+    /// Callers hold too much, and this one has held the most for the longest without progress.
+    NoRoom,
 }
 
 /// Logs a close after which a request that was read in part stays without an answer.
@@ -118,23 +129,50 @@
 }
 
 /// Serves the requests of a connection, then closes it.
-async fn serve<Frontend>(mut io: TcpStream, context: &rc::Rc<Context<Frontend>>) -> io::Result<()>
+async fn serve<Frontend>(
+    mut io: TcpStream,
+    holding: &rc::Rc<account::Holding>,
+    context: &rc::Rc<Context<Frontend>>,
+) -> io::Result<()>
 where
     Frontend: frontend::Frontend,
 {
     io.set_nodelay(true)?;
     let mut input = BytesMut::new();
     let mut decoder = request::Decoder::new();
-    let Some(reason) = serve_requests(&mut io, &mut input, &mut decoder, context).await? else {
+    let served = serve_requests(&mut io, &mut input, &mut decoder, holding, context);
+    let served = tokio::select! {
+        biased;
+        () = holding.must_close() => Ok(Some(Close::NoRoom)),
+        served = served => served,
+    };
+    let Some(reason) = served? else {
         return Ok(());
     };
     log_close(context, reason, &decoder, &input);
+    if reason == Close::NoRoom {
+        context.measure.record_closed_caller("no-room");
+        return refuse(&mut io, &decoder).await;
+    }
     io.shutdown().await?;
     let discarded = time::timeout(CLOSE_TIMEOUT, discard_input(&mut io, input));
     // A caller that keeps its end open has had the time to read the last answer.
     discarded.await.unwrap_or(Ok(()))
 }
 
+/// Closes a connection at once, so that what it holds is free; a request that was read in part is
+/// refused if the caller can be told without a wait.
+async fn refuse(io: &mut TcpStream, decoder: &request::Decoder) -> io::Result<()> {
+    if !decoder.is_open() {
+        return Ok(());
+    }
+    let refusal = path::unread(path::Unread::NoRoom);
+    let mut bytes = refusal.head;
+    bytes.extend_from_slice(b"connection: close\r\n\r\n");
+    let written = time::timeout(REFUSAL_TIMEOUT, io.write_all(&bytes)).await;
+    written.unwrap_or(Ok(()))
+}
+
 /// Reads until the caller has closed the connection.
 ///
 /// Closing a connection with unread input resets it, which can destroy an answer on its way.
@@ -154,6 +192,7 @@
     io: &mut TcpStream,
     input: &mut BytesMut,
     decoder: &mut request::Decoder,
+    holding: &rc::Rc<account::Holding>,
     context: &rc::Rc<Context<Frontend>>,
 ) -> io::Result<Option<Close>>
 where
@@ -161,7 +200,7 @@
 {
     // Each request is a task, so that it goes on while an answer before it is written. Dropping the
     // handle cancels it.
-    let mut running = FuturesOrdered::<task::AbortOnDropHandle<path::Answer>>::new();
+    let mut running = FuturesOrdered::<task::AbortOnDropHandle<Served>>::new();
     let mut is_last = false;
     let mut is_continue_due = false;
     // A caller that connects to a stopping node gets one answer.
@@ -182,24 +221,33 @@
             head: limits.max_header_bytes as usize,
             body: limits.max_body_bytes.min(MAX_BODY_BYTES),
         };
-        while !is_last && running.len() < MAX_PIPELINED {
+        let max_pipelined = context.account.max_pipelined();
+        while !is_last && running.len() < max_pipelined {
             match decoder.decode(input, bounds) {
                 Ok(request::Event::Request(request)) => {
                     is_last = !request.head.keeps_alive;
                     is_new = false;
                     let now = clock::Instant::now();
+                    // What was read of it is counted with the request from now on.
+                    holding.reserve(input.len());
+                    let mut share = account::Share::new(holding, request.body.len());
                     let serving = path::serve(rc::Rc::clone(context), request, now);
-                    let serving = tokio::task::spawn_local(serving);
+                    let serving = tokio::task::spawn_local(async move {
+                        let answer = serving.await;
+                        share.resize(answer.body.len());
+                        Served { answer, share }
+                    });
                     running.push_back(task::AbortOnDropHandle::new(serving));
                     last_activity = time::Instant::now();
                 }
                 Ok(request::Event::Continue) => is_continue_due = true,
                 Ok(request::Event::More) => break,
                 Err(fault) => {
-                    while let Some(answer) = running.next().await {
-                        write(io, answer.map_err(io::Error::other)?, false).await?;
+                    while let Some(served) = running.next().await {
+                        let served = served.map_err(io::Error::other)?;
+                        write(io, served.answer, false, holding).await?;
                     }
-                    write(io, path::malformed(fault), true).await?;
+                    write(io, path::malformed(fault), true, holding).await?;
                     return Ok(Some(Close::Malformed));
                 }
             }
@@ -232,14 +280,27 @@
             let quiet_since = quiet_since.get_or_insert_with(time::Instant::now);
             until = until.min(*quiet_since + QUIET_TIME);
         }
-        input.reserve(READ_BYTES);
+        let room = match running.len() < max_pipelined {
+            true => Some(holding.reserve(input.len() + decoder.held() + READ_BYTES)),
+            false => None,
+        };
+        if room == Some(ledger::Room::Refused) {
+            return Ok(Some(Close::NoRoom));
+        }
+        let may_read = room == Some(ledger::Room::Granted);
+        if may_read {
+            input.reserve(READ_BYTES);
+        }
+        holding.set_awaits_caller(is_idle);
         tokio::select! {
             // What has arrived is read before an idle connection is closed.
             biased;
-            Some(answer) = running.next() => {
+            Some(served) = running.next() => {
                 let is_ending = is_last || phase >= shutdown::Phase::Leaving;
                 let is_closing = is_ending && running.is_empty();
-                write(io, answer.map_err(io::Error::other)?, is_closing).await?;
+                let served = served.map_err(io::Error::other)?;
+                write(io, served.answer, is_closing, holding).await?;
+                drop(served.share);
                 last_activity = time::Instant::now();
                 if is_closing {
                     let reason = match is_last {
@@ -249,11 +310,12 @@
                     return Ok(Some(reason));
                 }
             }
-            read = io.read_buf(input), if running.len() < MAX_PIPELINED => {
+            read = io.read_buf(input), if may_read => {
                 if read? == 0 {
                     // The caller has disconnected; dropping `running` cancels its requests.
                     return Ok(None);
                 }
+                holding.record_progress();
                 // The time limit of a head counts from its first byte.
                 if decoder.is_open() || !is_partly_read {
                     last_activity = time::Instant::now();
@@ -266,24 +328,45 @@
                     false => (Close::Timeout, path::Unread::Timeout),
                 };
                 if is_partly_read {
-                    write(io, path::unread(unread), true).await?;
+                    write(io, path::unread(unread), true, holding).await?;
                 }
                 return Ok(Some(reason));
             }
             // The phase of the stop is looked at again.
             _ = stop.changed() => {}
+            () = context.account.wait_until_freed(), if room.is_some() && !may_read => {}
         }
     }
 }
 
-async fn write(io: &mut TcpStream, answer: path::Answer, is_closing: bool) -> io::Result<()> {
-    let mut bytes = answer.head;
+/// The answer to a request, and the bytes that it holds.
+struct Served {
+    answer: path::Answer,
+    share: account::Share,
+}
+
+/// Writes an answer. Meanwhile the node waits for the caller to read it.
+async fn write(
+    io: &mut TcpStream,
+    answer: path::Answer,
+    is_closing: bool,
+    holding: &account::Holding,
+) -> io::Result<()> {
+    holding.set_awaits_caller(true);
+    let mut head = answer.head;
     if is_closing {
-        bytes.extend_from_slice(b"connection: close\r\n");
+        head.extend_from_slice(b"connection: close\r\n");
     }
-    bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(&answer.body);
-    write_bytes(io, &bytes).await
+    head.extend_from_slice(b"\r\n");
+    let mut bytes = Buf::chain(&head[..], &answer.body[..]);
+    let written = async {
+        while bytes.has_remaining() {
+            io.write_buf(&mut bytes).await?;
+            holding.record_progress();
+        }
+        Ok(())
+    };
+    time::timeout(WRITE_TIMEOUT, written).await?
 }
 
 async fn write_bytes(io: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
--- a/crates/gateway/src/traffic/path/answer.rs
+++ b/crates/gateway/src/traffic/path/answer.rs
@@ -142,13 +142,15 @@
     Timeout,
     /// The node is stopping.
     Stopping,
+    /// Callers hold too much.
+    NoRoom,
 }
 
 /// Returns the answer to a request that was not read completely, and so did not run.
 pub(in crate::traffic) fn unread(reason: Unread) -> Answer {
     let status = match reason {
         Unread::Timeout => 408,
-        Unread::Stopping => 503,
+        Unread::Stopping | Unread::NoRoom => 503,
     };
     let phrase = serve::reason_phrase(status);
     let retry_after = MIN_RETRY_AFTER.as_secs_f64();
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -68,7 +68,7 @@
 #[derive(Debug)]
 pub(crate) struct Body {
     framing: Framing,
-    content: BytesMut,
+    content: Vec<u8>,
     limit: u64,
     /// Number of bytes that extensions of chunks may still take.
     extensions_left: usize,
@@ -95,7 +95,7 @@
         };
         Ok(Self {
             framing,
-            content: BytesMut::new(),
+            content: Vec::new(),
             limit,
             extensions_left: MAX_EXTENSIONS,
             state,
@@ -129,8 +129,28 @@
         self.content.len()
     }
 
+    /// Returns the memory that the decoded bytes take, in bytes.
+    pub(crate) fn held(&self) -> usize {
+        self.content.capacity()
+    }
+
     pub(crate) fn finish(self) -> Bytes {
-        self.content.freeze()
+        self.content.into()
+    }
+
+    /// Makes room for `count` bytes. The memory grows by half each time, and not beyond the length that
+    /// the message states: its sender may never send the rest.
+    fn reserve(&mut self, count: usize) {
+        let length = self.content.len();
+        if self.content.capacity() - length >= count {
+            return;
+        }
+        let limit = match self.framing {
+            Framing::Length(total) => usize::try_from(total).unwrap_or(usize::MAX),
+            _ => usize::MAX,
+        };
+        let additional = (length / 2).min(limit - length).max(count);
+        self.content.reserve_exact(additional);
     }
 
     /// Makes one transition of the state; returns whether there was enough input for it.
@@ -144,8 +164,9 @@
                 if self.content.len() as u64 + count > self.limit {
                     return Err(Error::BodyTooLong);
                 }
-                let data = input.split_to(count as usize);
-                self.content.extend_from_slice(&data);
+                self.reserve(count as usize);
+                self.content.extend_from_slice(&input[..count as usize]);
+                input.advance(count as usize);
                 self.state = match (left - count, self.framing) {
                     (0, Framing::Chunked) => State::ChunkEnd,
                     (0, _) => State::Done,
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -91,6 +91,12 @@
         self.open.is_some()
     }
 
+    /// Returns the memory that the decoded part of an unfinished request takes, in bytes.
+    pub fn held(&self) -> usize {
+        let open = self.open.as_ref();
+        open.map_or(0, |(_, body)| body.held())
+    }
+
     /// Returns the head of the request whose body has not been decoded completely.
     ///
     /// # Examples
