--- a/crates/cli/src/diagnosis.rs
+++ b/crates/cli/src/diagnosis.rs
@@ -285,8 +285,13 @@
                 let (running, slots, waiting) =
                     (number("running"), number("slots"), number("waiting"));
                 let (service_ms, useful_ms) = (number("service_ms"), number("useful_ms"));
+                let is_cold = matches!(refusal.fields.get("is_cold"), Some(Value::Bool(true)));
+                let cold = match is_cold {
+                    true => "the backend server is cold and is sent few requests a second; ",
+                    false => "",
+                };
                 format!(
-                    "no room in time: {running} of {slots} slots run, {waiting} wait, \
+                    "{cold}no room in time: {running} of {slots} slots run, {waiting} wait, \
                      {service_ms} ms each, {useful_ms} ms left to the target"
                 )
             }
@@ -295,6 +300,7 @@
         },
         "not-owner" => "its key was changing hands".to_owned(),
         "draining" => "the backend server is leaving".to_owned(),
+        "evacuated" => "the failure domain of the backend server is evacuated".to_owned(),
         "stopping" => "the node beside the backend server was stopping".to_owned(),
         "unreachable" => "no connection to the backend server or its node".to_owned(),
         "other-instance" => "another run of a backend server was at the address".to_owned(),
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -14,10 +14,10 @@
 const CROSS_DOMAIN_S: f64 = 0.012;
 /// Cost of each kibibyte that crosses to another failure domain or back, in seconds. Traffic between
 /// domains is charged, so a request leaves its domain only to avoid a considerable wait.
-const CROSS_DOMAIN_PER_KIB_S: f64 = 0.02;
+const CROSS_DOMAIN_PER_KIB_S: f64 = 0.04;
 /// Largest such cost, as a part of the time left until the target of the request: the traffic must
 /// not make it late.
-const MAX_CROSS_DOMAIN_FRACTION: f64 = 0.2;
+const MAX_CROSS_DOMAIN_FRACTION: f64 = 0.3;
 /// Time constant of the decay of load reports, after which one has about a third of its weight;
 /// close to the service time of requests.
 const LOAD_DECAY_TIME: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -324,6 +324,7 @@
                 running = load.running,
                 waiting = load.waiting,
                 slots = load.slots,
+                is_cold = self.is_paced(clock::Instant::now()),
                 service_ms = (load.service_s * 1_000.0) as u64,
                 left_ms = open.left_ms,
                 useful_ms = open.useful_ms,
--- a/crates/settings/src/director.rs
+++ b/crates/settings/src/director.rs
@@ -1,5 +1,6 @@
 //! Settings of a control replica whose group bootstraps and reconfigures itself.
 
+use std::collections;
 use std::net;
 use std::path;
 use std::time::Duration;
@@ -14,9 +15,9 @@
     pub name: String,
     /// Region of the VM.
     pub region: String,
-    /// Failure domains of the deployment, which operators can evacuate.
+    /// Failure domains of the deployment, which operators can evacuate, with their regions.
     #[serde(default)]
-    pub failure_domains: Vec<String>,
+    pub failure_domains: Option<collections::BTreeMap<String, String>>,
     /// Directory of the replica's state.
     pub data: path::PathBuf,
     /// Addresses to listen on.
@@ -72,9 +73,9 @@
                 ),
                 field::Field::new(
                     "failure_domains",
-                    "list of names",
+                    "object",
                     "none",
-                    "text",
+                    "region by name",
                     "Failure domains of the deployment, which operators can evacuate; those of the backend servers are known without it.",
                 ),
                 field::Field::new(
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -32,8 +32,8 @@
     pub grace: span::Span,
     /// Time from the start of an evacuation until the backend servers of the failure domain get no
     /// requests.
-    #[serde(default = "default_evacuate")]
-    pub evacuate: span::Span,
+    #[serde(default)]
+    pub evacuate: Option<span::Span>,
     /// Backend servers that are cold.
     #[serde(default)]
     pub cold_start: ColdStart,
@@ -49,16 +49,20 @@
     1_000.0
 }
 
-fn default_evacuate() -> span::Span {
-    span::Span(Duration::from_secs(5))
-}
-
 /// Pace of backend servers that are cold, in services whose configuration states what they bear.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ColdStart {
     /// Requests in a second, in multiples of the rate that the configuration states.
-    pub factor: f64,
+    #[serde(default)]
+    pub factor: Option<f64>,
+}
+
+impl ColdStart {
+    /// Returns the factor, or its default.
+    pub fn factor(&self) -> f64 {
+        self.factor.unwrap_or(1.0)
+    }
 }
 
 /// Limits of the process, of which a part is for callers.
@@ -87,12 +91,6 @@
     }
 }
 
-impl Default for ColdStart {
-    fn default() -> Self {
-        Self { factor: 1.0 }
-    }
-}
-
 /// Addresses on which a node listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
@@ -143,6 +141,11 @@
 }
 
 impl Gateway {
+    /// Returns the time in which an evacuation takes effect, or its default.
+    pub fn evacuate(&self) -> Duration {
+        self.evacuate.map_or(Duration::from_secs(5), |span| span.0)
+    }
+
     /// Descriptions of all settings, by section.
     pub const SECTIONS: &[(&'static str, &'static [field::Field])] = &[
         (
@@ -340,7 +343,7 @@
             "retries.window",
             "must be positive",
         );
-        problems.require(!self.evacuate.0.is_zero(), "evacuate", "must be positive");
+        problems.require(!self.evacuate().is_zero(), "evacuate", "must be positive");
         problems.require(
             self.limits.memory_mib >= Limits::MIN_MEMORY_MIB,
             "limits.memory_mib",
@@ -352,7 +355,7 @@
             "must be at least 256",
         );
         problems.require(
-            self.cold_start.factor > 0.0 && self.cold_start.factor.is_finite(),
+            self.cold_start.factor() > 0.0 && self.cold_start.factor().is_finite(),
             "cold_start.factor",
             "must be positive",
         );
