Do not take an early success without length for complete before its upload is

Cause: a response without a length was complete at the end of the connection, also if the backend server had not read the request to its end: a server that answers a long upload at once and goes down looks the same.

Change: such a success is an unknown outcome. A reset was one before.

Statuses 000, 099, 600, 999, 20, 2000 and 20x are no answer; that held before.

--- a/crates/gateway/src/traffic/backend/exchange.rs
+++ b/crates/gateway/src/traffic/backend/exchange.rs
@@ -111,6 +111,12 @@
             // Several responses may arrive in one read.
             while let Some(response) = decoder.decode(input, LIMITS, read == 0)? {
                 if is_answer(&context.frontend.response_metadata(&response), id) {
+                    // Only the end of the connection has ended this response. A backend server that
+                    // has not read its request may have been about to send more.
+                    let is_whole = read > 0 || written == request.len();
+                    if !is_whole && (200..300).contains(&response.status) {
+                        return Err(sequoiayoke_http1::Error::Incomplete.into());
+                    }
                     break 'read response;
                 }
                 stray += 1;
