--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -386,20 +386,7 @@
         }
         self.outputs.measure.record_commands(outcome.applied.len());
         for applied in &outcome.applied {
-            if let machine::Command::Configure(order) = &applied.command {
-                let version = order.config.version.0;
-                let position = applied.position;
-                let outcome = &applied.result;
-                tracing::info!(version, %position, ?outcome, "an order was applied");
-            }
-            if let machine::Command::Evacuate(evacuation) = &applied.command {
-                let machine::Evacuation {
-                    domain,
-                    is_evacuated,
-                } = evacuation;
-                let position = applied.position;
-                tracing::info!(domain, is_evacuated, %position, "an evacuation was applied");
-            }
+            orders::log_applied(applied);
             if let Some(leader) = &mut self.leader {
                 let machine = self.driver.machine();
                 leader.applied(now, machine, &applied.command, &applied.result);
--- a/crates/director/src/coordinator/orders.rs
+++ b/crates/director/src/coordinator/orders.rs
@@ -4,6 +4,7 @@
 use sequoiayoke_catalog::machine;
 use sequoiayoke_consensus::position;
 use sequoiayoke_model::clock;
+use sequoiayoke_replication::driver;
 use tokio::sync::oneshot;
 
 use super::stopping::Stage;
@@ -110,3 +111,22 @@
         send_answer(order.reply, answer);
     }
 }
+
+/// Logs an operator's order that was applied.
+pub(super) fn log_applied(applied: &driver::Applied<machine::Command, machine::Output>) {
+    let position = applied.position;
+    match &applied.command {
+        machine::Command::Configure(order) => {
+            let (version, outcome) = (order.config.version.0, &applied.result);
+            tracing::info!(version, %position, ?outcome, "an order was applied");
+        }
+        machine::Command::Evacuate(evacuation) => {
+            let machine::Evacuation {
+                domain,
+                is_evacuated,
+            } = evacuation;
+            tracing::info!(domain, is_evacuated, %position, "an evacuation was applied");
+        }
+        _ => {}
+    }
+}
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -182,8 +182,8 @@
     /// Returns a connection that gives way, if the limit on bytes is passed.
     pub fn relieve(&mut self, now: clock::Instant) -> Option<Connection> {
         let closing = self.entries.values().filter(|entry| entry.is_closing);
-        let freed: usize = closing.map(|entry| entry.bytes).sum();
-        match self.used - freed > self.limits.bytes {
+        let returning: usize = closing.map(|entry| entry.bytes).sum();
+        match self.used - returning > self.limits.bytes {
             true => self.give_way(now),
             false => None,
         }
--- a/crates/gateway/src/traffic/backend.rs
+++ b/crates/gateway/src/traffic/backend.rs
@@ -5,6 +5,7 @@
 //! owner, even if the sending node has an outdated view.
 
 mod bodies;
+mod check;
 mod cold;
 mod connections;
 mod exchange;
@@ -47,11 +48,6 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
 /// Largest number of key ranges in a report of load.
 const MAX_USAGE_PARTS: usize = 24;
-/// Percentage of the drain time for which a draining backend server still accepts requests for its
-/// keys.
-const DRAIN_PERCENT: u32 = 60;
-/// The same percentage of the time in which an evacuation takes effect.
-const EVACUATE_PERCENT: u32 = 60;
 
 /// The backend server.
 pub(super) struct Backend {
@@ -208,7 +204,7 @@
         let arrived = clock::Instant::now();
         let now = arrived;
         let deadline = now + Duration::from_millis(u64::from(open.left_ms));
-        if let Err(reason) = check(context, open, now) {
+        if let Err(reason) = check::check(context, open, now) {
             return not_run(reason, Duration::ZERO, false);
         }
         let mut offer = admission::Offer {
@@ -255,7 +251,7 @@
         };
         // The view may have changed while the request waited.
         let now = clock::Instant::now();
-        if let Err(reason) = check(context, open, now) {
+        if let Err(reason) = check::check(context, open, now) {
             return not_run(reason, Duration::ZERO, false);
         }
         let max_idle = match open.is_idempotent {
@@ -464,38 +460,6 @@
     }
 }
 
-/// Checks whether a request may be sent to the backend server now.
-fn check<Frontend>(
-    context: &Context<Frontend>,
-    open: &peer::Open,
-    now: clock::Instant,
-) -> Result<(), peer::Reason> {
-    let view = context.view();
-    let settings = &context.settings;
-    let backend = view.backend.as_ref().ok_or(peer::Reason::OtherInstance)?;
-    let announced = &backend.announcement;
-    if announced.instance != open.instance || announced.service != open.service {
-        return Err(peer::Reason::OtherInstance);
-    }
-    if let Some(since) = backend.draining_since {
-        let limit = settings.drain * DRAIN_PERCENT / 100;
-        if open.key.is_none() || now.saturating_since(since) >= limit {
-            return Err(peer::Reason::Draining);
-        }
-    }
-    if let Some(since) = backend.evacuated_since {
-        // Keys are served until they have moved.
-        let limit = settings.evacuate * EVACUATE_PERCENT / 100;
-        if open.key.is_none() || now.saturating_since(since) >= limit {
-            return Err(peer::Reason::Evacuated);
-        }
-    }
-    match open.key {
-        Some(key) if !backend.holds(key, now) => Err(peer::Reason::NotOwner),
-        _ => Ok(()),
-    }
-}
-
 async fn connect(address: net::SocketAddr) -> Result<Connection, Error> {
     let result = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let io = match result {
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -334,7 +334,7 @@
             }
             // The phase of the stop is looked at again.
             _ = stop.changed() => {}
-            () = context.account.wait_until_freed(), if room.is_some() && !may_read => {}
+            () = context.account.wait_until_returned(), if room.is_some() && !may_read => {}
         }
     }
 }
--- a/crates/gateway/src/traffic/callers/account.rs
+++ b/crates/gateway/src/traffic/callers/account.rs
@@ -25,8 +25,8 @@
     limits: ledger::Limits,
     /// Notified when a connection must be closed.
     closers: cell::RefCell<SecondaryMap<ledger::Connection, rc::Rc<Notify>>>,
-    /// Notified when a connection or bytes have been freed.
-    freed: Notify,
+    /// Notified when a connection or bytes have been returned.
+    returned: Notify,
 }
 
 impl Account {
@@ -39,7 +39,7 @@
             ledger: cell::RefCell::new(ledger::Ledger::new(limits)),
             limits,
             closers: cell::RefCell::default(),
-            freed: Notify::new(),
+            returned: Notify::new(),
         }
     }
 
@@ -57,13 +57,13 @@
                 return;
             }
             self.close_for(room);
-            self.freed.notified().await;
+            self.returned.notified().await;
         }
     }
 
-    /// Waits until a connection or bytes have been freed.
-    pub(super) async fn wait_until_freed(&self) {
-        self.freed.notified().await;
+    /// Waits until a connection or bytes have been returned.
+    pub(super) async fn wait_until_returned(&self) {
+        self.returned.notified().await;
     }
 
     /// Returns the largest number of requests of one connection that run concurrently. While callers
@@ -157,7 +157,7 @@
             self.account.close_for(ledger::Room::After(chosen));
         }
         if after < before {
-            self.account.freed.notify_waiters();
+            self.account.returned.notify_waiters();
         }
     }
 }
@@ -166,7 +166,7 @@
     fn drop(&mut self) {
         self.account.ledger.borrow_mut().close(self.connection);
         self.account.closers.borrow_mut().remove(self.connection);
-        self.account.freed.notify_waiters();
+        self.account.returned.notify_waiters();
     }
 }
 
--- a/crates/http1/src/serve.rs
+++ b/crates/http1/src/serve.rs
@@ -3,6 +3,7 @@
 //! Requests of callers have their own listener.
 
 mod connection;
+mod memory;
 
 use std::future;
 use std::io;
@@ -28,6 +29,10 @@
 /// Largest size of a request's body, in bytes, unless the server has another bound. A configuration
 /// with thousands of routes fits.
 pub const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// Largest body of a request to a server of questions, in bytes.
+const SMALL_BODY_BYTES: u64 = 256 * 1024;
+/// Number of requests of the largest size that are read or handled at the same time.
+const LARGEST_AT_ONCE: usize = 3;
 /// Delay after which accepting is retried when it fails.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -101,7 +106,8 @@
     }
 }
 
-/// Answers the requests of all connections with `handler`; must run in a `LocalSet`.
+/// Answers the requests of all connections with `handler`; must run in a `LocalSet`. The requests
+/// are questions with a short body or none.
 ///
 /// # Errors
 ///
@@ -112,7 +118,8 @@
     Handler: Fn(request::Request) -> Answer + 'static,
     Answer: future::Future<Output = Reply> + 'static,
 {
-    Server::new(handler).run(listener).await
+    let server = Server::new(handler).with_max_body(SMALL_BODY_BYTES);
+    server.run(listener).await
 }
 
 /// A server of one listener.
@@ -125,6 +132,7 @@
     stop: Stop,
     close_timeout: Duration,
     max_body: u64,
+    memory: memory::Budget,
 }
 
 impl<Handler, Answer> Server<Handler>
@@ -142,12 +150,15 @@
             stop: Stop::new(),
             close_timeout: Duration::ZERO,
             max_body: MAX_BODY_BYTES,
+            memory: memory::Budget::new(LARGEST_AT_ONCE * MAX_BODY_BYTES as usize),
         }
     }
 
-    /// Bounds the body of a request, in bytes.
-    pub const fn with_max_body(mut self, max_body: u64) -> Self {
+    /// Bounds the body of a request, in bytes. All requests that are read or handled at the same
+    /// time take three times as much at most.
+    pub fn with_max_body(mut self, max_body: u64) -> Self {
         self.max_body = max_body;
+        self.memory = memory::Budget::new(LARGEST_AT_ONCE * max_body as usize);
         self
     }
 
@@ -219,10 +230,11 @@
         let handler = rc::Rc::clone(&self.handler);
         let stop = self.stop.clone();
         let max_body = self.max_body;
+        let memory = self.memory.share();
         if let Ok(permit) = sync::Arc::clone(&self.permits).try_acquire_owned() {
             self.connections.spawn_local(async move {
                 let _permit = permit;
-                let served = match connection::Connection::new(io, stop, max_body) {
+                let served = match connection::Connection::new(io, stop, max_body, memory) {
                     Ok(connection) => connection.run(&*handler).await,
                     Err(error) => Err(error),
                 };
@@ -236,19 +248,19 @@
         if let Ok(permit) = permit {
             self.connections.spawn_local(async move {
                 let _permit = permit;
-                log_end(address, &refuse(io, max_body).await);
+                log_end(address, &refuse(io, max_body, memory).await);
             });
         }
     }
 }
 
 /// Refuses the next request of a connection, and closes it.
-async fn refuse(io: TcpStream, max_body: u64) -> io::Result<()> {
+async fn refuse(io: TcpStream, max_body: u64, memory: memory::Share) -> io::Result<()> {
     // A connection of a server that has stopped is closed after its next request.
     let stop = Stop::new();
     stop.cancel();
     let handler = |_| async { Reply::new(503, "text/plain", "too many connections") };
-    let connection = connection::Connection::new(io, stop, max_body)?;
+    let connection = connection::Connection::new(io, stop, max_body, memory)?;
     connection.run(&handler).await
 }
 
--- a/crates/http1/src/serve/connection.rs
+++ b/crates/http1/src/serve/connection.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
-use super::Reply;
+use super::{Reply, memory};
 use crate::request;
 
 /// Largest size of a request's head, in bytes.
@@ -36,13 +36,19 @@
     decoder: request::Decoder,
     limits: request::Limits,
     stop: Stop,
+    memory: memory::Share,
 }
 
 impl Connection {
     /// Creates a connection that has received nothing. Once `stop` is cancelled, it is closed after
     /// the next answer, or without one if no request arrives.
     /// Creates a connection whose requests have a body of at most `max_body` bytes.
-    pub(super) fn new(io: TcpStream, stop: Stop, max_body: u64) -> io::Result<Self> {
+    pub(super) fn new(
+        io: TcpStream,
+        stop: Stop,
+        max_body: u64,
+        memory: memory::Share,
+    ) -> io::Result<Self> {
         io.set_nodelay(true)?;
         Ok(Self {
             io,
@@ -53,6 +59,7 @@
                 body: max_body,
             },
             stop,
+            memory,
         })
     }
 
@@ -67,6 +74,7 @@
                 Ok(request::Event::Request(request)) => {
                     let is_last = !request.head.keeps_alive;
                     let reply = handler(request).await;
+                    self.memory.resize(0);
                     let keeps_alive = !is_last && !self.stop.is_cancelled();
                     self.write(&encode(&reply, keeps_alive)).await?;
                     if !keeps_alive {
@@ -79,7 +87,13 @@
                 }
                 Ok(request::Event::More) => match self.read().await {
                     Ok(0) => return Ok(()),
-                    Ok(_) => {}
+                    Ok(_) => {
+                        let held = self.decoder.held() + self.input.len();
+                        if !self.memory.resize(held) {
+                            let reply = Reply::new(503, "text/plain", "too many requests at once");
+                            return self.reject(&reply).await;
+                        }
+                    }
                     Err(error) if error.kind() == io::ErrorKind::TimedOut => {
                         if !self.has_partial_request() {
                             return Ok(());
--- a/crates/http1/tests/serve.rs
+++ b/crates/http1/tests/serve.rs
@@ -240,3 +240,36 @@
     };
     task::LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a server that runs out of memory by bodies whose end does not arrive, and against
+/// an ordinary request that is refused beside them.
+#[tokio::test]
+async fn unfinished_bodies_share_their_memory() {
+    const BODY_BYTES: usize = 100_000;
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let handler = |_: request::Request| async { serve::Reply::new(200, "text/plain", "ok") };
+        let server = serve::Server::new(handler).with_max_body(BODY_BYTES as u64);
+        task::spawn_local(server.run(listener));
+        let mut refused = 0;
+        let mut open = Vec::new();
+        for _ in 0..10 {
+            let mut io = TcpStream::connect(address).await.expect("a connection");
+            let head = format!("POST / HTTP/1.1\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+            let mut request = head.into_bytes();
+            request.resize(request.len() + BODY_BYTES - 1, b'x');
+            // A refused client may be cut before it has sent all.
+            let sent = io.write_all(&request).await;
+            let mut answer = [0; 12];
+            let read = tokio::time::timeout(Duration::from_millis(200), io.read(&mut answer)).await;
+            let is_refused = matches!(read, Ok(Ok(12))) && answer.ends_with(b" 503");
+            refused += usize::from(is_refused || sent.is_err());
+            open.push(io);
+        }
+        // Three of the largest size fit.
+        assert!((6..=8).contains(&refused), "{refused} refused");
+        assert!(call(address).await > 0);
+    };
+    task::LocalSet::new().run_until(test).await;
+}
