--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod execution_log;
 pub mod fault;
 pub mod operator;
+pub mod port;
 pub mod process;
 pub mod proxy;
 pub mod settings;
