Bound what the connections of nodes and replicas hold

A client that found the port for nodes of a gateway, or one of the ports of a director, could make the process keep frames whose end did not arrive (98 MiB of 64 with 100 clients) and take its descriptors (730 of 600). Cause: each connection read a frame of up to 20 MiB whatever the others held. The account of the callers is now that of any listener (link::account), and messages are read within it (link::receive).

--- a/crates/director/src/measure.rs
+++ b/crates/director/src/measure.rs
@@ -17,6 +17,7 @@
     nodes: metrics::Gauge,
     voters: metrics::Gauge,
     evacuated: metrics::Gauge,
+    closed: metrics::Counter,
 }
 
 /// Current status of a replica.
@@ -50,6 +51,10 @@
             nodes: metrics.gauge("nodes", "Nodes in session."),
             voters: metrics.gauge("voters", "Voters of the group."),
             evacuated: metrics.gauge("evacuated_domains", "Evacuated failure domains."),
+            closed: metrics.counter(
+                "connections_closed",
+                "Connections that were closed for lack of room, by who had opened them.",
+            ),
             metrics,
         })
     }
@@ -59,6 +64,11 @@
         self.orders.add(1, &labels);
     }
 
+    pub(crate) fn record_closed(&self, opener: &'static str) {
+        let labels = label::Set::new([label::Label::Kind(opener)]);
+        self.closed.add(1, &labels);
+    }
+
     pub(crate) fn record_renewal(&self) {
         self.renewals.add(1, &label::Set::empty());
     }
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -14,6 +14,7 @@
 
 use error_stack::{Report, ResultExt};
 use sequoiayoke_consensus::{config, effect, members, snapshot};
+use sequoiayoke_dispatch::ledger;
 use sequoiayoke_model::id;
 use sequoiayoke_storage::{folder, identity};
 use sequoiayoke_supervise::{Stop, supervisor};
@@ -59,6 +60,47 @@
     pub inodes_change: bool,
     /// Length of a lease.
     pub lease: Duration,
+    /// Limits of the process.
+    pub limits: Limits,
+}
+
+/// Limits of the process, of which a part is for the connections of each listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory, in bytes.
+    pub memory: usize,
+    /// Number of descriptors.
+    pub descriptors: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory: 256 * 1024 * 1024,
+            descriptors: 4_096,
+        }
+    }
+}
+
+impl Limits {
+    /// Returns the given percentages of memory and descriptors, as what the connections of a listener
+    /// hold together.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_director::root;
+    ///
+    /// let limits = root::Limits { memory: 64_000_000, descriptors: 600 };
+    /// let part = limits.part(20, 50);
+    /// assert_eq!((part.bytes, part.connections), (12_800_000, 300));
+    /// ```
+    pub const fn part(&self, memory_percent: usize, descriptors_percent: usize) -> ledger::Limits {
+        ledger::Limits {
+            bytes: self.memory / 100 * memory_percent,
+            connections: self.descriptors * descriptors_percent / 100,
+        }
+    }
 }
 
 /// Errors of a control replica.
@@ -151,6 +193,7 @@
             published,
             measure: traffic_measure,
             replica_port: settings.replica_port,
+            limits: settings.limits,
             stop: signals.resigned.clone(),
         };
         let ended = (signals.closed.clone(), thread);
--- a/crates/director/src/traffic.rs
+++ b/crates/director/src/traffic.rs
@@ -27,6 +27,7 @@
 use crate::coordinator;
 use crate::measure;
 use crate::operator;
+use crate::root;
 
 /// Maximum number of frames that are queued for one replica.
 const LINK_QUEUE_CAPACITY: usize = 512;
@@ -57,6 +58,8 @@
     pub(crate) measure: sync::Arc<measure::Measure>,
     /// Port on which replicas listen for each other.
     pub replica_port: u16,
+    /// Limits of the process.
+    pub limits: root::Limits,
     /// Closes the connections of operators and nodes, and ends the thread.
     pub stop: Stop,
 }
--- a/crates/director/src/traffic/nodes.rs
+++ b/crates/director/src/traffic/nodes.rs
@@ -5,13 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use sequoiayoke_link::{codec, session};
+use sequoiayoke_link::{account, codec, receive, session};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::sync::{mpsc, oneshot};
 use tokio::{task, time};
-use tokio_util::codec::FramedRead;
 
 use super::Config;
 use super::replicas;
@@ -25,6 +23,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which a session that this replica has ended waits for the node to close the connection.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Percentage of the memory of the process that the connections of nodes may hold.
+const MEMORY_PERCENT: usize = 20;
+/// Percentage of the descriptors of the process that they may take.
+const DESCRIPTORS_PERCENT: usize = 60;
 /// Size of the buffer for bytes that are discarded.
 const DISCARD_BYTES: usize = 1_024;
 
@@ -32,14 +34,21 @@
 
 /// Accepts the connections of nodes until the replica stops, and waits until they are closed.
 pub(super) async fn accept(listener: TcpListener, config: rc::Rc<Config>) {
+    let limits = config.limits.part(MEMORY_PERCENT, DESCRIPTORS_PERCENT);
+    let account = rc::Rc::new(account::Account::new(limits));
     let mut sessions = task::JoinSet::new();
     loop {
+        let accepted = async {
+            account.wait_for_connection().await;
+            listener.accept().await
+        };
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = accepted => match accepted {
                 Ok((io, address)) => {
                     let config = rc::Rc::clone(&config);
+                    let holding = rc::Rc::new(account::Holding::new(&account));
                     sessions.spawn_local(async move {
-                        if let Err(error) = serve(io, &config).await {
+                        if let Err(error) = serve(io, &holding, &config).await {
                             tracing::debug!(%address, %error, "the session of a node ended");
                         }
                     });
@@ -57,7 +66,11 @@
     while sessions.join_next().await.is_some() {}
 }
 
-async fn serve(io: TcpStream, config: &Config) -> io::Result<()> {
+async fn serve(
+    io: TcpStream,
+    holding: &rc::Rc<account::Holding>,
+    config: &Config,
+) -> io::Result<()> {
     replicas::set_socket_options(&io)?;
     let (mut reader, mut writer) = io.into_split();
     let (queue, frames) = mpsc::channel(QUEUE_CAPACITY);
@@ -71,7 +84,11 @@
     };
     let (result, is_queue_closed) = tokio::select! {
         result = write(&mut writer, frames) => (result, true),
-        result = read(&mut reader, session, config) => (result, false),
+        result = read(&mut reader, holding, session, config) => (result, false),
+        () = holding.must_close() => {
+            config.measure.record_closed("nodes");
+            (Err(receive::no_room()), false)
+        }
     };
     // The leader keeps a session until it learns of the end, whichever side ended it.
     let down = coordinator::Event::NodeDown(session);
@@ -108,15 +125,16 @@
 
 async fn read(
     reader: &mut tcp::OwnedReadHalf,
+    holding: &rc::Rc<account::Holding>,
     session: coordinator::leader::Session,
     config: &Config,
 ) -> io::Result<()> {
-    let mut frames = FramedRead::new(reader, Codec::new());
+    let mut messages = receive::Messages::new(reader, Codec::new(), rc::Rc::clone(holding));
     loop {
-        let Some(frame) = time::timeout(IDLE_TIMEOUT, frames.next()).await? else {
+        let Some(message) = time::timeout(IDLE_TIMEOUT, messages.next()).await?? else {
             return Ok(());
         };
-        let event = coordinator::Event::NodeFrame(session, frame?);
+        let event = coordinator::Event::NodeFrame(session, message);
         config.events.send(event).await.map_err(io::Error::other)?;
     }
 }
--- a/crates/director/src/traffic/replicas.rs
+++ b/crates/director/src/traffic/replicas.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
+use sequoiayoke_link::{account, receive};
 use sequoiayoke_model::id;
 use sequoiayoke_wire::frame;
 use sequoiayoke_wire::replica;
@@ -31,6 +32,11 @@
 /// can stop delivering without a reset, while new connections work.
 pub(super) const USER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Percentage of the memory of the process that the connections of other replicas may hold.
+const MEMORY_PERCENT: usize = 20;
+/// Percentage of the descriptors of the process that they may take.
+const DESCRIPTORS_PERCENT: usize = 15;
+
 /// Keeps a connection to another replica open.
 pub(super) async fn dial(
     address: net::SocketAddr,
@@ -105,12 +111,23 @@
 
 /// Accepts the connections of other replicas.
 pub(super) async fn accept(listener: TcpListener, config: rc::Rc<Config>) {
+    let limits = config.limits.part(MEMORY_PERCENT, DESCRIPTORS_PERCENT);
+    let account = rc::Rc::new(account::Account::new(limits));
     loop {
+        account.wait_for_connection().await;
         match listener.accept().await {
             Ok((io, address)) => {
                 let config = rc::Rc::clone(&config);
+                let holding = rc::Rc::new(account::Holding::new(&account));
                 tokio::task::spawn_local(async move {
-                    if let Err(error) = receive(io, &config).await {
+                    let received = tokio::select! {
+                        received = receive(io, &holding, &config) => received,
+                        () = holding.must_close() => {
+                            config.measure.record_closed("replicas");
+                            Err(receive::no_room())
+                        }
+                    };
+                    if let Err(error) = received {
                         tracing::debug!(%address, %error, "the connection of a replica ended");
                     }
                 });
@@ -123,12 +140,17 @@
     }
 }
 
-async fn receive(io: TcpStream, config: &Config) -> io::Result<()> {
+async fn receive(
+    io: TcpStream,
+    holding: &rc::Rc<account::Holding>,
+    config: &Config,
+) -> io::Result<()> {
     set_socket_options(&io)?;
-    let mut frames = Framed::new(io, frame::Codec::new());
+    let codec = frame::Codec::<replica::Frame, replica::Frame>::new();
+    let mut messages = receive::Messages::new(io, codec, rc::Rc::clone(holding));
     let mut from = None;
-    while let Some(frame) = frames.next().await {
-        let event = match (frame?.body, from) {
+    while let Some(frame) = messages.next().await? {
+        let event = match (frame.body, from) {
             (Some(replica::Body::Hello(hello)), _) => {
                 from = Some(id::Replica(hello.id));
                 coordinator::Event::ReplicaHello(hello)
--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -29,6 +29,8 @@
     partly_read: metrics::Gauge,
     held_by_callers: metrics::Gauge,
     closed_callers: metrics::Counter,
+    held_by_nodes: metrics::Gauge,
+    closed_nodes: metrics::Counter,
     response_peak: metrics::Gauge,
     index: metrics::Gauge,
     version: metrics::Gauge,
@@ -98,6 +100,14 @@
                 "callers_closed",
                 "Connections of callers that were closed for lack of room, by reason.",
             ),
+            held_by_nodes: metrics.gauge(
+                "nodes_held_bytes",
+                "Bytes of requests of other nodes and of replies that they have not read.",
+            ),
+            closed_nodes: metrics.counter(
+                "nodes_closed",
+                "Connections of other nodes that were closed for lack of room.",
+            ),
             response_peak: metrics.gauge(
                 "response_bytes_peak",
                 "Largest size of all responses that were read and requests that were answered early at the same time.",
@@ -167,6 +177,14 @@
         self.closed_callers.add(1, &labels);
     }
 
+    pub(crate) fn set_held_by_nodes(&self, bytes: usize) {
+        self.held_by_nodes.set(bytes as f64, &label::Set::empty());
+    }
+
+    pub(crate) fn record_closed_node(&self) {
+        self.closed_nodes.add(1, &label::Set::empty());
+    }
+
     pub(crate) fn set_response_peak(&self, bytes: usize) {
         self.response_peak.set(bytes as f64, &label::Set::empty());
     }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -24,6 +24,7 @@
 use error_stack::ResultExt;
 use sequoiayoke_dispatch::{budget, probe, quota, route, shutdown, warmth};
 use sequoiayoke_http1::serve;
+use sequoiayoke_link::account;
 use sequoiayoke_model::{clock, id};
 use sequoiayoke_supervise::{Stop, supervisor};
 use sequoiayoke_telemetry::metrics;
@@ -87,7 +88,9 @@
     backend: backend::Backend,
     peers: peers::Peers,
     /// What callers hold.
-    account: rc::Rc<callers::Account>,
+    account: rc::Rc<account::Account>,
+    /// What the connections of other nodes hold.
+    node_account: rc::Rc<account::Account>,
     observations: cell::RefCell<collections::HashMap<id::Server, path::Observation>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
     probes: cell::RefCell<collections::HashMap<String, probe::Probes>>,
@@ -218,7 +221,8 @@
     let peers = TcpListener::from_std(listeners.peers).change_context_lazy(error)?;
     let context = rc::Rc::new(Context {
         backend: backend::Backend::new(&settings),
-        account: rc::Rc::new(callers::Account::new(&settings.limits)),
+        account: rc::Rc::new(account::Account::new(callers::limits(&settings.limits))),
+        node_account: rc::Rc::new(account::Account::new(serving::limits(&settings.limits))),
         settings,
         frontend,
         shared,
@@ -340,6 +344,9 @@
     }
     context.measure.set_partly_read(context.partly_read.get());
     context.measure.set_held_by_callers(context.account.used());
+    context
+        .measure
+        .set_held_by_nodes(context.node_account.used());
     let (load, link) = (context.backend.load(), context.backend.link_load());
     match context
         .measure
--- a/crates/gateway/src/traffic/callers.rs
+++ b/crates/gateway/src/traffic/callers.rs
@@ -4,8 +4,6 @@
 //! The connection is read meanwhile, so that its end is noticed at once: its requests are dropped,
 //! which cancels them at the backend servers.
 
-mod account;
-
 use std::io;
 use std::net;
 use std::rc;
@@ -17,6 +15,7 @@
 use sequoiayoke_catalog::config;
 use sequoiayoke_dispatch::{ledger, shutdown};
 use sequoiayoke_http1::request;
+use sequoiayoke_link::account;
 use sequoiayoke_model::clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -24,9 +23,7 @@
 use tokio_util::task;
 
 use super::{Context, path};
-use crate::frontend;
-
-pub(super) use account::Account;
+use crate::{frontend, root};
 
 /// Largest body that is accepted, in bytes. Bodies are held whole, so that a request that did not
 /// run can be retried.
@@ -44,6 +41,32 @@
 /// Longest time to write the refusal to a caller that gives way to others.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Percentage of the memory of the process that callers may hold.
+const MEMORY_PERCENT: usize = 30;
+/// Percentage of the descriptors of the process that connections of callers may take. The others are
+/// for nodes, control replicas, readiness and the backend server.
+const DESCRIPTORS_PERCENT: usize = 70;
+/// Largest number of requests of one connection that run concurrently.
+const MAX_PIPELINED: usize = 16;
+
+/// Returns what all callers together may hold.
+pub(super) const fn limits(process: &root::Limits) -> ledger::Limits {
+    ledger::Limits {
+        bytes: process.memory / 100 * MEMORY_PERCENT,
+        connections: process.descriptors * DESCRIPTORS_PERCENT / 100,
+    }
+}
+
+/// Returns the largest number of requests of one connection that run concurrently. While callers
+/// hold much, each connection has one, so that a few cannot take all room with answers that they do
+/// not read.
+fn max_pipelined(account: &account::Account) -> usize {
+    match account.is_half_used() {
+        true => 1,
+        false => MAX_PIPELINED,
+    }
+}
+
 /// Accepts connections of callers until the node takes no more.
 ///
 /// Connections that wait to be accepted then are accepted too: the end of the listener would reset
@@ -221,7 +244,7 @@
             head: limits.max_header_bytes as usize,
             body: limits.max_body_bytes.min(MAX_BODY_BYTES),
         };
-        let max_pipelined = context.account.max_pipelined();
+        let max_pipelined = max_pipelined(&context.account);
         while !is_last && running.len() < max_pipelined {
             match decoder.decode(input, bounds) {
                 Ok(request::Event::Request(request)) => {
--- a/crates/gateway/src/traffic/peers.rs
+++ b/crates/gateway/src/traffic/peers.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use sequoiayoke_link::{codec, peer};
+use sequoiayoke_link::{account, codec, peer};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, tcp};
 use tokio::sync::{Notify, oneshot};
@@ -31,6 +31,8 @@
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Largest number of bytes queued for one node; more means that it does not read.
 const MAX_QUEUED_BYTES: usize = 32 * 1024 * 1024;
+/// Number of bytes queued for one node with which no further request of it is read.
+const MAX_UNREAD_BYTES: usize = 1024 * 1024;
 
 /// Size of a part of a body, in bytes. On a link of 6 Mbit/s a part delays other messages by 22 ms;
 /// a whole body would delay short calls past their deadlines.
@@ -57,16 +59,31 @@
     unwritten: cell::Cell<usize>,
     /// The same number for all outboxes that share it.
     total_unwritten: rc::Rc<cell::Cell<usize>>,
+    /// The same bytes in the account of the connection, if it has one.
+    share: cell::RefCell<Option<account::Share>>,
+    /// Notified when bytes have been written.
+    written: Notify,
 }
 
 impl Outbox {
-    /// Creates an outbox that adds its unwritten bytes to `total_unwritten`.
-    pub(super) fn new(total_unwritten: rc::Rc<cell::Cell<usize>>) -> Self {
+    /// Creates an outbox that adds its unwritten bytes to `total_unwritten` and to `holding`.
+    pub(super) fn new(
+        total_unwritten: rc::Rc<cell::Cell<usize>>,
+        holding: &rc::Rc<account::Holding>,
+    ) -> Self {
         let mut outbox = Self::default();
         outbox.total_unwritten = total_unwritten;
+        outbox.share = cell::RefCell::new(Some(account::Share::new(holding, 0)));
         outbox
     }
 
+    /// Waits until the other side has read enough that its next request may be read.
+    pub(super) async fn has_room(&self) {
+        while self.unwritten.get() > MAX_UNREAD_BYTES {
+            self.written.notified().await;
+        }
+    }
+
     /// Appends a message; returns whether it was queued.
     pub(super) fn push<T>(&self, message: &T) -> bool
     where
@@ -82,17 +99,25 @@
             return false;
         }
         let added = bytes.len() - length;
-        self.unwritten.set(self.unwritten.get() + added);
         let total = &self.total_unwritten;
         total.set(total.get() + added);
+        self.set_unwritten(self.unwritten.get() + added);
         self.wake.notify_one();
         true
     }
 
     fn record_written(&self, count: usize) {
-        self.unwritten.set(self.unwritten.get() - count);
         let total = &self.total_unwritten;
         total.set(total.get() - count);
+        self.set_unwritten(self.unwritten.get() - count);
+        self.written.notify_one();
+    }
+
+    fn set_unwritten(&self, count: usize) {
+        self.unwritten.set(count);
+        if let Some(share) = &mut *self.share.borrow_mut() {
+            share.resize(count);
+        }
     }
 
     /// Writes the queued frames until the connection breaks, or until the outbox is closed and all
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -8,19 +8,17 @@
 use std::rc;
 use std::time::Duration;
 
-use futures_util::StreamExt;
-use sequoiayoke_dispatch::shutdown;
-use sequoiayoke_link::{codec, peer};
+use sequoiayoke_dispatch::{ledger, shutdown};
+use sequoiayoke_link::{account, codec, peer, receive};
 use sequoiayoke_model::clock;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream, tcp};
 use tokio::sync::{Notify, watch};
 use tokio::task;
-use tokio_util::codec::FramedRead;
 
 use super::path::attempt;
 use super::{Context, backend, peers};
-use crate::frontend;
+use crate::{frontend, root};
 
 pub(super) use bodies::Pull;
 
@@ -32,6 +30,18 @@
 pub(super) const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Bytes of input that are discarded at once while a connection closes.
 const DISCARD_BYTES: usize = 4 * 1024;
+/// Percentage of the memory of the process that the connections of other nodes may hold.
+const MEMORY_PERCENT: usize = 20;
+/// Percentage of the descriptors of the process that they may take.
+const DESCRIPTORS_PERCENT: usize = 15;
+
+/// Returns what the connections of other nodes together may hold.
+pub(super) const fn limits(process: &root::Limits) -> ledger::Limits {
+    ledger::Limits {
+        bytes: process.memory / 100 * MEMORY_PERCENT,
+        connections: process.descriptors * DESCRIPTORS_PERCENT / 100,
+    }
+}
 
 /// Whether the node that sent a request still wants it to run. Dropping the sender cancels the
 /// request.
@@ -50,11 +60,13 @@
     Frontend: frontend::Frontend,
 {
     loop {
+        context.node_account.wait_for_connection().await;
         match listener.accept().await {
             Ok((io, address)) => {
                 let context = rc::Rc::clone(&context);
+                let holding = rc::Rc::new(account::Holding::new(&context.node_account));
                 task::spawn_local(async move {
-                    if let Err(error) = serve(io, &context).await {
+                    if let Err(error) = serve(io, holding, &context).await {
                         tracing::debug!(%address, %error, "the connection from a node ended");
                     }
                 });
@@ -67,29 +79,34 @@
     }
 }
 
-async fn serve<Frontend>(io: TcpStream, context: &rc::Rc<Context<Frontend>>) -> io::Result<()>
+async fn serve<Frontend>(
+    io: TcpStream,
+    holding: rc::Rc<account::Holding>,
+    context: &rc::Rc<Context<Frontend>>,
+) -> io::Result<()>
 where
     Frontend: frontend::Frontend,
 {
     let _open = context.node_connections.enter();
     peers::set_socket_options(&io)?;
     let (reader, writer) = io.into_split();
-    let mut frames = Frames::new(reader, codec::Codec::new());
-    let connection = rc::Rc::new(Connection {
-        outbox: rc::Rc::new(peers::Outbox::new(rc::Rc::clone(&context.unwritten))),
-        ..Connection::default()
-    });
+    let mut messages = Messages::new(reader, codec::Codec::new(), rc::Rc::clone(&holding));
+    let connection = rc::Rc::new(Connection::new(holding, rc::Rc::clone(&context.unwritten)));
     let mut writing = std::pin::pin!(connection.outbox.write(writer));
     let ended = tokio::select! {
         ended = &mut writing => ended,
-        ended = read(&mut frames, &connection, context) => ended,
+        ended = read(&mut messages, &connection, context) => ended,
+        () = connection.holding.must_close() => {
+            context.measure.record_closed_node();
+            Err(receive::no_room())
+        }
         () = context.drained.cancelled() => {
             connection.settled().await;
             let last_read = connection.last_read.get();
             connection.outbox.push(&peer::ToEntry::Close(last_read));
             connection.outbox.close();
             writing.await?;
-            discard_input(frames.get_mut()).await
+            discard_input(messages.get_mut()).await
         }
     };
     connection.outbox.close();
@@ -106,11 +123,12 @@
     Ok(())
 }
 
-type Frames = FramedRead<tcp::OwnedReadHalf, codec::Codec<peer::ToEntry, peer::ToServer>>;
+type Messages = receive::Messages<tcp::OwnedReadHalf, codec::Codec<peer::ToEntry, peer::ToServer>>;
 
 /// State of a connection from another node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Connection {
+    holding: rc::Rc<account::Holding>,
     outbox: rc::Rc<peers::Outbox>,
     bodies: rc::Rc<bodies::Bodies>,
     interests: Interests,
@@ -121,6 +139,34 @@
 }
 
 impl Connection {
+    fn new(holding: rc::Rc<account::Holding>, total_unwritten: rc::Rc<cell::Cell<usize>>) -> Self {
+        Self {
+            outbox: rc::Rc::new(peers::Outbox::new(total_unwritten, &holding)),
+            holding,
+            bodies: rc::Rc::default(),
+            interests: rc::Rc::default(),
+            last_read: cell::Cell::default(),
+            progress: Notify::new(),
+        }
+    }
+
+    /// Adds a request that has no outcome yet. The connection does not give way until it has one.
+    fn open(&self, stream: u64) -> watch::Receiver<Interest> {
+        self.last_read.set(Some(stream));
+        let (sender, interest) = watch::channel(Interest::Wanted);
+        self.interests.borrow_mut().insert(stream, sender);
+        self.holding.set_awaits_caller(false);
+        interest
+    }
+
+    /// Removes a request whose outcome has been queued.
+    fn settle(&self, stream: u64) {
+        let mut interests = self.interests.borrow_mut();
+        interests.remove(&stream);
+        self.holding.set_awaits_caller(interests.is_empty());
+        self.progress.notify_one();
+    }
+
     /// Waits until the outcomes of all requests that were read have been queued.
     async fn settled(&self) {
         while !self.interests.borrow().is_empty() {
@@ -130,22 +176,21 @@
 }
 
 async fn read<Frontend>(
-    frames: &mut Frames,
+    messages: &mut Messages,
     connection: &rc::Rc<Connection>,
     context: &rc::Rc<Context<Frontend>>,
 ) -> io::Result<()>
 where
     Frontend: frontend::Frontend,
 {
-    while let Some(frame) = frames.next().await {
-        match frame? {
+    loop {
+        connection.outbox.has_room().await;
+        let Some(message) = messages.next().await? else {
+            return Ok(());
+        };
+        match message {
             peer::ToServer::Open(open) => {
-                connection.last_read.set(Some(open.stream));
-                let (sender, interest) = watch::channel(Interest::Wanted);
-                connection
-                    .interests
-                    .borrow_mut()
-                    .insert(open.stream, sender);
+                let interest = connection.open(open.stream);
                 let (connection, context) = (rc::Rc::clone(connection), rc::Rc::clone(context));
                 task::spawn_local(async move {
                     serve_request(open, interest, &connection, &context).await;
@@ -180,7 +225,6 @@
             }
         }
     }
-    Ok(())
 }
 
 /// Runs a request and queues its outcome, unless it was cancelled.
@@ -195,6 +239,12 @@
     let stream = open.stream;
     let (outbox, bodies) = (&connection.outbox, &connection.bodies);
     let pull = Pull::new(stream, rc::Rc::clone(outbox), rc::Rc::clone(bodies));
+    // A body that is sent later is requested in parts, by requests that have a slot.
+    let held = match &open.body {
+        peer::Body::Whole(body) => body.len(),
+        peer::Body::None | peer::Body::Later(_) => 0,
+    };
+    let _share = account::Share::new(&connection.holding, held);
     let outcome = run_request(&open, Some(&pull), interest, context).await;
     if let Some(outcome) = outcome {
         let reply = peer::ToEntry::Reply {
@@ -206,8 +256,7 @@
             tracing::info!(id = open.id, "the requesting node has disconnected");
         }
     }
-    connection.interests.borrow_mut().remove(&stream);
-    connection.progress.notify_one();
+    connection.settle(stream);
 }
 
 /// A request of this node for its own backend server.
--- a/crates/gateway/src/traffic/callers/account.rs
+++ b/crates/link/src/account.rs
@@ -1,4 +1,6 @@
-//! What the callers of this process hold, and which of them give way.
+//! What the connections of a listener hold in this process, and which of them give way.
+//!
+//! An account belongs to one thread.
 
 use std::cell;
 use std::rc;
@@ -8,19 +10,25 @@
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 
-use crate::root;
-
-/// Percentage of the memory of the process that callers may hold.
-const MEMORY_PERCENT: usize = 30;
-/// Percentage of the descriptors of the process that connections of callers may take. The others are
-/// for nodes, control replicas, readiness and the backend server.
-const DESCRIPTORS_PERCENT: usize = 70;
-/// Largest number of requests of one connection that run concurrently.
-const MAX_PIPELINED: usize = 16;
-
-/// Account of all callers.
+/// Account of all connections.
+///
+/// # Examples
+///
+/// ```
+/// use std::rc;
+/// use sequoiayoke_dispatch::ledger;
+/// use sequoiayoke_link::account;
+///
+/// let limits = ledger::Limits { bytes: 100_000, connections: 10 };
+/// let account = rc::Rc::new(account::Account::new(limits));
+/// let holding = account::Holding::new(&account);
+/// assert_eq!(holding.reserve(60_000), ledger::Room::Granted);
+/// assert!(account.is_half_used());
+/// drop(holding);
+/// assert_eq!(account.used(), 0);
+/// ```
 #[derive(Debug)]
-pub(in crate::traffic) struct Account {
+pub struct Account {
     ledger: cell::RefCell<ledger::Ledger>,
     limits: ledger::Limits,
     /// Notified when a connection must be closed.
@@ -30,11 +38,8 @@
 }
 
 impl Account {
-    pub(in crate::traffic) fn new(limits: &root::Limits) -> Self {
-        let limits = ledger::Limits {
-            bytes: limits.memory / 100 * MEMORY_PERCENT,
-            connections: limits.descriptors * DESCRIPTORS_PERCENT / 100,
-        };
+    /// Creates an account without connections.
+    pub fn new(limits: ledger::Limits) -> Self {
         Self {
             ledger: cell::RefCell::new(ledger::Ledger::new(limits)),
             limits,
@@ -43,13 +48,18 @@
         }
     }
 
-    /// Returns the number of bytes that callers hold.
-    pub(in crate::traffic) fn used(&self) -> usize {
+    /// Returns the number of bytes that all connections hold.
+    pub fn used(&self) -> usize {
         self.ledger.borrow().used()
     }
 
+    /// Returns whether the connections hold more than half of what they may.
+    pub fn is_half_used(&self) -> bool {
+        self.used() > self.limits.bytes / 2
+    }
+
     /// Waits until another connection may be opened.
-    pub(super) async fn wait_for_connection(&self) {
+    pub async fn wait_for_connection(&self) {
         loop {
             let now = clock::Instant::now();
             let room = self.ledger.borrow_mut().room_for_connection(now);
@@ -62,20 +72,10 @@
     }
 
     /// Waits until a connection or bytes have been returned.
-    pub(super) async fn wait_until_returned(&self) {
+    pub async fn wait_until_returned(&self) {
         self.returned.notified().await;
     }
 
-    /// Returns the largest number of requests of one connection that run concurrently. While callers
-    /// hold much, each connection has one, so that a few cannot take all room with answers that they
-    /// do not read.
-    pub(super) fn max_pipelined(&self) -> usize {
-        match self.used() > self.limits.bytes / 2 {
-            true => 1,
-            false => MAX_PIPELINED,
-        }
-    }
-
     /// Asks the connection to close that makes room.
     fn close_for(&self, room: ledger::Room) {
         if let ledger::Room::After(connection) = room
@@ -88,7 +88,7 @@
 
 /// What one connection holds; dropping it closes its entry in the account.
 #[derive(Debug)]
-pub(super) struct Holding {
+pub struct Holding {
     account: rc::Rc<Account>,
     connection: ledger::Connection,
     closer: rc::Rc<Notify>,
@@ -99,7 +99,8 @@
 }
 
 impl Holding {
-    pub(super) fn new(account: &rc::Rc<Account>) -> Self {
+    /// Opens an entry in the account.
+    pub fn new(account: &rc::Rc<Account>) -> Self {
         let connection = account.ledger.borrow_mut().open(clock::Instant::now());
         let closer = rc::Rc::new(Notify::new());
         let mut closers = account.closers.borrow_mut();
@@ -115,7 +116,7 @@
     }
 
     /// Takes room for a request that is being read, of which `bytes` are held after the next read.
-    pub(super) fn reserve(&self, bytes: usize) -> ledger::Room {
+    pub fn reserve(&self, bytes: usize) -> ledger::Room {
         let now = clock::Instant::now();
         let total = bytes + self.running.get();
         let mut ledger = self.account.ledger.borrow_mut();
@@ -128,20 +129,25 @@
         room
     }
 
-    /// Records that the caller has sent or read something.
-    pub(super) fn record_progress(&self) {
+    /// Returns the account.
+    pub const fn account(&self) -> &rc::Rc<Account> {
+        &self.account
+    }
+
+    /// Records that the other side has sent or read something.
+    pub fn record_progress(&self) {
         let mut ledger = self.account.ledger.borrow_mut();
         ledger.record_progress(self.connection, clock::Instant::now());
     }
 
-    /// Records whether the node waits for the caller.
-    pub(super) fn set_awaits_caller(&self, awaits_caller: bool) {
+    /// Records whether this process waits for the other side.
+    pub fn set_awaits_caller(&self, awaits_caller: bool) {
         let mut ledger = self.account.ledger.borrow_mut();
         ledger.set_awaits_caller(self.connection, awaits_caller);
     }
 
     /// Waits until the connection must be closed to make room.
-    pub(super) async fn must_close(&self) {
+    pub async fn must_close(&self) {
         self.closer.notified().await;
     }
 
@@ -172,13 +178,14 @@
 
 /// Bytes of one request that runs, and then of its answer; they are returned when dropped.
 #[derive(Debug)]
-pub(super) struct Share {
+pub struct Share {
     holding: rc::Rc<Holding>,
     bytes: usize,
 }
 
 impl Share {
-    pub(super) fn new(holding: &rc::Rc<Holding>, bytes: usize) -> Self {
+    /// Adds bytes that exist already to what the connection holds.
+    pub fn new(holding: &rc::Rc<Holding>, bytes: usize) -> Self {
         holding.change_running(0, bytes);
         Self {
             holding: rc::Rc::clone(holding),
@@ -187,7 +194,7 @@
     }
 
     /// Changes the number of bytes.
-    pub(super) fn resize(&mut self, bytes: usize) {
+    pub fn resize(&mut self, bytes: usize) {
         self.holding.change_running(self.bytes, bytes);
         self.bytes = bytes;
     }
--- a/crates/settings/src/common.rs
+++ b/crates/settings/src/common.rs
@@ -58,6 +58,54 @@
     }
 }
 
+/// Limits of a process, of which a part is for the connections of each listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Memory, in MiB.
+    pub memory_mib: u32,
+    /// Number of descriptors.
+    pub descriptors: u32,
+}
+
+impl Limits {
+    /// Smallest memory with which a process works, in MiB.
+    const MIN_MEMORY_MIB: u32 = 32;
+    /// Smallest number of descriptors with which a process works.
+    const MIN_DESCRIPTORS: u32 = 256;
+
+    /// Returns the limits of a node that has no others.
+    pub const fn of_node() -> Self {
+        Self {
+            memory_mib: 160,
+            descriptors: 4_096,
+        }
+    }
+
+    /// Returns the limits of a control replica that has no others.
+    pub const fn of_control_replica() -> Self {
+        Self {
+            memory_mib: 256,
+            descriptors: 4_096,
+        }
+    }
+}
+
+impl check::Check for Limits {
+    fn check(&self, problems: &mut check::Problems) {
+        problems.require(
+            self.memory_mib >= Self::MIN_MEMORY_MIB,
+            "memory_mib",
+            "must be at least 32",
+        );
+        problems.require(
+            self.descriptors >= Self::MIN_DESCRIPTORS,
+            "descriptors",
+            "must be at least 256",
+        );
+    }
+}
+
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/settings/src/director.rs
+++ b/crates/settings/src/director.rs
@@ -31,6 +31,9 @@
     pub inodes_change: bool,
     /// Length of a lease.
     pub lease: span::Span,
+    /// Limits of the process.
+    #[serde(default = "common::Limits::of_control_replica")]
+    pub limits: common::Limits,
     /// Log output.
     #[serde(default)]
     pub log: common::Log,
@@ -141,6 +144,20 @@
                     "at least 1s",
                     "Length of the lease of a backend server.",
                 ),
+                field::Field::new(
+                    "limits.memory_mib",
+                    "MiB",
+                    "256",
+                    "at least 32",
+                    "Memory of the process. The connections of nodes may hold 20 % of it, with messages that are being read, and those of other replicas 20 %.",
+                ),
+                field::Field::new(
+                    "limits.descriptors",
+                    "number",
+                    "4096",
+                    "at least 256",
+                    "Descriptors of the process. Nodes may have 60 % of them as connections, other replicas 15 %.",
+                ),
             ],
         ),
         ("log", common::Log::FIELDS),
@@ -161,6 +178,7 @@
             "lease",
             "must be at least 1s, the time between two renewals",
         );
+        problems.within("limits", |nested| self.limits.check(nested));
         problems.within("log", |nested| self.log.check(nested));
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -38,8 +38,8 @@
     #[serde(default)]
     pub cold_start: ColdStart,
     /// Limits of the process.
-    #[serde(default)]
-    pub limits: Limits,
+    #[serde(default = "common::Limits::of_node")]
+    pub limits: common::Limits,
     /// Log output.
     #[serde(default)]
     pub log: common::Log,
@@ -65,32 +65,6 @@
     }
 }
 
-/// Limits of the process, of which a part is for callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Limits {
-    /// Memory, in MiB.
-    pub memory_mib: u32,
-    /// Number of descriptors.
-    pub descriptors: u32,
-}
-
-impl Limits {
-    /// Smallest memory with which a node works, in MiB.
-    const MIN_MEMORY_MIB: u32 = 32;
-    /// Smallest number of descriptors with which a node works.
-    const MIN_DESCRIPTORS: u32 = 256;
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            memory_mib: 160,
-            descriptors: 4_096,
-        }
-    }
-}
-
 /// Addresses on which a node listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
@@ -296,14 +270,14 @@
                     "MiB",
                     "160",
                     "at least 32",
-                    "Memory of the process. Callers may hold 30 % of it, with bodies that are being read and answers that they have not read; responses that are being read may take 25 %.",
+                    "Memory of the process. Callers may hold 30 % of it, with bodies that are being read and answers that they have not read; the connections of other nodes 20 %; responses that are being read may take 25 %.",
                 ),
                 field::Field::new(
                     "limits.descriptors",
                     "number",
                     "4096",
                     "at least 256",
-                    "Descriptors of the process. Callers may have 70 % of them as connections.",
+                    "Descriptors of the process. Callers may have 70 % of them as connections, other nodes 15 %.",
                 ),
             ],
         ),
@@ -344,21 +318,12 @@
             "must be positive",
         );
         problems.require(!self.evacuate().is_zero(), "evacuate", "must be positive");
-        problems.require(
-            self.limits.memory_mib >= Limits::MIN_MEMORY_MIB,
-            "limits.memory_mib",
-            "must be at least 32",
-        );
-        problems.require(
-            self.limits.descriptors >= Limits::MIN_DESCRIPTORS,
-            "limits.descriptors",
-            "must be at least 256",
-        );
         problems.require(
             self.cold_start.factor() > 0.0 && self.cold_start.factor().is_finite(),
             "cold_start.factor",
             "must be positive",
         );
+        problems.within("limits", |nested| self.limits.check(nested));
         problems.within("log", |nested| self.log.check(nested));
     }
 }
