Nodes: do not take an early success without length, or an undefined status, for an answer

Statuses 600 and 999 reached the caller as answers. The other statuses tried (000, 099, 20, 2000, 20x) were refused before.

--- a/crates/node/src/traffic/server.rs
+++ b/crates/node/src/traffic/server.rs
@@ -4,15 +4,15 @@
 pub mod command;
 pub mod connection;
 pub mod permit;
+mod upload;
 
 use std::future;
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::{Stream, TryStreamExt};
+use futures_util::Stream;
 use http_body::Body as _;
 use sequoiayoke_model::clock;
 use sequoiayoke_model::id;
@@ -107,7 +107,7 @@
         body: B,
     ) -> impl future::Future<Output = Result<Response, Failure>> + Send
     where
-        B: Stream<Item = std::io::Result<Bytes>> + Send + 'static;
+        B: Stream<Item = std::io::Result<Bytes>> + Send + Unpin + 'static;
 }
 
 /// Dispatches requests to the backend server over HTTP.
@@ -202,6 +202,14 @@
     }
 }
 
+/// Returns whether a response states its own end.
+fn is_framed<B>(response: &hyper::Response<B>) -> bool {
+    let headers = response.headers();
+    headers.contains_key(hyper::header::CONTENT_LENGTH)
+        || headers.contains_key(hyper::header::TRANSFER_ENCODING)
+        || matches!(response.status().as_u16(), 204 | 304)
+}
+
 fn has_body(view: &request::View<'_>) -> bool {
     view.is_chunked() || view.body_bytes().is_some_and(|bytes| bytes > 0)
 }
@@ -214,19 +222,31 @@
         body: B,
     ) -> Result<Response, Failure>
     where
-        B: Stream<Item = std::io::Result<Bytes>> + Send + 'static,
+        B: Stream<Item = std::io::Result<Bytes>> + Send + Unpin + 'static,
     {
-        let has_body_failed = sync::Arc::new(atomic::AtomicBool::new(false));
-        let body_failed = sync::Arc::clone(&has_body_failed);
-        let body = body.inspect_err(move |_| body_failed.store(true, atomic::Ordering::Release));
+        let length = match has_body(view) {
+            true => view.body_bytes(),
+            false => Some(0),
+        };
+        let body = upload::Upload::new(body, length);
+        let progress = body.progress();
         let left = view.left(clock::Instant::now());
         let request = self.build(view, fence, left, body);
         let request = request.ok_or(Failure::NotSent)?;
         let sent = self.pool.send(request, fence.lease_until, left).await;
         let response = sent.map_err(|failure| match failure {
-            Failure::Lost if has_body_failed.load(atomic::Ordering::Acquire) => Failure::BodyFailed,
+            Failure::Lost if progress.has_failed() => Failure::BodyFailed,
             failure => failure,
         })?;
+        // HTTP defines no other status.
+        if response.status().as_u16() >= 600 {
+            return Err(Failure::Mismatched);
+        }
+        // The end of the connection is the end of such a success. While the upload is being written, the
+        // server may have closed the connection in the middle of its answer.
+        if response.status().is_success() && !is_framed(&response) && !progress.is_written() {
+            return Err(Failure::Lost);
+        }
         let refused = connection::is_refusal(&response);
         let headers = response.headers().iter();
         let headers = headers.map(|(name, value)| {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -15,6 +15,9 @@
 use tokio::task;
 use xxhash_rust::xxh3;
 
+/// Size of an upload that does not fit into the buffers on its path, in bytes.
+const UPLOAD_BYTES: usize = 16 << 20;
+
 /// Returns the directory of the compiled programs.
 fn bin() -> &'static Path {
     let node = Path::new(env!("CARGO_BIN_EXE_sequoiayoke-node"));
@@ -108,6 +111,40 @@
     }
 }
 
+/// Guards against a part of an answer without a length, which ends while the upload is still being
+/// written, and that looks complete to the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_early_answer_without_a_length_never_looks_complete() {
+    let (deployment, vms) = backend::start(bin(), 2, &json!({})).await;
+    for number in 0..8 {
+        // One of the nodes belongs to the owner, the other one forwards.
+        for vm in &vms {
+            let url = format!("http://{}/s/desk/early-{number}", vm.caller());
+            let upload = deployment.http().post(&url).body(vec![b'x'; UPLOAD_BYTES]);
+            let sent = upload.header("sequoiayoke-deadline-ms", 5_000).send();
+            if let Ok(answer) = sent.await {
+                let outcome = answer.headers().get("sequoiayoke-outcome").cloned();
+                let is_complete = outcome.is_some_and(|outcome| outcome == "answered")
+                    && answer.bytes().await.is_ok();
+                assert!(!is_complete, "early-{number} through {}", vm.name);
+            }
+        }
+    }
+}
+
+/// Guards against a status that HTTP does not define and that reaches the caller as an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_undefined_status_is_no_answer() {
+    let (deployment, vms) = backend::start(bin(), 2, &json!({})).await;
+    for code in ["000", "099", "600", "999", "20", "2000", "20x"] {
+        for vm in &vms {
+            let url = format!("http://{}/s/desk/status-{code}", vm.caller());
+            let received = send(deployment.http(), reqwest::Method::POST, &url, 5_000).await;
+            assert_eq!(received.outcome, "unknown", "{code} through {}", vm.name);
+        }
+    }
+}
+
 /// Guards against a truncated or reset answer of a stand-in that is forwarded as a complete one.
 #[tokio::test(flavor = "multi_thread")]
 async fn truncated_and_reset_answers_are_errors() {
--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -248,6 +248,19 @@
             let incomplete = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello";
             reader.write_all(incomplete).await.map(|()| false)
         }
+        // Answers before the upload has arrived, ends the answer in order and reads on.
+        "early" => {
+            let early = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\na part";
+            reader.write_all(early).await?;
+            reader.shutdown().await?;
+            tokio::io::copy(reader, &mut tokio::io::sink()).await?;
+            Ok(false)
+        }
+        "status" => {
+            let code = key.split('-').nth(1).unwrap_or("");
+            let answer = format!("HTTP/1.1 {code} Trouble\r\ncontent-length: 0\r\n\r\n");
+            reader.write_all(answer.as_bytes()).await.map(|()| false)
+        }
         "hang" => {
             let mut byte = [0];
             match reader.read(&mut byte).await? {
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -7,6 +7,8 @@
 
 #[path = "hostile/callers.rs"]
 mod callers;
+#[path = "hostile/crowds.rs"]
+mod crowds;
 #[path = "hostile/frames.rs"]
 mod frames;
 #[path = "hostile/startup.rs"]
