Take announcements of the node's own service only, without a configuration

Cause: a node that has just started has no configuration to compare the service with, and accepted any. It now compares it with the service of its settings.

--- a/crates/director/tests/changes.rs
+++ b/crates/director/tests/changes.rs
@@ -120,6 +120,7 @@
     fn new() -> Self {
         let config = state::Config {
             domain: "a".to_owned(),
+            service: service(0).name,
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
--- a/crates/director/tests/ownership/world.rs
+++ b/crates/director/tests/ownership/world.rs
@@ -177,6 +177,7 @@
     fn new_state(&self, number: usize) -> state::State {
         state::State::new(state::Config {
             domain: "a".to_owned(),
+            service: "status".to_owned(),
             lease: self.node_lease,
             backend: address(number),
             max_hold: Duration::from_secs(10),
--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -49,6 +49,8 @@
     pub max_hold: Duration,
     /// Address of the backend server.
     pub backend: net::SocketAddr,
+    /// Service of the backend server.
+    pub service: String,
     /// Failure domain of the VM.
     pub domain: String,
     /// Start of this process, in milliseconds since the Unix epoch.
--- a/crates/gateway/src/coordinator/state/announced.rs
+++ b/crates/gateway/src/coordinator/state/announced.rs
@@ -25,8 +25,11 @@
         sequence: u64,
     ) -> bool {
         // Another writer may use the address or the name of the backend server.
-        let config = self.view.config.as_ref();
-        if config.is_some_and(|config| config.service(&announced.service).is_none()) {
+        let is_known = match &self.view.config {
+            Some(config) => config.service(&announced.service).is_some(),
+            None => announced.service == self.config.service,
+        };
+        if !is_known {
             tracing::warn!(
                 service = announced.service,
                 "ignoring an announcement of an unknown service"
--- a/crates/gateway/src/root.rs
+++ b/crates/gateway/src/root.rs
@@ -169,6 +169,7 @@
         let (commands, command_inbox) = mpsc::channel(coordinator::QUEUE_CAPACITY);
         let config = coordinator::state::Config {
             backend: settings.backend,
+            service: settings.service.clone(),
             domain: settings.domain.clone(),
             lease: settings.lease,
             max_hold: settings.max_hold,
--- a/crates/gateway/tests/collect.rs
+++ b/crates/gateway/tests/collect.rs
@@ -104,6 +104,7 @@
 fn unassigned() -> State {
     State::new(Config {
         domain: "a".to_owned(),
+        service: "status".to_owned(),
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
@@ -326,6 +327,7 @@
 fn an_instance_that_a_restarted_node_asks_first_gets_no_commands() {
     let mut state = State::new(Config {
         domain: "a".to_owned(),
+        service: "status".to_owned(),
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
--- a/crates/gateway/tests/coordinator.rs
+++ b/crates/gateway/tests/coordinator.rs
@@ -72,6 +72,7 @@
 async fn grants_that_find_the_queue_full_are_sent_later() {
     let config = state::Config {
         domain: "a".to_owned(),
+        service: "status".to_owned(),
         lease: Duration::from_millis(4_500),
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -67,6 +67,7 @@
 fn owner() -> State {
     let mut state = State::new(Config {
         domain: "a".to_owned(),
+        service: "status".to_owned(),
         lease: LEASE,
         backend: ([127, 0, 0, 1], 1).into(),
         max_hold: Duration::from_secs(10),
@@ -196,6 +197,7 @@
     for (born_ms, is_draining) in [(10, true), (2_000, false)] {
         let mut state = State::new(Config {
             domain: "a".to_owned(),
+            service: "status".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -338,6 +340,7 @@
     for is_keyed in [false, true] {
         let mut state = State::new(Config {
             domain: "a".to_owned(),
+            service: "status".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -480,6 +483,7 @@
     for is_leader_first in [true, false] {
         let mut state = State::new(Config {
             domain: "a".to_owned(),
+            service: "status".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -568,6 +572,7 @@
     for (is_in_use, expected) in [(true, Some(announcement("i-1", 10))), (false, None)] {
         let mut state = State::new(Config {
             domain: "a".to_owned(),
+            service: "status".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -598,6 +603,7 @@
     for (answer, expected) in [(None, Some(announcement("i-1", 10))), (Some(false), None)] {
         let mut state = State::new(Config {
             domain: "a".to_owned(),
+            service: "status".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
@@ -619,6 +625,33 @@
     }
 }
 
+/// Creates a node that has restarted, without a view.
+fn restarted() -> State {
+    State::new(Config {
+        domain: "a".to_owned(),
+        service: "status".to_owned(),
+        lease: LEASE,
+        backend: ([127, 0, 0, 1], 1).into(),
+        max_hold: Duration::from_secs(10),
+        started_ms: 50,
+    })
+}
+
+/// Guards against another writer that takes the place of the backend server while no configuration is
+/// known, which says which services there are.
+#[test]
+fn an_announcement_of_another_service_is_ignored_without_a_configuration() {
+    let mut state = restarted();
+    let other = server::Announcement {
+        service: "other".to_owned(),
+        ..announcement("i-9", 60)
+    };
+    assert!(!state.record_announcement(at(0), other, 1));
+    assert!(state.record_announcement(at(5), announcement("i-1", 10), 7));
+    state.apply_state(at(10), configured(true));
+    assert_eq!(questions(&mut state), [announcement("i-1", 10)]);
+}
+
 /// Guards against a leaving that only the process which acknowledged it knows: the leader is told of the
 /// instance that it knows at the address, although that does not announce itself any more.
 #[test]
@@ -626,6 +659,7 @@
     for is_leader_first in [true, false] {
         let mut state = State::new(Config {
             domain: "a".to_owned(),
+            service: "status".to_owned(),
             lease: LEASE,
             backend: ([127, 0, 0, 1], 1).into(),
             max_hold: Duration::from_secs(10),
