Hear a backend server that was asked, whatever its announcement number

Cause: the node enters a server that it has asked with number 0, and a number over a million higher counts as another writer's. It now knows no number until the first announcement.

--- a/crates/gateway/src/coordinator/state.rs
+++ b/crates/gateway/src/coordinator/state.rs
@@ -136,7 +136,8 @@
 #[derive(Debug)]
 struct Backend {
     announcement: server::Announcement,
-    sequence: u64,
+    /// Number of its last announcement; `None` if it has not announced itself to this process.
+    sequence: Option<u64>,
     last_announced: clock::Instant,
     draining_since: Option<clock::Instant>,
 }
--- a/crates/gateway/src/coordinator/state/announced.rs
+++ b/crates/gateway/src/coordinator/state/announced.rs
@@ -39,17 +39,19 @@
         if let Some(backend) = &mut self.backend {
             let known = &backend.announcement.instance;
             if *known == announced.instance {
-                if sequence < backend.sequence {
+                // The first number that is heard may be any.
+                let last = backend.sequence.unwrap_or(sequence);
+                if sequence < last {
                     return true;
                 }
-                if sequence - backend.sequence > MAX_SEQUENCE_STEP {
+                if sequence - last > MAX_SEQUENCE_STEP {
                     tracing::warn!(
                         sequence,
                         "ignoring an announcement with an implausible number"
                     );
                     return false;
                 }
-                backend.sequence = sequence;
+                backend.sequence = Some(sequence);
                 backend.last_announced = now;
                 if backend.draining_since.is_some() || backend.announcement == announced {
                     return true;
@@ -73,7 +75,7 @@
         // Both clocks are those of one VM.
         let is_older = announced.instance.born_ms <= self.config.started_ms;
         if announced.is_draining || !is_older {
-            self.accept(now, announced, sequence);
+            self.accept(now, announced, Some(sequence));
         } else {
             self.consider(now, announced, sequence);
         }
@@ -81,7 +83,12 @@
     }
 
     /// Takes an instance as the backend server.
-    fn accept(&mut self, now: clock::Instant, announced: server::Announcement, sequence: u64) {
+    fn accept(
+        &mut self,
+        now: clock::Instant,
+        announced: server::Announcement,
+        sequence: Option<u64>,
+    ) {
         tracing::info!(
             instance = announced.instance.name,
             born_ms = announced.instance.born_ms,
@@ -109,7 +116,7 @@
     }
 
     fn accept_candidate(&mut self, now: clock::Instant, candidate: Candidate) {
-        self.accept(now, candidate.announcement, candidate.sequence);
+        self.accept(now, candidate.announcement, Some(candidate.sequence));
         self.way = candidate.way;
     }
 
@@ -166,7 +173,7 @@
         match (is_in_use, candidate) {
             (Some(true), Some(candidate)) => self.accept_candidate(now, candidate),
             (Some(true), None) if self.backend.is_none() && self.candidate.is_none() => {
-                self.accept(now, identified, 0);
+                self.accept(now, identified, None);
             }
             // Announcements from before this answer show nothing.
             (Some(false), Some(candidate)) => {
@@ -216,7 +223,7 @@
         }
         match self.has_left(&known.instance) {
             // The leader has yet to be told.
-            true => self.accept(now, known, 0),
+            true => self.accept(now, known, None),
             false => self.identify(known),
         }
     }
--- a/crates/gateway/tests/state.rs
+++ b/crates/gateway/tests/state.rs
@@ -637,6 +637,23 @@
     })
 }
 
+/// Guards against a leaving that is ignored since the number of its announcement is high: a restarted
+/// node has asked a backend server who it is, and knows no number of it.
+#[test]
+fn a_backend_server_that_was_asked_is_heard_whatever_its_number_is() {
+    let mut state = restarted();
+    state.apply_state(at(0), configured(false));
+    let asked = questions(&mut state);
+    state.record_identified(at(10), asked[0].clone(), Some(true));
+    let leaving = server::Announcement {
+        is_draining: true,
+        ..announcement("i-1", 10)
+    };
+    assert!(state.record_announcement(at(20), leaving.clone(), 1_390_000));
+    assert_eq!(backend(&mut state), Some(leaving.clone()));
+    assert!(!state.record_announcement(at(30), leaving, 1_390_000_000));
+}
+
 /// Guards against another writer that takes the place of the backend server while no configuration is
 /// known, which says which services there are.
 #[test]
