--- a/crates/catalog/src/config.rs
+++ b/crates/catalog/src/config.rs
@@ -165,7 +165,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the first error found.
+    /// Returns the first of [`Config::errors`].
     ///
     /// # Examples
     ///
@@ -175,20 +175,34 @@
     /// assert_eq!(config::Config::default().check(), Ok(()));
     /// ```
     pub fn check(&self) -> Result<(), Error> {
+        self.errors().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Returns all reasons why the configuration is invalid on its own.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_catalog::config;
+    ///
+    /// assert_eq!(config::Config::default().errors(), []);
+    /// ```
+    pub fn errors(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
         let mut names = collections::BTreeSet::new();
         for service in &self.services {
             if !names.insert(service.name.as_str()) {
-                return Err(Error::RepeatedService(service.name.clone()));
+                errors.push(Error::RepeatedService(service.name.clone()));
             }
         }
         let mut prefixes = collections::BTreeSet::new();
         for route in &self.routes {
-            route.check(&names)?;
+            errors.extend(route.check(&names).err());
             if !prefixes.insert((route.host.as_str(), route.prefix.as_str())) {
-                return Err(Error::Repeated(route.name.clone()));
+                errors.push(Error::Repeated(route.name.clone()));
             }
         }
-        Ok(())
+        errors
     }
 
     /// Returns the service with this name.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -5,8 +5,10 @@
 //! Control replicas that apply the same log therefore reach the same state, and any
 //! front end can supply the configuration.
 
+pub mod audit;
 pub mod config;
 pub mod departed;
+pub mod difference;
 pub mod machine;
 pub mod server;
 pub mod slice;
