Account of the bytes to other nodes, by kind of message and failure domain

Metric node_sent_bytes, with kind (request, call, body-part, answer, refusal, control) and scope (same-domain, other-domain). An operator could not see which messages cross failure domains. No decision uses it.

--- a/crates/gateway/src/measure.rs
+++ b/crates/gateway/src/measure.rs
@@ -31,6 +31,7 @@
     closed_callers: metrics::Counter,
     held_by_nodes: metrics::Gauge,
     closed_nodes: metrics::Counter,
+    sent_bytes: metrics::Gauge,
     response_peak: metrics::Gauge,
     index: metrics::Gauge,
     version: metrics::Gauge,
@@ -108,6 +109,10 @@
                 "nodes_closed",
                 "Connections of other nodes that were closed for lack of room.",
             ),
+            sent_bytes: metrics.gauge(
+                "node_sent_bytes",
+                "Bytes of messages to other nodes since the start, by kind and failure domain.",
+            ),
             response_peak: metrics.gauge(
                 "response_bytes_peak",
                 "Largest size of all responses that were read and requests that were answered early at the same time.",
@@ -181,6 +186,11 @@
         self.held_by_nodes.set(bytes as f64, &label::Set::empty());
     }
 
+    pub(crate) fn set_sent_bytes(&self, kind: &'static str, scope: &'static str, bytes: u64) {
+        let labels = label::Set::new([label::Label::Kind(kind), label::Label::Scope(scope)]);
+        self.sent_bytes.set(bytes as f64, &labels);
+    }
+
     pub(crate) fn record_closed_node(&self) {
         self.closed_nodes.add(1, &label::Set::empty());
     }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -10,6 +10,7 @@
 mod path;
 mod peers;
 mod requests;
+mod sent;
 mod serving;
 mod session;
 
@@ -91,6 +92,8 @@
     account: rc::Rc<account::Account>,
     /// What the connections of other nodes hold.
     node_account: rc::Rc<account::Account>,
+    /// What was sent to other nodes.
+    sent: rc::Rc<sent::Account>,
     observations: cell::RefCell<collections::HashMap<id::Server, path::Observation>>,
     budgets: cell::RefCell<collections::HashMap<String, budget::Budget>>,
     probes: cell::RefCell<collections::HashMap<String, probe::Probes>>,
@@ -148,6 +151,15 @@
         *mean += RESPONSE_SIZE_WEIGHT * (bytes as f64 - *mean);
     }
 
+    /// Returns the recorder of bytes that are sent to a node in `domain`, if that is known.
+    fn sent_to(&self, domain: Option<&str>) -> sent::Recorder {
+        let scope = match domain == Some(self.settings.domain.as_str()) {
+            true => sent::Scope::SameDomain,
+            false => sent::Scope::OtherDomain,
+        };
+        sent::Recorder::new(&self.sent, scope)
+    }
+
     fn view(&self) -> sync::Arc<view::View> {
         self.shared.view.load_full()
     }
@@ -223,6 +235,7 @@
         backend: backend::Backend::new(&settings),
         account: rc::Rc::new(account::Account::new(callers::limits(&settings.limits))),
         node_account: rc::Rc::new(account::Account::new(serving::limits(&settings.limits))),
+        sent: rc::Rc::default(),
         settings,
         frontend,
         shared,
@@ -347,6 +360,9 @@
     context
         .measure
         .set_held_by_nodes(context.node_account.used());
+    for (kind, scope, bytes) in context.sent.totals() {
+        context.measure.set_sent_bytes(kind, scope, bytes);
+    }
     let (load, link) = (context.backend.load(), context.backend.link_load());
     match context
         .measure
--- a/crates/gateway/src/traffic/path.rs
+++ b/crates/gateway/src/traffic/path.rs
@@ -418,6 +418,7 @@
         let local = serving::Local::new(context, open);
         return attempt::wait_for_reply(context, local, timeout).await;
     }
-    let call = context.peers.call(target.announcement.node, open);
+    let sent = context.sent_to(Some(&target.announcement.domain));
+    let call = context.peers.call(target.announcement.node, sent, open);
     attempt::wait_for_reply(context, call, timeout).await
 }
--- a/crates/gateway/src/traffic/peers.rs
+++ b/crates/gateway/src/traffic/peers.rs
@@ -20,6 +20,7 @@
 use tokio_util::codec::FramedRead;
 
 use super::path::attempt;
+use super::sent;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -63,15 +64,24 @@
     share: cell::RefCell<Option<account::Share>>,
     /// Notified when bytes have been written.
     written: Notify,
+    sent: sent::Recorder,
 }
 
 impl Outbox {
-    /// Creates an outbox that adds its unwritten bytes to `total_unwritten` and to `holding`.
-    pub(super) fn new(
+    /// Creates an outbox that adds the bytes of its messages to `sent`.
+    fn new(sent: sent::Recorder) -> Self {
+        let mut outbox = Self::default();
+        outbox.sent = sent;
+        outbox
+    }
+
+    /// Adds the unwritten bytes to `total_unwritten` and to `holding` as well.
+    pub(super) fn with_account(
+        sent: sent::Recorder,
         total_unwritten: rc::Rc<cell::Cell<usize>>,
         holding: &rc::Rc<account::Holding>,
     ) -> Self {
-        let mut outbox = Self::default();
+        let mut outbox = Self::new(sent);
         outbox.total_unwritten = total_unwritten;
         outbox.share = cell::RefCell::new(Some(account::Share::new(holding, 0)));
         outbox
@@ -87,7 +97,7 @@
     /// Appends a message; returns whether it was queued.
     pub(super) fn push<T>(&self, message: &T) -> bool
     where
-        T: serde::Serialize,
+        T: sent::Message,
     {
         let mut bytes = self.bytes.borrow_mut();
         if self.is_closed.get() || bytes.len() > MAX_QUEUED_BYTES {
@@ -99,6 +109,7 @@
             return false;
         }
         let added = bytes.len() - length;
+        self.sent.record(message.kind(), added);
         let total = &self.total_unwritten;
         total.set(total.get() + added);
         self.set_unwritten(self.unwritten.get() + added);
@@ -247,9 +258,14 @@
 }
 
 impl Peers {
-    /// Sends a request to a node.
-    pub(super) fn call(&self, address: net::SocketAddr, mut open: peer::Open) -> Call {
-        let link = self.link(address);
+    /// Sends a request to a node; `sent` records the bytes if a connection is opened for it.
+    pub(super) fn call(
+        &self,
+        address: net::SocketAddr,
+        sent: sent::Recorder,
+        mut open: peer::Open,
+    ) -> Call {
+        let link = self.link(address, sent);
         let stream = link.next_stream.get();
         link.next_stream.set(stream + 1);
         open.stream = stream;
@@ -270,10 +286,13 @@
         }
     }
 
-    fn link(&self, address: net::SocketAddr) -> rc::Rc<Link> {
+    fn link(&self, address: net::SocketAddr, sent: sent::Recorder) -> rc::Rc<Link> {
         let mut links = self.links.borrow_mut();
         let link = links.entry(address).or_insert_with(|| {
-            let link = rc::Rc::new(Link::default());
+            let link = rc::Rc::new(Link {
+                outbox: Outbox::new(sent),
+                ..Link::default()
+            });
             let (task_link, task_links) = (rc::Rc::clone(&link), rc::Rc::clone(&self.links));
             task::spawn_local(async move {
                 let ended = run_link(address, &task_link, &task_links).await;
--- a/crates/gateway/src/traffic/serving.rs
+++ b/crates/gateway/src/traffic/serving.rs
@@ -5,6 +5,7 @@
 use std::cell;
 use std::collections;
 use std::io;
+use std::net;
 use std::rc;
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use tokio::task;
 
 use super::path::attempt;
-use super::{Context, backend, peers};
+use super::{Context, backend, peers, sent};
 use crate::{frontend, root};
 
 pub(super) use bodies::Pull;
@@ -89,9 +90,14 @@
 {
     let _open = context.node_connections.enter();
     peers::set_socket_options(&io)?;
+    let sent = sent_to(io.peer_addr()?.ip(), context);
     let (reader, writer) = io.into_split();
     let mut messages = Messages::new(reader, codec::Codec::new(), rc::Rc::clone(&holding));
-    let connection = rc::Rc::new(Connection::new(holding, rc::Rc::clone(&context.unwritten)));
+    let connection = rc::Rc::new(Connection::new(
+        holding,
+        sent,
+        rc::Rc::clone(&context.unwritten),
+    ));
     let mut writing = std::pin::pin!(connection.outbox.write(writer));
     let ended = tokio::select! {
         ended = &mut writing => ended,
@@ -116,6 +122,14 @@
     ended
 }
 
+/// Returns the recorder of bytes that are sent to the node at this address.
+fn sent_to<Frontend>(ip: net::IpAddr, context: &Context<Frontend>) -> sent::Recorder {
+    let view = context.shared.view.load();
+    let mut announcements = view.servers.values().map(|server| &server.announcement);
+    let node = announcements.find(|announced| announced.node.ip() == ip);
+    context.sent_to(node.map(|node| node.domain.as_str()))
+}
+
 /// Reads until the other node has closed the connection.
 async fn discard_input(reader: &mut tcp::OwnedReadHalf) -> io::Result<()> {
     let mut buffer = [0; DISCARD_BYTES];
@@ -139,9 +153,14 @@
 }
 
 impl Connection {
-    fn new(holding: rc::Rc<account::Holding>, total_unwritten: rc::Rc<cell::Cell<usize>>) -> Self {
+    fn new(
+        holding: rc::Rc<account::Holding>,
+        sent: sent::Recorder,
+        total_unwritten: rc::Rc<cell::Cell<usize>>,
+    ) -> Self {
+        let outbox = peers::Outbox::with_account(sent, total_unwritten, &holding);
         Self {
-            outbox: rc::Rc::new(peers::Outbox::new(total_unwritten, &holding)),
+            outbox: rc::Rc::new(outbox),
             holding,
             bodies: rc::Rc::default(),
             interests: rc::Rc::default(),
--- a/crates/telemetry/src/label.rs
+++ b/crates/telemetry/src/label.rs
@@ -27,6 +27,8 @@
     Cause(&'static str),
     /// Kind of a message or an event, from a fixed set of values in the code.
     Kind(&'static str),
+    /// Where the other side is, from a fixed set of values in the code.
+    Scope(&'static str),
 }
 
 impl Label<'_> {
@@ -40,6 +42,7 @@
             Self::Reason(reason) => KeyValue::new("reason", reason.as_str()),
             Self::Cause(value) => KeyValue::new("cause", value),
             Self::Kind(value) => KeyValue::new("kind", value),
+            Self::Scope(value) => KeyValue::new("scope", value),
         }
     }
 }
