--- a/crates/link/src/account.rs
+++ b/crates/link/src/account.rs
@@ -177,6 +177,23 @@
 }
 
 /// Bytes of one request that runs, and then of its answer; they are returned when dropped.
+///
+/// # Examples
+///
+/// ```
+/// use std::rc;
+/// use sequoiayoke_dispatch::ledger;
+/// use sequoiayoke_link::account;
+///
+/// let limits = ledger::Limits { bytes: 100_000, connections: 10 };
+/// let account = rc::Rc::new(account::Account::new(limits));
+/// let holding = rc::Rc::new(account::Holding::new(&account));
+/// let mut share = account::Share::new(&holding, 4_000);
+/// share.resize(9_000);
+/// assert_eq!(account.used(), 9_000);
+/// drop(share);
+/// assert_eq!(account.used(), 0);
+/// ```
 #[derive(Debug)]
 pub struct Share {
     holding: rc::Rc<Holding>,
