--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -158,7 +158,7 @@
 }
 
 /// Guards against full rate after a statement that is older than the event after which the backend
-/// server may be cold: an answer to an earlier check, or a late heartbeat.
+/// server may be cold: an answer to an earlier check, or a late announcement.
 #[test]
 fn only_a_later_health_check_ends_a_doubt() {
     let mut warmth = warmth::Warmth::new(at(0));
