review: add a script whose group loses its majority for good

Two silent voters of six are removed; when two others lose their disks, those that come back are no members, and nobody returns the acknowledged config.

--- a/review/stand-2/deployment.rs
+++ b/review/stand-2/deployment.rs
@@ -3,7 +3,8 @@
 
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::os::unix::process::CommandExt;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::thread;
@@ -12,6 +13,14 @@
 use crate::http;
 use crate::record::Record;
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    /// Sets the signal that a process gets when its parent ends.
+    fn prctl(option: i32, signal: u64) -> i32;
+}
+
 /// Ports, the same on all machines.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -34,11 +43,14 @@
     Ipv4Addr::new(127, 91, 2, index)
 }
 
-/// Finds seven ports in a row that are free on all addresses.
+/// Finds ten ports in a row that are free on all addresses.
 fn free_ports(addresses: &[Ipv4Addr]) -> Ports {
     let start = 20_000 + (std::process::id() % 997) as u16 * 20;
-    for first in (start..60_000).step_by(10).chain((20_000..start).step_by(10)) {
-        let is_free = (first..first + 7).all(|port| {
+    for first in (start..60_000)
+        .step_by(10)
+        .chain((20_000..start).step_by(10))
+    {
+        let is_free = (first..first + 10).all(|port| {
             let mut addresses = addresses.iter();
             addresses.all(|ip| TcpListener::bind((*ip, port)).is_ok())
         });
@@ -72,7 +84,15 @@
         let output = File::options().create(true).append(true).open(&self.output);
         let output = output.expect("the output file can be opened");
         let errors = output.try_clone().expect("the file has a second handle");
-        let child = Command::new(self.program)
+        let mut command = Command::new(self.program);
+        // SAFETY: the call changes nothing but the signal that the new process gets.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .env_clear()
             .env("PATH", "/usr/bin:/bin")
             .env("SEQUOIAYOKE_BOOT", &self.settings)
@@ -127,15 +147,25 @@
     pub services: Vec<String>,
     pub record: Arc<Record>,
     folder: PathBuf,
-}
-
-pub struct Options {
-    pub memory_mib: u32,
-    pub slots: u32,
+    /// Whether each core machine has a port of its own for others, which a proxy then forwards to.
+    has_own_ports: bool,
 }
 
 impl Deployment {
     pub fn start(record: &Arc<Record>, cores: u8, services: &[&str], memory_mib: u32) -> Self {
+        let mut deployment = Self::new(record, cores, services, memory_mib, false);
+        deployment.start_all();
+        deployment
+    }
+
+    /// Creates a deployment whose processes are not started.
+    pub fn new(
+        record: &Arc<Record>,
+        cores: u8,
+        services: &[&str],
+        memory_mib: u32,
+        has_own_ports: bool,
+    ) -> Self {
         let core_ips = (1..=cores).map(core_ip);
         let side_ips = (1..=services.len() as u8).map(side_ip);
         let ports = free_ports(&core_ips.chain(side_ips).collect::<Vec<_>>());
@@ -148,6 +178,7 @@
             services: services.iter().map(|name| (*name).to_owned()).collect(),
             record: Arc::clone(record),
             folder,
+            has_own_ports,
         };
         for index in 1..=cores {
             let process = deployment.process(&format!("core-{index}"), "director");
@@ -159,14 +190,27 @@
             deployment.sides.push(process);
             deployment.write_side_settings(index, cores, memory_mib);
         }
-        let processes = deployment.cores.iter_mut().chain(&mut deployment.sides);
+        deployment
+    }
+
+    /// Starts all processes.
+    pub fn start_all(&mut self) {
+        let processes = self.cores.iter_mut().chain(&mut self.sides);
         processes.for_each(Process::start);
         // A process that starts again is told that it is not the first start.
         thread::sleep(Duration::from_millis(300));
+        let cores = self.cores.len() as u8;
         for index in 1..=cores {
-            deployment.write_core_settings(index, cores, false);
+            self.write_core_settings(index, cores, false);
+        }
+    }
+
+    /// Returns the port at which a core machine listens for others, and at which it calls them.
+    pub fn replica_port(&self, index: u8) -> u16 {
+        match self.has_own_ports {
+            true => self.ports.server + u16::from(index),
+            false => self.ports.replicas,
         }
-        deployment
     }
 
     fn process(&self, name: &str, role: &str) -> Process {
@@ -188,10 +232,6 @@
         self.folder.join(format!("data-{index}"))
     }
 
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
-
     fn seeds(&self, cores: u8) -> String {
         let seed = |index| format!("\"{}:{}\"", core_ip(index), self.ports.control);
         (1..=cores.min(3)).map(seed).collect::<Vec<_>>().join(",")
@@ -207,7 +247,7 @@
 "log":{{"level":"info","format":"json"}}}}"#,
             self.data_folder(index).display(),
             ports.control,
-            ports.replicas,
+            self.replica_port(index),
             ports.sessions,
             self.seeds(cores),
         );
@@ -248,7 +288,13 @@
     }
 
     /// Calls the operator's API at a core machine, and follows two redirects.
-    pub fn operate(&self, index: u8, call: &str, fields: &str, body: &[u8]) -> Option<http::Message> {
+    pub fn operate(
+        &self,
+        index: u8,
+        call: &str,
+        fields: &str,
+        body: &[u8],
+    ) -> Option<http::Message> {
         let mut address = self.core(index);
         let timeout = Duration::from_secs(1);
         for _ in 0..3 {
@@ -276,11 +322,14 @@
             let answer = self.operate(index, "config.replace", &fields, body.as_bytes());
             let status = answer.map_or(0, |answer| answer.status());
             if status == 200 {
-                self.record.line(format!("operator: config on r{base} acknowledged by core-{index}"));
+                self.record.line(format!(
+                    "operator: config on r{base} acknowledged by core-{index}"
+                ));
                 return true;
             }
             if matches!(status, 400 | 409 | 412 | 413 | 422) {
-                self.record.line(format!("operator: config on r{base} refused with {status}"));
+                self.record
+                    .line(format!("operator: config on r{base} refused with {status}"));
                 return false;
             }
             thread::sleep(Duration::from_millis(200));
--- a/review/stand-2/generation.rs
+++ b/review/stand-2/generation.rs
@@ -56,7 +56,13 @@
     let mut latest: HashMap<u16, (u64, &str)> = HashMap::new();
     let mut faults = Vec::new();
     for event in events {
-        let Event::Granted { life, from, target, fence } = event else {
+        let Event::Granted {
+            life,
+            from,
+            target,
+            fence,
+        } = event
+        else {
             continue;
         };
         let keys = *from..=*target;
@@ -94,7 +100,6 @@
         slots: SLOTS,
         is_keyed: index <= 2,
         first_check_in,
-        clock_ms: 0,
     };
     let start = |index: u8, id: String, first_check_in| {
         Server::start(config(index, id, first_check_in), WORK_MS, record, &events)
@@ -107,7 +112,9 @@
     }
     thread::sleep(Duration::from_secs(4));
     let stop = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..2).map(|lane| client(&deployment, lane, &stop)).collect();
+    let clients: Vec<_> = (0..2)
+        .map(|lane| client(&deployment, lane, &stop))
+        .collect();
     for round in 1..=ROUNDS {
         thread::sleep(ROUND);
         if has_trouble {
@@ -124,7 +131,10 @@
         let _ = client.join();
     }
     let events = events.lock().expect("no thread panics with the lock");
-    let began = events.iter().filter(|event| matches!(event, Event::Began { .. })).count();
+    let began = events
+        .iter()
+        .filter(|event| matches!(event, Event::Began))
+        .count();
     let faults = faults(&events);
     for fault in &faults {
         record.line(fault);
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -31,11 +31,6 @@
         let mut words = self.start.split(' ');
         (words.next().unwrap_or(""), words.next().unwrap_or(""))
     }
-
-    pub fn closes(&self) -> bool {
-        self.field("connection")
-            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
 }
 
 /// Reads the head of a message; returns it with the bytes of the body that came along.
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -3,16 +3,14 @@
 //! `stand CASE FOLDER` plays a case and writes `record.txt` in FOLDER. It exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` it leaves the disruption out.
 
-#![allow(dead_code)]
-
 mod deployment;
 mod generation;
 mod http;
-mod explore;
 mod memory;
 mod quorum;
 mod record;
 mod server;
+mod silent;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -37,11 +35,10 @@
     let record = Arc::new(Record::create(&Path::new(folder).join("record.txt")));
     record.line(format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
-        "compaction" => explore::compaction(&record, has_trouble),
         "generation" => generation::play(&record, has_trouble),
-        "quorum" => quorum::play(&record, has_trouble),
-        "growth" => explore::growth(&record, has_trouble),
         "memory" => memory::play(&record, has_trouble),
+        "quorum" => quorum::play(&record, has_trouble),
+        "silent" => silent::play(&record, has_trouble),
         _ => Verdict::NotRun("there is no such case".to_owned()),
     };
     let (text, code) = match verdict {
--- a/review/stand-2/memory.rs
+++ b/review/stand-2/memory.rs
@@ -31,7 +31,14 @@
 const MACHINES: usize = 2;
 
 const SERVICES: [&str; 8] = [
-    "intakehub", "intakehub", "paydesk", "paydesk", "paydesk", "paydesk", "paydesk", "paydesk",
+    "intakehub",
+    "intakehub",
+    "paydesk",
+    "paydesk",
+    "paydesk",
+    "paydesk",
+    "paydesk",
+    "paydesk",
 ];
 
 fn config_body() -> String {
@@ -67,12 +74,14 @@
                 "POST /up/x HTTP/1.1\r\nHost: {}\r\nSequoiayoke-Request-Id: {id}\r\nSequoiayoke-Deadline-Ms: 5000\r\n",
                 deployment::HOST
             );
-            self.record.line(format!("client sends {id}, {BODY_BYTES} bytes"));
+            self.record
+                .line(format!("client sends {id}, {BODY_BYTES} bytes"));
             let start = Instant::now();
             let answer = http::call(self.address, &head, &body, Duration::from_secs(5));
             let status = answer.map_or(0, |answer| answer.status());
             let took = start.elapsed().as_millis();
-            self.record.line(format!("client gets {status} for {id} after {took} ms"));
+            self.record
+                .line(format!("client gets {status} for {id} after {took} ms"));
             if status == 200 {
                 self.served.fetch_add(1, Ordering::SeqCst);
             } else {
@@ -99,7 +108,6 @@
             slots: SLOTS,
             is_keyed: false,
             first_check_in: Duration::ZERO,
-            clock_ms: 0,
         };
         servers.push(Server::start(config, WORK_MS, record, &events));
     }
@@ -111,7 +119,10 @@
     let at = move || start.elapsed().as_secs_f64();
     let is_burst = move || {
         let at = at();
-        has_trouble && BURSTS_AT.iter().any(|begin| (*begin..begin + BURST_S).contains(&at))
+        has_trouble
+            && BURSTS_AT
+                .iter()
+                .any(|begin| (*begin..begin + BURST_S).contains(&at))
     };
     let stop = Arc::new(AtomicBool::new(false));
     let served = Arc::new(AtomicU64::new(0));
@@ -155,7 +166,11 @@
             let resident = node.resident();
             let running = servers[index].running.load(Ordering::SeqCst);
             if resident > peaks[index] + (4 << 20) {
-                record.line(format!("{}: {} MiB, {running} run", node.name, resident >> 20));
+                record.line(format!(
+                    "{}: {} MiB, {running} run",
+                    node.name,
+                    resident >> 20
+                ));
             }
             peaks[index] = resident.max(peaks[index]);
             if resident > limit {
--- a/review/stand-2/quorum.rs
+++ b/review/stand-2/quorum.rs
@@ -78,7 +78,9 @@
             let (status, body) = read(&deployment, index);
             let is_newest = status == 200 && body == newest.as_bytes();
             if status != last[usize::from(index) - 1] {
-                record.line(format!("operator: config.read at core-{index}: {status}, newest: {is_newest}"));
+                record.line(format!(
+                    "operator: config.read at core-{index}: {status}, newest: {is_newest}"
+                ));
                 last[usize::from(index) - 1] = status;
             }
             if status == 200 && !is_newest {
@@ -94,7 +96,11 @@
     let waited = back.elapsed().as_secs();
     let mut ended = Vec::new();
     for process in &mut deployment.cores {
-        ended.extend(process.ended().map(|status| format!("{} {status}", process.name)));
+        ended.extend(
+            process
+                .ended()
+                .map(|status| format!("{} {status}", process.name)),
+        );
     }
     Verdict::Broken(format!(
         "no machine returns the acknowledged config {waited} s after all are back; ended by themselves: {ended:?}"
--- a/review/stand-2/record.rs
+++ b/review/stand-2/record.rs
@@ -25,10 +25,6 @@
         let mut file = self.file.lock().expect("no thread panics while it writes");
         let _ = writeln!(file, "{at:9.3} {}", text.as_ref());
     }
-
-    pub fn elapsed_s(&self) -> f64 {
-        self.start.elapsed().as_secs_f64()
-    }
 }
 
 /// Returns the time of day in milliseconds since the Unix epoch.
--- a/review/stand-2/server.rs
+++ b/review/stand-2/server.rs
@@ -26,8 +26,6 @@
     pub is_keyed: bool,
     /// How late its first check-in is.
     pub first_check_in: Duration,
-    /// What its clock is ahead of the true time, in milliseconds.
-    pub clock_ms: i64,
 }
 
 /// Keys that a server has taken.
@@ -53,10 +51,14 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// It has taken keys.
-    Granted { life: String, from: u16, target: u16, fence: u64 },
-    /// It has begun a request on a key, under this generation number.
-    Began { life: String, id: String, key: Option<u16>, fence: u64 },
-    Ended { life: String, id: String },
+    Granted {
+        life: String,
+        from: u16,
+        target: u16,
+        fence: u64,
+    },
+    /// It has begun a request.
+    Began,
 }
 
 pub type Events = Arc<Mutex<Vec<Event>>>;
@@ -69,11 +71,9 @@
     pub work_ms: AtomicU64,
     pub running: AtomicUsize,
     is_alive: AtomicBool,
-    is_draining: AtomicBool,
     state: Mutex<State>,
     freed: Condvar,
     served: AtomicU64,
-    pub acknowledged: AtomicU64,
     record: Arc<Record>,
     events: Events,
 }
@@ -81,9 +81,12 @@
 impl Server {
     pub fn start(config: Config, work_ms: u64, record: &Arc<Record>, events: &Events) -> Arc<Self> {
         let listener = TcpListener::bind(config.address).expect("the server's port is free");
-        let born_ms = record::unix_ms().saturating_add_signed(config.clock_ms);
+        let born_ms = record::unix_ms();
         let life = format!("{}@{born_ms}", config.id);
-        record.line(format!("server {life} ({}) starts at {}", config.service, config.address));
+        record.line(format!(
+            "server {life} ({}) starts at {}",
+            config.service, config.address
+        ));
         let server = Arc::new(Self {
             config,
             born_ms,
@@ -91,11 +94,9 @@
             work_ms: AtomicU64::new(work_ms),
             running: AtomicUsize::new(0),
             is_alive: AtomicBool::new(true),
-            is_draining: AtomicBool::new(false),
             state: Mutex::default(),
             freed: Condvar::new(),
             served: AtomicU64::new(0),
-            acknowledged: AtomicU64::new(0),
             record: Arc::clone(record),
             events: Arc::clone(events),
         });
@@ -119,16 +120,14 @@
         self.record.line(format!("server {} crashes", self.life));
     }
 
-    pub fn drain(&self) {
-        self.is_draining.store(true, Ordering::SeqCst);
-    }
-
     fn is_alive(&self) -> bool {
         self.is_alive.load(Ordering::SeqCst)
     }
 
     fn accept(self: Arc<Self>, listener: TcpListener) {
-        listener.set_nonblocking(true).expect("the listener has modes");
+        listener
+            .set_nonblocking(true)
+            .expect("the listener has modes");
         while self.is_alive() {
             match listener.accept() {
                 Ok((io, _)) => {
@@ -152,25 +151,24 @@
         while self.is_alive() {
             sequence += 1;
             let config = &self.config;
-            let state = match self.is_draining.load(Ordering::SeqCst) {
-                true => "draining",
-                false => "ready",
-            };
             let body = format!(
-                r#"{{"born":{},"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"{state}","sequence":{sequence},"coldLeft":"0ms"}}}}"#,
+                r#"{{"born":{},"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"coldLeft":"0ms"}}}}"#,
                 self.born_ms, config.address, config.service, config.zone, config.slots
             );
             let head = format!(
                 "POST /v1/rpc?call=instances.heartbeat&of={} HTTP/1.1\r\ncontent-type: application/json\r\n",
                 config.id
             );
-            let answer = http::call(config.control, &head, body.as_bytes(), Duration::from_secs(1));
+            let answer = http::call(
+                config.control,
+                &head,
+                body.as_bytes(),
+                Duration::from_secs(1),
+            );
             let status = answer.map_or(0, |answer| answer.status());
             if sequence <= 3 || status != 200 {
-                self.record.line(format!("check-in {sequence} of {} ({state}): {status}", self.life));
-            }
-            if status == 200 {
-                self.acknowledged.fetch_add(1, Ordering::SeqCst);
+                self.record
+                    .line(format!("check-in {sequence} of {}: {status}", self.life));
             }
             thread::sleep(HEARTBEAT);
         }
@@ -195,12 +193,8 @@
             ("POST", "/v1/grant") => self.grant(&request.body),
             ("POST", "/v1/release") => self.release(&request.body),
             ("GET", "/health") => {
-                let status = match self.is_draining.load(Ordering::SeqCst) {
-                    true => "503 Service Unavailable",
-                    false => "200 OK",
-                };
                 let fields = format!("Sequoiayoke-Instance-Id: {}\r\n", self.config.id);
-                response(status, &fields, "")
+                response("200 OK", &fields, "")
             }
             _ => self.run(request),
         }
@@ -222,19 +216,34 @@
         let mut seen = state.seen.iter();
         if seen.any(|(first, last, known)| overlaps(*first, *last) && *known > fence) {
             drop(state);
-            self.record.line(format!("{} refuses {from}..={target} fence {fence}", self.life));
+            self.record.line(format!(
+                "{} refuses {from}..={target} fence {fence}",
+                self.life
+            ));
             return response("409 Conflict", "", "");
         }
         state.seen.push((from, target, fence));
-        state.holds.retain(|held| !(held.fence <= fence && from <= held.from && held.target <= target));
+        state
+            .holds
+            .retain(|held| !(held.fence <= fence && from <= held.from && held.target <= target));
         let until = Instant::now() + Duration::from_millis(hold);
-        state.holds.push(Hold { from, target, fence, until });
+        state.holds.push(Hold {
+            from,
+            target,
+            fence,
+            until,
+        });
         drop(state);
         self.record.line(format!(
             "{} takes {from}..={target} fence {fence} for {hold} ms",
             self.life
         ));
-        self.push(Event::Granted { life: self.life.clone(), from, target, fence });
+        self.push(Event::Granted {
+            life: self.life.clone(),
+            from,
+            target,
+            fence,
+        });
         response("200 OK", "", "")
     }
 
@@ -252,18 +261,32 @@
                 continue;
             }
             if held.from < from {
-                kept.push(Hold { target: from - 1, ..held.clone() });
+                kept.push(Hold {
+                    target: from - 1,
+                    ..held.clone()
+                });
             }
             if held.target > target {
-                kept.push(Hold { from: target + 1, ..held });
+                kept.push(Hold {
+                    from: target + 1,
+                    ..held
+                });
             }
         }
         state.holds = kept;
-        while state.running.iter().any(|key| (from..=target).contains(key)) {
-            state = self.freed.wait(state).expect("no thread panics with the lock");
+        while state
+            .running
+            .iter()
+            .any(|key| (from..=target).contains(key))
+        {
+            state = self
+                .freed
+                .wait(state)
+                .expect("no thread panics with the lock");
         }
         drop(state);
-        self.record.line(format!("{} releases {from}..={target}", self.life));
+        self.record
+            .line(format!("{} releases {from}..={target}", self.life));
         response("200 OK", "Sequoiayoke-Handover: 5c0e7a21d94b36f8\r\n", "")
     }
 
@@ -293,7 +316,9 @@
             fence = hold.fence;
         }
         let deadline = request.field("Sequoiayoke-Deadline-Ms");
-        let deadline = deadline.and_then(|text| text.parse().ok()).unwrap_or(10_000);
+        let deadline = deadline
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(10_000);
         let queued_until = Instant::now() + Duration::from_millis(deadline);
         while self.running.load(Ordering::SeqCst) >= self.config.slots {
             let left = queued_until.saturating_duration_since(Instant::now());
@@ -301,7 +326,11 @@
                 return response("503 Service Unavailable", &refused, "");
             }
             let wait = left.min(Duration::from_millis(50));
-            state = self.freed.wait_timeout(state, wait).expect("no thread panics with the lock").0;
+            state = self
+                .freed
+                .wait_timeout(state, wait)
+                .expect("no thread panics with the lock")
+                .0;
         }
         self.running.fetch_add(1, Ordering::SeqCst);
         state.running.extend(key);
@@ -311,7 +340,7 @@
             "{} begins {id} {} key {key:?} fence {fence} body {length}",
             self.life, request.start
         ));
-        self.push(Event::Began { life: self.life.clone(), id: id.clone(), key, fence });
+        self.push(Event::Began);
         let work = Duration::from_millis(self.work_ms.load(Ordering::SeqCst));
         thread::sleep(work.min(queued_until.saturating_duration_since(Instant::now())));
         let mut state = self.state.lock().expect("no thread panics with the lock");
@@ -323,25 +352,31 @@
         self.freed.notify_all();
         let number = self.served.fetch_add(1, Ordering::SeqCst);
         self.record.line(format!("{} ends {id}", self.life));
-        self.push(Event::Ended { life: self.life.clone(), id });
         let fields = format!("{echo}Sequoiayoke-Server-Stamp: {}.{number}\r\n", self.life);
         response("200 OK", &fields, &format!("ran {length} bytes"))
     }
 
     fn push(&self, event: Event) {
-        self.events.lock().expect("no thread panics with the lock").push(event);
+        self.events
+            .lock()
+            .expect("no thread panics with the lock")
+            .push(event);
     }
 }
 
 fn response(status: &str, fields: &str, body: &str) -> String {
     let length = body.len();
-    format!("HTTP/1.1 {status}\r\n{fields}Keep-Alive: timeout=10\r\ncontent-length: {length}\r\n\r\n{body}")
+    format!(
+        "HTTP/1.1 {status}\r\n{fields}Keep-Alive: timeout=10\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
 }
 
 /// Returns a number or the milliseconds of a time in a JSON object.
 fn number(text: &str, name: &str) -> Option<u64> {
     let start = text.find(&format!("\"{name}\":"))? + name.len() + 3;
     let digits = text[start..].trim_start_matches(['"', ' ']);
-    let end = digits.find(|next: char| !next.is_ascii_digit()).unwrap_or(digits.len());
+    let end = digits
+        .find(|next: char| !next.is_ascii_digit())
+        .unwrap_or(digits.len());
     digits[..end].parse().ok()
 }
