--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -4,11 +4,11 @@
 //! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` it leaves the disruption out.
 
 mod deployment;
-mod generation;
 mod http;
 mod memory;
 mod quorum;
 mod record;
+mod reuse;
 mod server;
 mod silent;
 
@@ -35,9 +35,9 @@
     let record = Arc::new(Record::create(&Path::new(folder).join("record.txt")));
     record.line(format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
-        "generation" => generation::play(&record, has_trouble),
         "memory" => memory::play(&record, has_trouble),
         "quorum" => quorum::play(&record, has_trouble),
+        "reuse" => reuse::play(&record, has_trouble),
         "silent" => silent::play(&record, has_trouble),
         _ => Verdict::NotRun("there is no such case".to_owned()),
     };
--- a/review/stand-2/memory.rs
+++ b/review/stand-2/memory.rs
@@ -1,7 +1,7 @@
 //! Uploads in a burst, and the memory of the nodes beside the servers that get them.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -97,7 +97,6 @@
 
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> Verdict {
     let mut deployment = Deployment::start(record, 3, &SERVICES, MEMORY_MIB);
-    let events = Arc::new(Mutex::new(Vec::new()));
     if !deployment.configure(0, &config_body(), Duration::from_secs(15)) {
         return Verdict::NotRun("the first configuration was not acknowledged".to_owned());
     }
@@ -113,7 +112,7 @@
             is_keyed: false,
             first_check_in: Duration::ZERO,
         };
-        servers.push(Server::start(config, WORK_MS, record, &events));
+        servers.push(Server::start(config, WORK_MS, record));
     }
     if !deployment.wait_until_ready(Duration::from_secs(15)) {
         return Verdict::NotRun("the nodes are not ready".to_owned());
--- a/review/stand-2/server.rs
+++ b/review/stand-2/server.rs
@@ -47,22 +47,6 @@
     connections: Vec<TcpStream>,
 }
 
-/// What a server has seen, in order.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// It has taken keys.
-    Granted {
-        life: String,
-        from: u16,
-        target: u16,
-        fence: u64,
-    },
-    /// It has begun a request.
-    Began,
-}
-
-pub type Events = Arc<Mutex<Vec<Event>>>;
-
 pub struct Server {
     pub config: Config,
     pub born_ms: u64,
@@ -71,16 +55,31 @@
     pub work_ms: AtomicU64,
     pub running: AtomicUsize,
     is_alive: AtomicBool,
+    /// Whether it answers nothing, as a server whose machine has fallen silent.
+    is_dark: AtomicBool,
+    listener: Mutex<Option<TcpListener>>,
     state: Mutex<State>,
     freed: Condvar,
     served: AtomicU64,
     record: Arc<Record>,
-    events: Events,
 }
 
 impl Server {
-    pub fn start(config: Config, work_ms: u64, record: &Arc<Record>, events: &Events) -> Arc<Self> {
+    pub fn start(config: Config, work_ms: u64, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind(config.address).expect("the server's port is free");
+        Self::start_at(listener, config, work_ms, record)
+    }
+
+    /// Starts a server at a listener that was opened before.
+    pub fn start_at(
+        listener: TcpListener,
+        config: Config,
+        work_ms: u64,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
+        let accepting = listener
+            .try_clone()
+            .expect("the listener has a second handle");
         let born_ms = record::unix_ms();
         let life = format!("{}@{born_ms}", config.id);
         record.line(format!(
@@ -94,14 +93,15 @@
             work_ms: AtomicU64::new(work_ms),
             running: AtomicUsize::new(0),
             is_alive: AtomicBool::new(true),
+            is_dark: AtomicBool::new(false),
+            listener: Mutex::new(Some(listener)),
             state: Mutex::default(),
             freed: Condvar::new(),
             served: AtomicU64::new(0),
             record: Arc::clone(record),
-            events: Arc::clone(events),
         });
-        let accepting = Arc::clone(&server);
-        thread::spawn(move || accepting.accept(listener));
+        let acceptor = Arc::clone(&server);
+        thread::spawn(move || acceptor.accept(accepting));
         let announcing = Arc::clone(&server);
         thread::spawn(move || announcing.announce());
         server
@@ -115,11 +115,48 @@
             let _ = connection.shutdown(Shutdown::Both);
         }
         drop(state);
-        // The listener is closed by its thread.
+        drop(self.lock_listener().take());
+        // The thread that accepts has the other handle.
         thread::sleep(Duration::from_millis(20));
         self.record.line(format!("server {} crashes", self.life));
     }
 
+    fn lock_listener(&self) -> std::sync::MutexGuard<'_, Option<TcpListener>> {
+        self.listener
+            .lock()
+            .expect("no thread panics with the lock")
+    }
+
+    /// Returns what it holds now, if it is up.
+    pub fn held(&self) -> Vec<Hold> {
+        if !self.is_alive() || self.is_dark() {
+            return Vec::new();
+        }
+        let now = Instant::now();
+        let state = self.state.lock().expect("no thread panics with the lock");
+        let held = state.holds.iter().filter(|hold| now < hold.until);
+        held.cloned().collect()
+    }
+
+    /// Falls silent: it answers nothing and checks in no more, while its address stays reachable.
+    pub fn go_dark(&self) {
+        self.is_dark.store(true, Ordering::SeqCst);
+        self.record
+            .line(format!("server {} falls silent", self.life));
+    }
+
+    /// Ends a silent server and returns its listener, without the connections that wait there.
+    pub fn take_listener(&self) -> TcpListener {
+        let listener = self.lock_listener().take().expect("it has not ended");
+        self.crash();
+        while listener.accept().is_ok() {}
+        listener
+    }
+
+    fn is_dark(&self) -> bool {
+        self.is_dark.load(Ordering::SeqCst)
+    }
+
     fn is_alive(&self) -> bool {
         self.is_alive.load(Ordering::SeqCst)
     }
@@ -129,6 +166,10 @@
             .set_nonblocking(true)
             .expect("the listener has modes");
         while self.is_alive() {
+            if self.is_dark() {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            }
             match listener.accept() {
                 Ok((io, _)) => {
                     let _ = io.set_nonblocking(false);
@@ -148,7 +189,7 @@
     fn announce(self: Arc<Self>) {
         thread::sleep(self.config.first_check_in);
         let mut sequence = 0;
-        while self.is_alive() {
+        while self.is_alive() && !self.is_dark() {
             sequence += 1;
             let config = &self.config;
             let body = format!(
@@ -180,6 +221,9 @@
             if !self.is_alive() {
                 return;
             }
+            while self.is_dark() && self.is_alive() {
+                thread::sleep(Duration::from_millis(5));
+            }
             let answer = self.answer(&request);
             if !self.is_alive() || io.write_all(answer.as_bytes()).is_err() {
                 return;
@@ -238,12 +282,6 @@
             "{} takes {from}..={target} fence {fence} for {hold} ms",
             self.life
         ));
-        self.push(Event::Granted {
-            life: self.life.clone(),
-            from,
-            target,
-            fence,
-        });
         response("200 OK", "", "")
     }
 
@@ -340,7 +378,6 @@
             "{} begins {id} {} key {key:?} fence {fence} body {length}",
             self.life, request.start
         ));
-        self.push(Event::Began);
         let work = Duration::from_millis(self.work_ms.load(Ordering::SeqCst));
         thread::sleep(work.min(queued_until.saturating_duration_since(Instant::now())));
         let mut state = self.state.lock().expect("no thread panics with the lock");
@@ -355,13 +392,6 @@
         let fields = format!("{echo}Sequoiayoke-Server-Stamp: {}.{number}\r\n", self.life);
         response("200 OK", &fields, &format!("ran {length} bytes"))
     }
-
-    fn push(&self, event: Event) {
-        self.events
-            .lock()
-            .expect("no thread panics with the lock")
-            .push(event);
-    }
 }
 
 fn response(status: &str, fields: &str, body: &str) -> String {
