director: keep silent voters whose disks may be needed

Cause: a leader removed a voter that was silent for 4 s if the number of voters was even and for 20 s otherwise, as long as three remained. It took silence for a lost disk, and three voters for enough, whatever the deployment tolerates. Four voters remained, two of which lost their disks; the disks that were intact belonged to no members.

Change: a silent voter leaves only if the group is exposed, that is if the voters that are heard, less the tolerated losses, are no majority, and if more than twice as many as may be lost were heard within the last second. Then the rest bears those losses whether the silent one is gone or not. Otherwise it stays, since its disk may be one of those that form a majority later. Of several, the one that was heard first leaves first, and the next one is checked as soon as the change is committed, as an even number of voters may bear less.

The test of removals after a long silence expected that a leader which hears no other voter of five removes one; that is the fault. It is replaced by one in which the others are heard, and by one that checks all groups up to 15 voters with any number of silent ones and up to four tolerated losses.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -174,6 +174,12 @@
         self.log.members()
     }
 
+    /// Returns whether the latest membership is not yet committed. A leader refuses another change
+    /// until it is.
+    pub fn has_pending_change(&self) -> bool {
+        self.log.members_index() > self.log.commit()
+    }
+
     /// Returns the index of the last entry that this replica knows to be committed.
     pub fn commit(&self) -> position::Index {
         self.log.commit()
--- a/crates/consensus/src/replica/change.rs
+++ b/crates/consensus/src/replica/change.rs
@@ -40,7 +40,7 @@
         self.check_proposal(now, &entry::Content::Empty)?;
         // With two concurrent changes there could be two majorities that share no
         // replica.
-        if self.log.members_index() > self.log.commit() {
+        if self.has_pending_change() {
             return Err(effect::Refusal::ChangePending);
         }
         let members = self.log.members().with_change(change);
--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -107,6 +107,7 @@
     region: String,
     /// Failure domains that the settings list.
     domains: Vec<String>,
+    tolerance: members::Tolerance,
     lease: Duration,
     session_port: u16,
     /// Replicas that the settings list, in their latest version.
@@ -121,7 +122,7 @@
     node_queues: slotmap::SecondaryMap<leader::Session, mpsc::Sender<Bytes>>,
     pending_orders: pending::Queue<oneshot::Sender<operator::Answer>>,
     last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
-    members_checked_at: clock::Instant,
+    members_check_at: clock::Instant,
     stage: stopping::Stage,
     outputs: Outputs,
 }
@@ -154,6 +155,7 @@
         Ok(Self {
             region: settings.region.clone(),
             domains: settings.domains.clone(),
+            tolerance: settings.tolerance,
             lease: settings.lease,
             session_port: settings.session_port,
             seeds,
@@ -165,7 +167,7 @@
             node_queues: slotmap::SecondaryMap::new(),
             pending_orders: pending::Queue::new(),
             last_heard: collections::BTreeMap::new(),
-            members_checked_at: now,
+            members_check_at: now,
             stage: stopping::Stage::Running,
             outputs,
         })
--- a/crates/director/src/coordinator/members.rs
+++ b/crates/director/src/coordinator/members.rs
@@ -3,6 +3,14 @@
 //! Replicas join and leave without an order from an operator. One change is made at a time: a new
 //! identity is added as a learner, then promoted to voter, and only then is the identity that it
 //! replaces removed, so that the group is never short of a voter.
+//!
+//! A voter is removed for one of two reasons:
+//!
+//! - Another identity has introduced itself from its address. Its disk is gone, so it never returns.
+//! - It is silent. It may be gone for good or return with its disk, which cannot be told apart, so its
+//!   removal must be safe in both cases: the voters that are heard are enough to lose as many more
+//!   disks as the deployment tolerates and still be a majority ([`Tolerance`]). Otherwise it stays,
+//!   since its disk may be one of those that form a majority later.
 
 use std::collections;
 use std::net;
@@ -18,35 +26,22 @@
 
 /// Interval between checks for replicas to add or remove.
 const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time without a message after which a replica is no longer added or promoted, and is removed if
-/// the number of voters is even, as it is once another replica has replaced it.
-const REPLACED_AFTER: Duration = Duration::from_secs(4);
-/// Time without a message after which a replica is removed whether the number of voters is even or
-/// odd.
-const LOST_AFTER: Duration = Duration::from_secs(20);
-/// Minimum number of voters that remain when lost voters are removed.
-const MIN_VOTERS: usize = 3;
+/// Time without a message after which a replica is silent: it is neither added nor promoted, and may
+/// be removed.
+const SILENT_AFTER: Duration = Duration::from_secs(4);
+/// Time without a message up to which a voter counts as present when another one is removed. Voters
+/// answer every heartbeat.
+const PRESENT_WITHIN: Duration = Duration::from_secs(1);
 
 impl Coordinator {
     /// Adds replicas that were discovered and removes those that were replaced or lost, one change
     /// at a time.
     pub(super) fn check_members(&mut self, now: clock::Instant) -> supervisor::Outcome {
-        if now.saturating_since(self.members_checked_at) < MEMBERS_CHECK_INTERVAL {
-            return Ok(());
-        }
-        self.members_checked_at = now;
         let replica = self.driver.replica();
-        self.outputs.measure.set_status(measure::Status {
-            is_leader: self.leader.is_some(),
-            term: replica.role().term.0,
-            commit: replica.commit().0,
-            nodes: self.node_queues.len(),
-            voters: replica.members().voters().count(),
-            evacuated: self.driver.machine().evacuated().len(),
-        });
-        if self.leader.is_none() {
+        if now < self.members_check_at || replica.has_pending_change() {
             return Ok(());
         }
+        self.members_check_at = now + MEMBERS_CHECK_INTERVAL;
         let view = View {
             own: replica.id(),
             members: replica.members(),
@@ -54,11 +49,33 @@
             current: self.directory.current(),
             last_heard: &self.last_heard,
             leads_since: self.leads_since,
+            tolerance: self.tolerance,
         };
+        let is_leader = self.leader.is_some();
+        self.outputs.measure.set_status(measure::Status {
+            is_leader,
+            term: replica.role().term.0,
+            commit: replica.commit().0,
+            nodes: self.node_queues.len(),
+            voters: replica.members().voters().count(),
+            silent_voters: if is_leader {
+                view.silent_voters(now).count()
+            } else {
+                0
+            },
+            evacuated: self.driver.machine().evacuated().len(),
+        });
+        if !is_leader {
+            return Ok(());
+        }
         let Some(change) = view.next_change(now) else {
             return Ok(());
         };
         tracing::info!(?change, "changing the members of the group");
+        if matches!(change, members::Change::Remove(_)) {
+            // Another removal may be due, and a group between the two may bear fewer losses.
+            self.members_check_at = now;
+        }
         self.driver.step(now, log::Event::ChangeMember(change));
         self.flush(now)?;
         self.announce();
@@ -70,6 +87,73 @@
     }
 }
 
+/// Losses that the deployment has to bear at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tolerance {
+    vms: usize,
+    domains: Part,
+    regions: Part,
+}
+
+/// Number of failure domains or regions that may be lost, of all that there are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Part {
+    lost: usize,
+    total: usize,
+}
+
+impl Part {
+    /// Returns how many of `voters` are lost at most, if they are spread evenly.
+    fn share(self, voters: usize) -> usize {
+        match self.total {
+            0 => 0,
+            total => (voters.div_ceil(total) * self.lost).min(voters),
+        }
+    }
+}
+
+impl Tolerance {
+    /// Creates a tolerance of the loss of any `vms` VMs.
+    pub const fn new(vms: usize) -> Self {
+        let none = Part { lost: 0, total: 0 };
+        Self {
+            vms,
+            domains: none,
+            regions: none,
+        }
+    }
+
+    /// Adds the loss of any `lost` failure domains of `total`.
+    pub const fn with_domains(mut self, lost: usize, total: usize) -> Self {
+        self.domains = Part { lost, total };
+        self
+    }
+
+    /// Adds the loss of any `lost` regions of `total`.
+    pub const fn with_regions(mut self, lost: usize, total: usize) -> Self {
+        self.regions = Part { lost, total };
+        self
+    }
+
+    /// Returns how many more voters a group of `voters` must be able to lose while `present` of them
+    /// are heard. It is less than half of the voters, since no group can lose more.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sequoiayoke_director::coordinator::members;
+    ///
+    /// let tolerance = members::Tolerance::new(2);
+    /// assert_eq!([3, 4, 6, 7].map(|voters| tolerance.losses(voters, voters)), [1, 1, 2, 2]);
+    /// let tolerance = members::Tolerance::new(1).with_domains(1, 3);
+    /// assert_eq!(tolerance.losses(7, 6), 2);
+    /// ```
+    pub fn losses(&self, voters: usize, present: usize) -> usize {
+        let parts = self.domains.share(present).max(self.regions.share(present));
+        self.vms.max(parts).min(voters.saturating_sub(1) / 2)
+    }
+}
+
 /// What a leader knows about the members of the group and other replicas.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -85,6 +169,8 @@
     pub last_heard: &'a collections::BTreeMap<id::Replica, clock::Instant>,
     /// Since when this replica has led.
     pub leads_since: clock::Instant,
+    /// Losses that the group has to bear.
+    pub tolerance: Tolerance,
 }
 
 impl View<'_> {
@@ -108,6 +194,7 @@
     ///     current: &collections::BTreeMap::from([(address, other)]),
     ///     last_heard: &collections::BTreeMap::from([(other, now)]),
     ///     leads_since: now,
+    ///     tolerance: members::Tolerance::new(1),
     /// };
     /// assert_eq!(view.next_change(now), Some(Change::AddLearner(other)));
     /// ```
@@ -115,7 +202,7 @@
         let (own, group) = (self.own, self.members);
         let is_live = |id: &id::Replica| {
             let last_heard = self.last_heard.get(id);
-            last_heard.is_some_and(|heard| now.saturating_since(*heard) < REPLACED_AFTER)
+            last_heard.is_some_and(|heard| now.saturating_since(*heard) < SILENT_AFTER)
         };
         let current = self.current;
         for id in current.values().filter(|id| **id != own && is_live(id)) {
@@ -135,17 +222,43 @@
         if let Some(id) = replaced {
             return Some(members::Change::Remove(id));
         }
-        let voters = group.voters().count();
-        let is_even = voters.is_multiple_of(2);
-        let lost = group.all().find(|id| {
-            let silence = now.saturating_since(self.silent_since(*id));
-            *id != own && (silence >= LOST_AFTER || (silence >= REPLACED_AFTER && is_even))
-        });
-        match lost {
-            Some(id) if !group.is_voter(id) || voters > MIN_VOTERS => {
-                Some(members::Change::Remove(id))
-            }
-            _ => None,
+        self.silent_member(now).map(members::Change::Remove)
+    }
+
+    /// Returns the silent member to remove, if the group is safer without it.
+    ///
+    /// While the voters that are not silent could lose all that is tolerated and still be a majority,
+    /// the silent ones do no harm. Otherwise the one that has been silent for the longest time leaves,
+    /// provided that the voters that are present are a majority after those losses without any other.
+    fn silent_member(&self, now: clock::Instant) -> Option<id::Replica> {
+        let mut learners = self.members.learners();
+        if let Some(learner) = learners.find(|id| self.silence(*id, now) >= SILENT_AFTER) {
+            return Some(learner);
+        }
+        // A new leader has known the silence of all others for the same time, but one that was heard
+        // earlier is more likely to be gone for good.
+        let silent = self.silent_voters(now);
+        let longest = silent.min_by_key(|id| self.last_heard.get(id))?;
+        let voters = self.members.voters().count();
+        let heard = voters - self.silent_voters(now).count();
+        let present = self.members.voters();
+        let present = present.filter(|id| self.silence(*id, now) < PRESENT_WITHIN);
+        let present = present.count();
+        let losses = self.tolerance.losses(voters, present);
+        let is_exposed = heard < losses + self.members.majority();
+        (is_exposed && present > 2 * losses).then_some(longest)
+    }
+
+    /// Returns the voters that have sent nothing for too long.
+    pub fn silent_voters(&self, now: clock::Instant) -> impl Iterator<Item = id::Replica> + '_ {
+        let voters = self.members.voters();
+        voters.filter(move |id| self.silence(*id, now) >= SILENT_AFTER)
+    }
+
+    fn silence(&self, member: id::Replica, now: clock::Instant) -> Duration {
+        match member == self.own {
+            true => Duration::ZERO,
+            false => now.saturating_since(self.silent_since(member)),
         }
     }
 
--- a/crates/director/src/measure.rs
+++ b/crates/director/src/measure.rs
@@ -16,6 +16,7 @@
     commit: metrics::Gauge,
     nodes: metrics::Gauge,
     voters: metrics::Gauge,
+    silent_voters: metrics::Gauge,
     evacuated: metrics::Gauge,
     closed: metrics::Counter,
 }
@@ -33,6 +34,8 @@
     pub(crate) nodes: usize,
     /// Number of voters in the group.
     pub(crate) voters: usize,
+    /// Number of voters that this leader has not heard for too long.
+    pub(crate) silent_voters: usize,
     /// Number of evacuated failure domains.
     pub(crate) evacuated: usize,
 }
@@ -50,6 +53,10 @@
             commit: metrics.gauge("commit_index", "Last committed entry."),
             nodes: metrics.gauge("nodes", "Nodes in session."),
             voters: metrics.gauge("voters", "Voters of the group."),
+            silent_voters: metrics.gauge(
+                "silent_voters",
+                "Voters that this leader has not heard for too long.",
+            ),
             evacuated: metrics.gauge("evacuated_domains", "Evacuated failure domains."),
             closed: metrics.counter(
                 "connections_closed",
@@ -89,6 +96,7 @@
         self.commit.set(status.commit as f64, &labels);
         self.nodes.set(status.nodes as f64, &labels);
         self.voters.set(status.voters as f64, &labels);
+        self.silent_voters.set(status.silent_voters as f64, &labels);
         self.evacuated.set(status.evacuated as f64, &labels);
     }
 
--- a/crates/director/src/root.rs
+++ b/crates/director/src/root.rs
@@ -58,6 +58,8 @@
     pub is_first_start: bool,
     /// Whether the inode numbers on the volume of the data directory change at each start.
     pub inodes_change: bool,
+    /// Losses that the deployment has to bear at the same time.
+    pub tolerance: coordinator::members::Tolerance,
     /// Length of a lease.
     pub lease: Duration,
     /// Limits of the process.
--- a/crates/director/tests/members.rs
+++ b/crates/director/tests/members.rs
@@ -15,25 +15,59 @@
     net::SocketAddr::from(([10, 0, 0, id.0 as u8], 80))
 }
 
-/// Returns the change that the first of `count` replicas makes at `now`. It has led since
-/// `leads_since`, and has not heard the others since `last_heard`, if at all.
-fn next_change(
-    count: u64,
-    last_heard: Option<clock::Instant>,
+/// What the first of a group of replicas knows about the others.
+struct Group {
+    members: Members,
+    tolerance: members::Tolerance,
+    last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
     leads_since: clock::Instant,
-    now: clock::Instant,
-) -> Option<Change> {
-    let ids: Vec<_> = (1..=count).map(id::Replica).collect();
-    let heard = ids.iter().filter_map(|id| Some((*id, last_heard?)));
-    let view = members::View {
-        own: ids[0],
-        members: &Members::new(ids.iter().copied(), []),
-        addresses: &ids.iter().map(|id| (*id, address(*id))).collect(),
-        current: &ids.iter().map(|id| (address(*id), *id)).collect(),
-        last_heard: &heard.collect::<collections::BTreeMap<_, _>>(),
-        leads_since,
-    };
-    view.next_change(now)
+}
+
+impl Group {
+    /// Creates a group of `count` voters, none of which was heard since `leads_since`.
+    fn new(count: u64, tolerated: usize, leads_since: clock::Instant) -> Self {
+        Self {
+            members: Members::new((1..=count).map(id::Replica), []),
+            tolerance: members::Tolerance::new(tolerated),
+            last_heard: collections::BTreeMap::new(),
+            leads_since,
+        }
+    }
+
+    /// Records when the last `silent` voters were heard, and that the others are heard at `now`.
+    fn hear(&mut self, silent: usize, last_heard: Option<clock::Instant>, now: clock::Instant) {
+        let voters: Vec<_> = self.members.voters().collect();
+        let (heard, silent) = voters.split_at(voters.len() - silent);
+        let heard = heard.iter().map(|id| (*id, now));
+        let silent = silent.iter().filter_map(|id| Some((*id, last_heard?)));
+        self.last_heard = heard.chain(silent).collect();
+    }
+
+    fn next_change(&self, now: clock::Instant) -> Option<Change> {
+        let ids: Vec<_> = self.members.all().collect();
+        let view = members::View {
+            own: id::Replica(1),
+            members: &self.members,
+            addresses: &ids.iter().map(|id| (*id, address(*id))).collect(),
+            current: &ids.iter().map(|id| (address(*id), *id)).collect(),
+            last_heard: &self.last_heard,
+            leads_since: self.leads_since,
+            tolerance: self.tolerance,
+        };
+        view.next_change(now)
+    }
+
+    /// Carries out the changes that are due at `now`; returns how many voters were removed.
+    fn remove_all(&mut self, now: clock::Instant) -> usize {
+        let mut count = 0;
+        while let Some(change) = self.next_change(now) {
+            assert!(matches!(change, Change::Remove(_)), "{change:?}");
+            let members = self.members.with_change(change);
+            self.members = members.expect("the change fits the members");
+            count += 1;
+        }
+        count
+    }
 }
 
 /// Guards against a new leader that removes healthy voters at once, because they had no reason to
@@ -45,19 +79,51 @@
     let now = elected_at + Duration::from_millis(100);
     for count in [4, 5] {
         for last_heard in [None, Some(start)] {
-            let change = next_change(count, last_heard, elected_at, now);
+            let mut group = Group::new(count, 1, elected_at);
+            group.hear(count as usize, last_heard, start);
+            let change = group.next_change(now);
             assert_eq!(change, None, "{count} voters, heard at {last_heard:?}");
         }
     }
 }
 
-/// Guards against a lost voter that a leader never removes.
+/// Guards against a lost voter that a leader never removes, so that the loss of others leaves no
+/// majority.
 #[test]
 fn a_leader_removes_a_voter_that_it_has_not_heard_for_a_long_time() {
     let start = clock::Instant::from_micros(0);
     for last_heard in [None, Some(start)] {
-        let change = next_change(5, last_heard, start, start + LONG);
-        assert_eq!(change, Some(Change::Remove(id::Replica(2))));
+        for (count, tolerated) in [(4, 1), (6, 2)] {
+            let mut group = Group::new(count, tolerated, start);
+            group.hear(1, last_heard, start + LONG);
+            let change = group.next_change(start + LONG);
+            assert_eq!(change, Some(Change::Remove(id::Replica(count))));
+        }
+    }
+}
+
+/// Guards against a group that does not bear the losses that the deployment tolerates, whichever of
+/// the silent voters have lost their disks, and against the removal of one that may be needed later.
+#[test]
+fn silent_voters_leave_only_if_the_others_bear_the_tolerated_losses_without_them() {
+    let start = clock::Instant::from_micros(0);
+    let now = start + LONG;
+    for count in 1..=15 {
+        for silent in 0..count as usize {
+            for tolerated in 0..=4 {
+                let mut group = Group::new(count, tolerated, start);
+                group.hear(silent, Some(start), now);
+                let heard = count as usize - silent;
+                let removed = group.remove_all(now);
+                let case = format!("{silent} of {count} silent, {tolerated} losses: -{removed}");
+                let voters = count as usize - removed;
+                let losses = tolerated.min((voters - 1) / 2);
+                if heard > 2 * losses {
+                    assert!(heard - losses >= group.members.majority(), "{case}");
+                } else {
+                    assert_eq!(removed, 0, "{case}");
+                }
+            }
+        }
     }
-    assert_eq!(next_change(3, None, start, start + LONG), None);
 }
--- a/crates/settings/src/director.rs
+++ b/crates/settings/src/director.rs
@@ -31,6 +31,9 @@
     pub inodes_change: bool,
     /// Length of a lease.
     pub lease: span::Span,
+    /// Losses that the deployment has to bear at the same time.
+    #[serde(default)]
+    pub tolerated_losses: Losses,
     /// Limits of the process.
     #[serde(default = "common::Limits::of_control_replica")]
     pub limits: common::Limits,
@@ -54,6 +57,29 @@
     pub session_port: u16,
 }
 
+/// Losses that a deployment has to bear at the same time: as many VMs with a control replica, or failure
+/// domains, or regions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Losses {
+    /// Number of VMs.
+    pub vms: usize,
+    /// Number of failure domains.
+    pub failure_domains: usize,
+    /// Number of regions.
+    pub regions: usize,
+}
+
+impl Default for Losses {
+    fn default() -> Self {
+        Self {
+            vms: 2,
+            failure_domains: 0,
+            regions: 0,
+        }
+    }
+}
+
 impl Director {
     /// Descriptions of all settings, by section.
     pub const SECTIONS: &[(&'static str, &'static [field::Field])] = &[
@@ -144,6 +170,27 @@
                     "at least 1s",
                     "Length of the lease of a backend server.",
                 ),
+                field::Field::new(
+                    "tolerated_losses.vms",
+                    "number",
+                    "2",
+                    "number",
+                    "VMs with a control replica that the deployment has to lose at the same time, with their disks or not. A silent control replica stays in the group while those that are heard could not lose as many more. Run at least twice as many control replicas and one; three times as many if another VM can be replaced for good meanwhile.",
+                ),
+                field::Field::new(
+                    "tolerated_losses.failure_domains",
+                    "number",
+                    "0",
+                    "at most those of `failure_domains`",
+                    "Failure domains that the deployment has to lose at the same time; control replicas are taken to be spread evenly over them.",
+                ),
+                field::Field::new(
+                    "tolerated_losses.regions",
+                    "number",
+                    "0",
+                    "at most those of `failure_domains`",
+                    "Regions that the deployment has to lose at the same time.",
+                ),
                 field::Field::new(
                     "limits.memory_mib",
                     "MiB",
@@ -162,6 +209,13 @@
         ),
         ("log", common::Log::FIELDS),
     ];
+
+    /// Returns the number of failure domains and of their regions.
+    pub fn count_domains(&self) -> (usize, usize) {
+        let domains = self.failure_domains.iter().flatten();
+        let regions: collections::BTreeSet<_> = domains.map(|(_, region)| region).collect();
+        (self.failure_domains.iter().flatten().count(), regions.len())
+    }
 }
 
 impl check::Check for Director {
@@ -178,6 +232,17 @@
             "lease",
             "must be at least 1s, the time between two renewals",
         );
+        let (domains, regions) = self.count_domains();
+        problems.require(
+            self.tolerated_losses.failure_domains <= domains,
+            "tolerated_losses.failure_domains",
+            "must not exceed the number of `failure_domains`",
+        );
+        problems.require(
+            self.tolerated_losses.regions <= regions,
+            "tolerated_losses.regions",
+            "must not exceed the number of regions in `failure_domains`",
+        );
         problems.within("limits", |nested| self.limits.check(nested));
         problems.within("log", |nested| self.log.check(nested));
     }
