director: let newcomers reach the leader whenever they come

Seen in the exploration of members: a VM that replaced another one at a new address never joined the group, and the losses after it left no majority.

Cause: a newcomer connected to the seeds of its settings and to replicas that had introduced themselves, so that it never met a leader that was not a seed. And it sent a single introduction: a leader that was elected more than 4 s later took it for silent and did not add it.

Change: replicas connect to the members that others list in their introductions, and repeat their own every 500 ms while they know no leader.

--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -41,6 +41,8 @@
 pub const ELECTION_MAX: Duration = Duration::from_millis(1_000);
 /// Interval between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval between two introductions of a replica that knows no leader.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time that the control thread waits for an event.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Maximum number of events that share one sync of the log.
@@ -123,6 +125,7 @@
     pending_orders: pending::Queue<oneshot::Sender<operator::Answer>>,
     last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
     members_check_at: clock::Instant,
+    announced_at: clock::Instant,
     stage: stopping::Stage,
     outputs: Outputs,
 }
@@ -168,6 +171,7 @@
             pending_orders: pending::Queue::new(),
             last_heard: collections::BTreeMap::new(),
             members_check_at: now,
+            announced_at: now,
             stage: stopping::Stage::Running,
             outputs,
         })
@@ -282,6 +286,7 @@
         let mut replicas: collections::BTreeSet<_> = self.seeds.borrow().iter().copied().collect();
         replicas.extend(members.all().filter_map(|id| self.directory.address(id)));
         replicas.extend(self.directory.current().keys());
+        replicas.extend(self.directory.listed());
         replicas.remove(&self.own_address);
         let hello = self.directory.to_hello(&self.region, members.all());
         self.outputs.published.send_replace(Published {
@@ -290,6 +295,18 @@
         });
     }
 
+    /// Announces this replica again while it knows no leader.
+    ///
+    /// A replica that is no member sends nothing else, so a leader that is elected later, or that
+    /// could not add it at once, would take it for one that is gone.
+    fn repeat_announcement(&mut self, now: clock::Instant) {
+        let is_due = now.saturating_since(self.announced_at) >= ANNOUNCE_INTERVAL;
+        if is_due && self.driver.replica().role().leader.is_none() {
+            self.announced_at = now;
+            self.announce();
+        }
+    }
+
     fn node_up(&mut self, queue: mpsc::Sender<Bytes>, reply: oneshot::Sender<leader::Session>) {
         let replicas = self.session_addresses();
         send(&queue, &session::FromControl::Replicas(replicas));
@@ -339,6 +356,7 @@
         self.transfer_leadership(now);
         self.flush(now)?;
         self.check_leadership(now);
+        self.repeat_announcement(now);
         if self.stage == stopping::Stage::Running {
             self.make_decisions(now)?;
         }
--- a/crates/director/src/coordinator/directory.rs
+++ b/crates/director/src/coordinator/directory.rs
@@ -24,6 +24,8 @@
     own: id::Replica,
     addresses: collections::BTreeMap<id::Replica, net::SocketAddr>,
     current: collections::BTreeMap<net::SocketAddr, id::Replica>,
+    /// Addresses of the members that each address listed in its latest introduction.
+    listed: collections::BTreeMap<net::SocketAddr, collections::BTreeSet<net::SocketAddr>>,
 }
 
 impl Directory {
@@ -51,6 +53,7 @@
                 .map(|(id, address)| (id::Replica(id), address))
                 .collect(),
             current: collections::BTreeMap::new(),
+            listed: collections::BTreeMap::new(),
         };
         directory.set_address(own, address);
         directory.current.insert(address, own);
@@ -65,11 +68,15 @@
     /// Records the addresses in another replica's introduction; returns whether any has changed.
     pub fn apply_hello(&mut self, hello: &replica::Hello) -> bool {
         let mut is_changed = false;
+        let names = hello.members.iter().map(|member| member.name.parse());
+        let members: collections::BTreeSet<net::SocketAddr> = names.flatten().collect();
         if let Ok(address) = hello.name.parse() {
             let id = id::Replica(hello.id);
             is_changed |= self.set_address(id, address);
             // Only one process listens on an address, so the latest identity is the running one.
             is_changed |= self.current.insert(address, id) != Some(id);
+            is_changed |= self.listed.get(&address) != Some(&members);
+            self.listed.insert(address, members);
         }
         for member in &hello.members {
             if let Ok(address) = member.name.parse::<net::SocketAddr>()
@@ -96,6 +103,13 @@
         &self.current
     }
 
+    /// Returns the addresses of the members that other replicas have listed.
+    ///
+    /// A replica that is no member, or was down while others joined, finds the leader among them.
+    pub fn listed(&self) -> impl Iterator<Item = net::SocketAddr> + '_ {
+        self.listed.values().flatten().copied()
+    }
+
     /// Removes a replica that has left the group.
     pub fn remove(&mut self, id: id::Replica) {
         if id != self.own {
--- a/crates/director/tests/membership.rs
+++ b/crates/director/tests/membership.rs
@@ -4,11 +4,11 @@
 mod world;
 
 /// Plays losses on a group that has formed, then lets all VMs return.
-fn play<Losses>(vms: usize, tolerated: usize, losses: Losses) -> Result<(), String>
+fn play<Losses>(vms: usize, tolerated: usize, seed: u64, losses: Losses) -> Result<(), String>
 where
     Losses: Fn(&mut world::World) -> Result<(), String>,
 {
-    let mut world = world::World::new(vms, tolerated, 0);
+    let mut world = world::World::new(vms, tolerated, seed);
     let result = world.run(12_000).and_then(|()| losses(&mut world));
     let result = result.and_then(|()| world.recover());
     result.map_err(|violation| format!("{vms} VMs: {violation}\n{}", world.trace()))
@@ -20,7 +20,7 @@
 fn voters_that_are_down_vote_when_they_return() {
     for (vms, tolerated) in [(3, 1), (5, 1), (6, 2), (7, 2), (8, 2), (8, 3), (10, 2)] {
         for down_ms in [3_000, 10_000, 30_000, 60_000] {
-            let result = play(vms, tolerated, |world| {
+            let result = play(vms, tolerated, 0, |world| {
                 for vm in vms - tolerated..vms {
                     world.kill(vm, None);
                 }
@@ -34,3 +34,39 @@
         }
     }
 }
+
+/// Guards against the removal of a voter that is down in place of one whose VM was removed for good.
+#[test]
+fn a_voter_that_is_down_stays_beside_one_that_was_replaced() {
+    for (vms, tolerated) in [(6, 2), (7, 2), (8, 2), (10, 2)] {
+        for down_ms in [0, 1_000, 10_000, 30_000] {
+            let result = play(vms, tolerated, 0, |world| {
+                world.kill(vms - 1, None);
+                world.run(down_ms)?;
+                world.replace(vms - 2, 1_000);
+                world.run(30_000)?;
+                world.wipe(3, 500);
+                world.wipe(0, 500);
+                world.run(1_000)
+            });
+            assert_eq!(result, Ok(()), "down for {down_ms} ms before");
+        }
+    }
+}
+
+/// Guards against a newcomer that is never added, because it introduced itself while no replica led.
+#[test]
+fn a_newcomer_that_came_before_the_leader_joins() {
+    for seed in 0..6 {
+        let result = play(3, 1, seed, |world| {
+            let successor = world.replace(2, 1_000);
+            world.kill(0, Some(12_000));
+            world.run(20_000)?;
+            match world.is_voter(successor) {
+                true => Ok(()),
+                false => Err(format!("vm {successor} is no voter")),
+            }
+        });
+        assert_eq!(result, Ok(()), "seed {seed}");
+    }
+}
--- a/crates/director/tests/membership/world.rs
+++ b/crates/director/tests/membership/world.rs
@@ -51,6 +51,7 @@
     applied: u64,
     /// Last introduction that was sent to each VM, with the run of that VM.
     introduced: collections::BTreeMap<usize, (u64, wire::Hello)>,
+    introduced_at: u64,
     /// Addresses in the settings.
     seeds: collections::BTreeSet<net::SocketAddr>,
 }
@@ -186,6 +187,17 @@
         self.lost_disks.insert(vm);
     }
 
+    /// Removes a VM for good. Another one starts with an empty disk at another address.
+    pub(crate) fn replace(&mut self, vm: usize, after_ms: u64) -> usize {
+        self.kill(vm, None);
+        let successor = self.add_vm();
+        self.vms[successor].starts_at = Some(self.now + after_ms);
+        self.vms[vm].successor = Some(successor);
+        self.lost_disks.insert(vm);
+        self.note(format!("vm {successor} replaces vm {vm}"));
+        successor
+    }
+
     /// Returns whether a VM counts as lost: down, frozen, or back for less than the time to catch up.
     fn is_lost(&self, vm: usize) -> bool {
         let vm = &self.vms[vm];
@@ -286,6 +298,7 @@
             checked_at: 0,
             applied: 0,
             introduced: collections::BTreeMap::new(),
+            introduced_at: self.now,
             seeds: seeds.iter().copied().collect(),
         };
         if is_first {
@@ -405,10 +418,16 @@
             return;
         };
         let mut targets = process.seeds.clone();
+        let is_leaderless = process.replica.role().leader.is_none();
+        if is_leaderless && self.now - process.introduced_at >= INTERVAL_MS {
+            process.introduced_at = self.now;
+            process.introduced.clear();
+        }
         let directory = &process.directory;
         let members: Vec<_> = process.replica.members().all().collect();
         targets.extend(members.iter().filter_map(|id| directory.address(*id)));
         targets.extend(directory.current().keys());
+        targets.extend(directory.listed());
         let hello = directory.to_hello("region", members);
         for (target, (address, run)) in runs.into_iter().enumerate() {
             let latest = (run, hello.clone());
@@ -439,6 +458,14 @@
         self.present().into_iter().find(leads)
     }
 
+    /// Returns whether a VM is a voter, as the leader knows.
+    pub(crate) fn is_voter(&self, vm: usize) -> bool {
+        let leader = self
+            .leader()
+            .and_then(|leader| self.vms[leader].process.as_ref());
+        leader.is_some_and(|leader| leader.replica.members().is_voter(self.vms[vm].identity))
+    }
+
     /// Sends an order to the leader, and counts the former ones that it has committed.
     fn order(&mut self) {
         let Some(leader) = self.leader() else {
