director: let a voter that stops leave at once

Seen in the exploration of members with planned replacements: a fourth VM joins a group of three, one of the others is stopped for good, and another loses its disk within seconds. The group has no leader for good.

Cause: a voter that stops was silent for 4 s before it left, like one that crashed.

Others take it for silent until it introduces itself again, for 5 s at most; the rule for silent voters decides whether it leaves. When others were heard is a type of its own, `members::Contacts`, which the tests use as the coordinator does.

--- a/crates/control/src/coordinator/bootstrap.rs
+++ b/crates/control/src/coordinator/bootstrap.rs
@@ -152,6 +152,7 @@
                     id: id.0,
                 })
                 .collect(),
+            is_stopping: false,
         }
     }
 
--- a/crates/control/tests/bootstrap.rs
+++ b/crates/control/tests/bootstrap.rs
@@ -16,6 +16,7 @@
         region: REGION.to_owned(),
         name: name.to_owned(),
         id,
+        is_stopping: false,
         members: Vec::new(),
     }
 }
--- a/crates/control/tests/links.rs
+++ b/crates/control/tests/links.rs
@@ -55,6 +55,7 @@
         region: REGION.to_owned(),
         name: "a".to_owned(),
         id: 1,
+        is_stopping: false,
         members: Vec::new(),
     };
     let (_announcement, hello) = watch::channel(hello);
--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -119,11 +119,9 @@
     directory: directory::Directory,
     driver: Driver,
     leader: Option<leader::Leader>,
-    /// When this replica last became the leader.
-    leads_since: clock::Instant,
     node_queues: slotmap::SecondaryMap<leader::Session, mpsc::Sender<Bytes>>,
     pending_orders: pending::Queue<oneshot::Sender<operator::Answer>>,
-    last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
+    contacts: members::Contacts,
     members_check_at: clock::Instant,
     announced_at: clock::Instant,
     stage: stopping::Stage,
@@ -166,10 +164,9 @@
             directory,
             driver,
             leader: None,
-            leads_since: now,
             node_queues: slotmap::SecondaryMap::new(),
             pending_orders: pending::Queue::new(),
-            last_heard: collections::BTreeMap::new(),
+            contacts: members::Contacts::new(now),
             members_check_at: now,
             announced_at: now,
             stage: stopping::Stage::Running,
@@ -231,7 +228,8 @@
         let now = clock::Instant::now();
         match event {
             Event::ReplicaHello(hello) => {
-                self.last_heard.insert(id::Replica(hello.id), now);
+                let id = id::Replica(hello.id);
+                self.contacts.introduce(id, hello.is_stopping, now);
                 if self.directory.apply_hello(&hello) {
                     tracing::info!(
                         replica = hello.id,
@@ -243,7 +241,7 @@
                 }
             }
             Event::ReplicaLog(from, message) => {
-                self.last_heard.insert(from, now);
+                self.contacts.hear(from, now);
                 match message::decode(message) {
                     Ok(message) => self
                         .driver
@@ -288,7 +286,8 @@
         replicas.extend(self.directory.current().keys());
         replicas.extend(self.directory.listed());
         replicas.remove(&self.own_address);
-        let hello = self.directory.to_hello(&self.region, members.all());
+        let mut hello = self.directory.to_hello(&self.region, members.all());
+        hello.is_stopping = self.stage == stopping::Stage::Resigned;
         self.outputs.published.send_replace(Published {
             hello,
             replicas: replicas.into_iter().collect(),
@@ -425,7 +424,7 @@
                 tracing::info!(term = %role.term, "this replica leads");
                 let leader = leader::Leader::new(self.lease, self.driver.machine(), now);
                 self.leader = Some(leader);
-                self.leads_since = now;
+                self.contacts.lead(now);
             }
             (false, true) => {
                 tracing::warn!(term = %role.term, "this replica no longer leads");
--- a/crates/director/src/coordinator/directory.rs
+++ b/crates/director/src/coordinator/directory.rs
@@ -137,6 +137,7 @@
                     })
                 })
                 .collect(),
+            is_stopping: false,
         }
     }
 
--- a/crates/director/src/coordinator/members.rs
+++ b/crates/director/src/coordinator/members.rs
@@ -33,6 +33,9 @@
 /// answer every heartbeat.
 const PRESENT_WITHIN: Duration = Duration::from_secs(1);
 
+/// Longest time that a replica which stops still runs.
+const STOPS_WITHIN: Duration = Duration::from_secs(5);
+
 impl Coordinator {
     /// Adds replicas that were discovered and removes those that were replaced or lost, one change
     /// at a time.
@@ -47,8 +50,7 @@
             members: replica.members(),
             addresses: self.directory.addresses(),
             current: self.directory.current(),
-            last_heard: &self.last_heard,
-            leads_since: self.leads_since,
+            contacts: &self.contacts,
             tolerance: self.tolerance,
         };
         let is_leader = self.leader.is_some();
@@ -154,6 +156,71 @@
     }
 }
 
+/// When a replica has heard the others.
+#[derive(Clone, Debug)]
+pub struct Contacts {
+    last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
+    /// When replicas said that they stop.
+    stopping: collections::BTreeMap<id::Replica, clock::Instant>,
+    leads_since: clock::Instant,
+}
+
+impl Contacts {
+    /// Creates the contacts of a replica that has heard no other one.
+    pub const fn new(now: clock::Instant) -> Self {
+        Self {
+            last_heard: collections::BTreeMap::new(),
+            stopping: collections::BTreeMap::new(),
+            leads_since: now,
+        }
+    }
+
+    /// Records an introduction. A replica that stops counts as silent until it introduces itself
+    /// again, but not for longer than a stop takes.
+    pub fn introduce(&mut self, id: id::Replica, is_stopping: bool, now: clock::Instant) {
+        self.hear(id, now);
+        match is_stopping {
+            true => self.stopping.insert(id, now),
+            false => self.stopping.remove(&id),
+        };
+    }
+
+    /// Records any other message.
+    pub fn hear(&mut self, id: id::Replica, now: clock::Instant) {
+        self.last_heard.insert(id, now);
+    }
+
+    /// Records that this replica has become the leader.
+    pub const fn lead(&mut self, now: clock::Instant) {
+        self.leads_since = now;
+    }
+
+    fn is_stopping(&self, id: id::Replica, now: clock::Instant) -> bool {
+        let since = self.stopping.get(&id);
+        since.is_some_and(|since| now.saturating_since(*since) < STOPS_WITHIN)
+    }
+
+    /// Returns whether a replica was heard so recently that it can be added.
+    fn is_live(&self, id: id::Replica, now: clock::Instant) -> bool {
+        let last_heard = self.last_heard.get(&id);
+        let is_recent = |heard: &clock::Instant| now.saturating_since(*heard) < SILENT_AFTER;
+        last_heard.is_some_and(is_recent) && !self.is_stopping(id, now)
+    }
+
+    /// Returns for how long a member has been silent.
+    ///
+    /// Members send nothing to each other, only to the leader, so the time before this replica led
+    /// does not count.
+    fn silence(&self, member: id::Replica, now: clock::Instant) -> Duration {
+        if self.is_stopping(member, now) {
+            return Duration::MAX;
+        }
+        let last_heard = self.last_heard.get(&member).copied();
+        let since = last_heard.map_or(self.leads_since, |heard| heard.max(self.leads_since));
+        now.saturating_since(since)
+    }
+}
+
 /// What a leader knows about the members of the group and other replicas.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -165,10 +232,8 @@
     pub addresses: &'a collections::BTreeMap<id::Replica, net::SocketAddr>,
     /// Latest identity at each address.
     pub current: &'a collections::BTreeMap<net::SocketAddr, id::Replica>,
-    /// When each replica last sent a message to this one.
-    pub last_heard: &'a collections::BTreeMap<id::Replica, clock::Instant>,
-    /// Since when this replica has led.
-    pub leads_since: clock::Instant,
+    /// When the others were heard.
+    pub contacts: &'a Contacts,
     /// Losses that the group has to bear.
     pub tolerance: Tolerance,
 }
@@ -187,23 +252,21 @@
     /// let (own, other) = (id::Replica(1), id::Replica(2));
     /// let address = "10.0.0.2:80".parse().expect("an address");
     /// let now = clock::Instant::now();
+    /// let mut contacts = members::Contacts::new(now);
+    /// contacts.introduce(other, false, now);
     /// let view = members::View {
     ///     own,
     ///     members: &Members::new([own], []),
     ///     addresses: &collections::BTreeMap::from([(other, address)]),
     ///     current: &collections::BTreeMap::from([(address, other)]),
-    ///     last_heard: &collections::BTreeMap::from([(other, now)]),
-    ///     leads_since: now,
+    ///     contacts: &contacts,
     ///     tolerance: members::Tolerance::new(1),
     /// };
     /// assert_eq!(view.next_change(now), Some(Change::AddLearner(other)));
     /// ```
     pub fn next_change(&self, now: clock::Instant) -> Option<members::Change> {
         let (own, group) = (self.own, self.members);
-        let is_live = |id: &id::Replica| {
-            let last_heard = self.last_heard.get(id);
-            last_heard.is_some_and(|heard| now.saturating_since(*heard) < SILENT_AFTER)
-        };
+        let is_live = |id: &id::Replica| self.contacts.is_live(*id, now);
         let current = self.current;
         for id in current.values().filter(|id| **id != own && is_live(id)) {
             if !group.contains(*id) {
@@ -238,7 +301,7 @@
         // A new leader has known the silence of all others for the same time, but one that was heard
         // earlier is more likely to be gone for good.
         let silent = self.silent_voters(now);
-        let longest = silent.min_by_key(|id| self.last_heard.get(id))?;
+        let longest = silent.min_by_key(|id| self.contacts.last_heard.get(id))?;
         let voters = self.members.voters().count();
         let heard = voters - self.silent_voters(now).count();
         let present = self.members.voters();
@@ -258,16 +321,7 @@
     fn silence(&self, member: id::Replica, now: clock::Instant) -> Duration {
         match member == self.own {
             true => Duration::ZERO,
-            false => now.saturating_since(self.silent_since(member)),
+            false => self.contacts.silence(member, now),
         }
     }
-
-    /// Returns since when a member has been silent.
-    ///
-    /// Members send nothing to each other, only to the leader, so the time before this replica led
-    /// does not count.
-    fn silent_since(&self, member: id::Replica) -> clock::Instant {
-        let last_heard = self.last_heard.get(&member).copied();
-        last_heard.map_or(self.leads_since, |heard| heard.max(self.leads_since))
-    }
 }
--- a/crates/director/src/coordinator/stopping.rs
+++ b/crates/director/src/coordinator/stopping.rs
@@ -1,7 +1,7 @@
 //! The end of a replica.
 //!
 //! A replica that stops takes no new orders, answers those that wait for their commit, transfers its
-//! leadership and sends the nodes to the new leader. It then still answers calls and takes part in
+//! leadership, tells the other replicas that it stops and sends the nodes to the new leader. It then still answers calls and takes part in
 //! the log as a follower until the traffic thread has closed the connections.
 
 use std::time::Duration;
@@ -81,6 +81,7 @@
         let (nodes, orders) = (self.node_queues.len(), self.pending_orders.len());
         tracing::info!(?successor, nodes, orders, "gave up leadership and sessions");
         self.stage = Stage::Resigned;
+        self.announce();
         self.leader = None;
         self.give_up_orders();
         let redirect = session::FromControl::Redirect(self.to_session_address(successor));
--- a/crates/director/tests/members.rs
+++ b/crates/director/tests/members.rs
@@ -1,6 +1,5 @@
 //! Decisions on the members of the replicated group.
 
-use std::collections;
 use std::net;
 use std::time::Duration;
 
@@ -19,8 +18,7 @@
 struct Group {
     members: Members,
     tolerance: members::Tolerance,
-    last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
-    leads_since: clock::Instant,
+    contacts: members::Contacts,
 }
 
 impl Group {
@@ -29,8 +27,7 @@
         Self {
             members: Members::new((1..=count).map(id::Replica), []),
             tolerance: members::Tolerance::new(tolerated),
-            last_heard: collections::BTreeMap::new(),
-            leads_since,
+            contacts: members::Contacts::new(leads_since),
         }
     }
 
@@ -38,9 +35,14 @@
     fn hear(&mut self, silent: usize, last_heard: Option<clock::Instant>, now: clock::Instant) {
         let voters: Vec<_> = self.members.voters().collect();
         let (heard, silent) = voters.split_at(voters.len() - silent);
-        let heard = heard.iter().map(|id| (*id, now));
-        let silent = silent.iter().filter_map(|id| Some((*id, last_heard?)));
-        self.last_heard = heard.chain(silent).collect();
+        for id in heard {
+            self.contacts.hear(*id, now);
+        }
+        if let Some(last_heard) = last_heard {
+            for id in silent {
+                self.contacts.hear(*id, last_heard);
+            }
+        }
     }
 
     fn next_change(&self, now: clock::Instant) -> Option<Change> {
@@ -50,8 +52,7 @@
             members: &self.members,
             addresses: &ids.iter().map(|id| (*id, address(*id))).collect(),
             current: &ids.iter().map(|id| (address(*id), *id)).collect(),
-            last_heard: &self.last_heard,
-            leads_since: self.leads_since,
+            contacts: &self.contacts,
             tolerance: self.tolerance,
         };
         view.next_change(now)
--- a/crates/director/tests/membership.rs
+++ b/crates/director/tests/membership.rs
@@ -70,3 +70,20 @@
         assert_eq!(result, Ok(()), "seed {seed}");
     }
 }
+
+/// Guards against a voter that stays for seconds after its VM was replaced as planned, so that the group
+/// does not bear the loss of another disk.
+#[test]
+fn a_voter_that_stops_leaves_at_once_if_another_has_joined() {
+    for (vms, tolerated) in [(3, 1), (6, 2)] {
+        for seed in 0..6 {
+            let result = play(vms, tolerated, seed, |world| {
+                world.replace_as_planned(vms - 1, 6_000)?;
+                world.run(1_000)?;
+                world.wipe(1, 500);
+                world.run(1_000)
+            });
+            assert_eq!(result, Ok(()), "seed {seed}");
+        }
+    }
+}
--- a/crates/director/tests/membership/world.rs
+++ b/crates/director/tests/membership/world.rs
@@ -45,8 +45,9 @@
 struct Process {
     replica: replica::Replica<String>,
     directory: directory::Directory,
-    last_heard: collections::BTreeMap<id::Replica, clock::Instant>,
-    leads_since: Option<clock::Instant>,
+    contacts: decisions::Contacts,
+    leads: bool,
+    is_stopping: bool,
     checked_at: u64,
     applied: u64,
     /// Last introduction that was sent to each VM, with the run of that VM.
@@ -198,6 +199,29 @@
         successor
     }
 
+    /// Adds a VM at another address, then removes one for good.
+    ///
+    /// # Errors
+    ///
+    /// As [`World::run`].
+    pub(crate) fn replace_as_planned(&mut self, vm: usize, after_ms: u64) -> Result<(), String> {
+        let successor = self.add_vm();
+        self.note(format!("vm {successor} will replace vm {vm}"));
+        self.run(after_ms)?;
+        self.step(vm, event::Event::Transfer);
+        self.run(200)?;
+        if let Some(process) = &mut self.vms[vm].process {
+            process.is_stopping = true;
+            process.introduced.clear();
+        }
+        self.introduce(vm);
+        self.run(200)?;
+        self.kill(vm, None);
+        self.vms[vm].successor = Some(successor);
+        self.lost_disks.insert(vm);
+        Ok(())
+    }
+
     /// Returns whether a VM counts as lost: down, frozen, or back for less than the time to catch up.
     fn is_lost(&self, vm: usize) -> bool {
         let vm = &self.vms[vm];
@@ -293,8 +317,9 @@
         let mut process = Process {
             replica,
             directory,
-            last_heard: collections::BTreeMap::new(),
-            leads_since: None,
+            contacts: decisions::Contacts::new(now),
+            leads: false,
+            is_stopping: false,
             checked_at: 0,
             applied: 0,
             introduced: collections::BTreeMap::new(),
@@ -327,11 +352,12 @@
             };
             match frame.body {
                 Body::Hello(hello) => {
-                    process.last_heard.insert(id::Replica(hello.id), now);
+                    let id = id::Replica(hello.id);
+                    process.contacts.introduce(id, hello.is_stopping, now);
                     process.directory.apply_hello(&hello);
                 }
                 Body::Log(from, message) => {
-                    process.last_heard.insert(from, now);
+                    process.contacts.hear(from, now);
                     self.step(number, event::Event::Received { from, message });
                 }
             }
@@ -382,8 +408,11 @@
             return;
         };
         let leads = process.replica.is_authoritative(now);
-        process.leads_since = leads.then(|| process.leads_since.unwrap_or(now));
-        if let Some(leads_since) = process.leads_since
+        if leads && !process.leads {
+            process.contacts.lead(now);
+        }
+        process.leads = leads;
+        if leads
             && self.now - process.checked_at >= INTERVAL_MS
             && !process.replica.has_pending_change()
         {
@@ -392,8 +421,7 @@
                 members: process.replica.members(),
                 addresses: process.directory.addresses(),
                 current: process.directory.current(),
-                last_heard: &process.last_heard,
-                leads_since,
+                contacts: &process.contacts,
                 tolerance: self.tolerance,
             };
             let change = view.next_change(now);
@@ -428,7 +456,8 @@
         targets.extend(members.iter().filter_map(|id| directory.address(*id)));
         targets.extend(directory.current().keys());
         targets.extend(directory.listed());
-        let hello = directory.to_hello("region", members);
+        let mut hello = directory.to_hello("region", members);
+        hello.is_stopping = process.is_stopping;
         for (target, (address, run)) in runs.into_iter().enumerate() {
             let latest = (run, hello.clone());
             if target == number
--- a/crates/wire/src/replica.rs
+++ b/crates/wire/src/replica.rs
@@ -45,6 +45,9 @@
     /// Members with which the group was bootstrapped; empty if the sender is in no group.
     #[prost(message, repeated, tag = "4")]
     pub members: Vec<Member>,
+    /// Whether the sender is about to end.
+    #[prost(bool, tag = "5")]
+    pub is_stopping: bool,
 }
 
 /// Name and id of a replica.
--- a/crates/wire/tests/hostile.rs
+++ b/crates/wire/tests/hostile.rs
@@ -309,6 +309,7 @@
             region: random_text(random),
             name: random_text(random),
             id: random_number(random),
+            is_stopping: false,
             members: Vec::new(),
         }),
     };
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -41,6 +41,7 @@
         region: "anatolia".to_owned(),
         name: format!("control-{index}"),
         id: index,
+        is_stopping: false,
         members: Vec::new(),
     };
     let body = Some(replica::Body::Hello(hello));
