director: leave the group before a stop ends

Change: a stopping director stays in the group for 0.3 s after it has said so, instead of 50 ms; the leader looks for a change as soon as it hears it; and a voter that has said that it stops counts as silent until it introduces itself again or is heard after the 5 s that a stop takes at most, also for a later leader. A late message of a former process does no more than that: a running replica answers the next heartbeat.

--- a/crates/director/src/coordinator.rs
+++ b/crates/director/src/coordinator.rs
@@ -230,6 +230,9 @@
             Event::ReplicaHello(hello) => {
                 let id = id::Replica(hello.id);
                 self.contacts.introduce(id, hello.is_stopping, now);
+                if hello.is_stopping {
+                    self.members_check_at = now;
+                }
                 if self.directory.apply_hello(&hello) {
                     tracing::info!(
                         replica = hello.id,
--- a/crates/director/src/coordinator/members.rs
+++ b/crates/director/src/coordinator/members.rs
@@ -176,7 +176,7 @@
     }
 
     /// Records an introduction. A replica that stops counts as silent until it introduces itself
-    /// again, but not for longer than a stop takes.
+    /// again, or is heard after the time that a stop takes.
     pub fn introduce(&mut self, id: id::Replica, is_stopping: bool, now: clock::Instant) {
         self.hear(id, now);
         match is_stopping {
@@ -195,16 +195,19 @@
         self.leads_since = now;
     }
 
-    fn is_stopping(&self, id: id::Replica, now: clock::Instant) -> bool {
+    /// Returns whether a replica has said that it stops and was not heard after that, except while it
+    /// stopped. A running one whose former process is heard late answers the next heartbeat.
+    fn is_stopping(&self, id: id::Replica) -> bool {
+        let last_heard = self.last_heard.get(&id);
         let since = self.stopping.get(&id);
-        since.is_some_and(|since| now.saturating_since(*since) < STOPS_WITHIN)
+        since.is_some_and(|since| last_heard.is_none_or(|heard| *heard < *since + STOPS_WITHIN))
     }
 
     /// Returns whether a replica was heard so recently that it can be added.
     fn is_live(&self, id: id::Replica, now: clock::Instant) -> bool {
         let last_heard = self.last_heard.get(&id);
         let is_recent = |heard: &clock::Instant| now.saturating_since(*heard) < SILENT_AFTER;
-        last_heard.is_some_and(is_recent) && !self.is_stopping(id, now)
+        last_heard.is_some_and(is_recent) && !self.is_stopping(id)
     }
 
     /// Returns for how long a member has been silent.
@@ -212,7 +215,7 @@
     /// Members send nothing to each other, only to the leader, so the time before this replica led
     /// does not count.
     fn silence(&self, member: id::Replica, now: clock::Instant) -> Duration {
-        if self.is_stopping(member, now) {
+        if self.is_stopping(member) {
             return Duration::MAX;
         }
         let last_heard = self.last_heard.get(&member).copied();
--- a/crates/director/src/traffic.rs
+++ b/crates/director/src/traffic.rs
@@ -31,8 +31,9 @@
 
 /// Maximum number of frames that are queued for one replica.
 const LINK_QUEUE_CAPACITY: usize = 512;
-/// Time in which the connections with other replicas send that this one stops.
-const ANNOUNCE_TIME: Duration = Duration::from_millis(50);
+/// Time in which this replica stays in the group after it has said that it stops, so that it has left
+/// before it ends.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
 /// Longest time to close the connections of operators and nodes after the replica was asked to stop.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -97,11 +98,11 @@
     let closed = async {
         config.stop.cancelled().await;
         let closed = async { while servers.join_next().await.is_some() {} };
-        let announced = time::sleep(ANNOUNCE_TIME);
+        let left = time::sleep(LEAVE_TIME);
         if time::timeout(CLOSE_TIMEOUT, closed).await.is_err() {
             tracing::warn!("cutting connections that are still open");
         }
-        announced.await;
+        left.await;
     };
     tokio::select! {
         () = closed => Ok(()),
--- a/crates/director/tests/membership.rs
+++ b/crates/director/tests/membership.rs
@@ -79,7 +79,7 @@
         for seed in 0..6 {
             let result = play(vms, tolerated, seed, |world| {
                 world.replace_as_planned(vms - 1, 6_000)?;
-                world.run(1_000)?;
+                world.run(50)?;
                 world.wipe(1, 500);
                 world.run(1_000)
             });
--- a/crates/director/tests/membership/world.rs
+++ b/crates/director/tests/membership/world.rs
@@ -215,7 +215,7 @@
             process.introduced.clear();
         }
         self.introduce(vm);
-        self.run(200)?;
+        self.run(300)?;
         self.kill(vm, None);
         self.vms[vm].successor = Some(successor);
         self.lost_disks.insert(vm);
@@ -354,6 +354,9 @@
                 Body::Hello(hello) => {
                     let id = id::Replica(hello.id);
                     process.contacts.introduce(id, hello.is_stopping, now);
+                    if hello.is_stopping {
+                        process.checked_at = 0;
+                    }
                     process.directory.apply_hello(&hello);
                 }
                 Body::Log(from, message) => {
