director: remove gone voters before their VMs stop counting as lost

A voter whose VM was removed for good counts as lost until its successor has caught up, for 4 s. The leader waited for 4 s of silence, which begin anew with each leader, so that a group of three had four voters, one of them gone, when the next disk was lost: no majority for good.

Change: a replica is silent after 2 s. A removal is safe whether the silent one is gone or not (docs/design/group-members.md), so that a shorter wait costs no more than a voter that is added again.

The exploration of members lands here: the real log and the real decisions on members, with simulated VMs that lose power, disks and time, stop, and are replaced at other addresses, any number at once but no more disks than tolerated, and introductions that are up to 6 s late.

--- a/crates/director/src/coordinator/members.rs
+++ b/crates/director/src/coordinator/members.rs
@@ -28,7 +28,7 @@
 const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a message after which a replica is silent: it is neither added nor promoted, and may
 /// be removed.
-const SILENT_AFTER: Duration = Duration::from_secs(4);
+const SILENT_AFTER: Duration = Duration::from_secs(2);
 /// Time without a message up to which a voter counts as present when another one is removed. Voters
 /// answer every heartbeat.
 const PRESENT_WITHIN: Duration = Duration::from_secs(1);
--- a/crates/director/tests/membership/world.rs
+++ b/crates/director/tests/membership/world.rs
@@ -17,7 +17,7 @@
 /// Step of the simulated time, in milliseconds.
 const STEP_MS: u64 = 50;
 /// Time in which a VM catches up after it has returned; it counts as lost until then.
-const CATCH_UP_MS: u64 = 4_000;
+pub(crate) const CATCH_UP_MS: u64 = 4_000;
 /// Time after which the group serves again.
 const RECOVERY_MS: u64 = 15_000;
 /// Interval between two checks of the members, and between two orders of the operator.
@@ -222,6 +222,11 @@
         Ok(())
     }
 
+    fn freeze(&mut self, vm: usize, duration_ms: u64) {
+        self.note(format!("vm {vm} is frozen for {duration_ms} ms"));
+        self.vms[vm].frozen_until = self.now + duration_ms;
+    }
+
     /// Returns whether a VM counts as lost: down, frozen, or back for less than the time to catch up.
     fn is_lost(&self, vm: usize) -> bool {
         let vm = &self.vms[vm];
@@ -471,7 +476,11 @@
                 continue;
             }
             process.introduced.insert(target, latest);
-            let delay = self.rng.random_range(1..50);
+            // Introductions may be late, but a stop that others hear late is one without notice.
+            let delay = match self.rng.random_range(0..20) {
+                0 if !hello.is_stopping => self.rng.random_range(50..6_000),
+                _ => self.rng.random_range(1..50),
+            };
             self.frames.push(Frame {
                 deliver_at: self.now + delay,
                 to: address,
@@ -480,7 +489,8 @@
         }
     }
 
-    fn leader(&self) -> Option<usize> {
+    /// Returns the VM whose director leads, if any.
+    pub(crate) fn leader(&self) -> Option<usize> {
         let now = self.clock();
         let leads = |vm: &usize| {
             let is_running = self.now >= self.vms[*vm].frozen_until;
@@ -542,6 +552,7 @@
             if self.vms[vm].process.is_none() {
                 self.start(vm);
             }
+            self.vms[vm].frozen_until = self.vms[vm].frozen_until.min(self.now);
         }
         self.run(CATCH_UP_MS + RECOVERY_MS + 2 * INTERVAL_MS)?;
         match self.now - self.served_at < RECOVERY_MS {
@@ -549,4 +560,70 @@
             false => Err(format!("there is no leader since {} ms", self.served_at)),
         }
     }
+
+    /// Plays random losses and returns, as many as may overlap.
+    ///
+    /// # Errors
+    ///
+    /// As [`World::run`].
+    pub(crate) fn play(&mut self, losses: usize) -> Result<(), String> {
+        self.run(12_000)?;
+        for _ in 0..losses {
+            self.lose()?;
+            let pause = match self.rng.random_range(0..4) {
+                0 => self.rng.random_range(50..1_000),
+                1 => self.rng.random_range(1_000..6_000),
+                _ => self.rng.random_range(4_000..20_000),
+            };
+            self.run(pause)?;
+        }
+        self.recover()
+    }
+
+    fn lose(&mut self) -> Result<(), String> {
+        let present = self.present().into_iter();
+        let running: Vec<_> = present
+            .filter(|vm| self.vms[*vm].process.is_some())
+            .collect();
+        let Some(vm) = self
+            .leader()
+            .filter(|_| self.rng.random_range(0..4) == 0)
+            .or_else(|| {
+                (!running.is_empty()).then(|| running[self.rng.random_range(0..running.len())])
+            })
+        else {
+            return Ok(());
+        };
+        let may_lose_disk = self.lost_disks.len() < self.tolerated;
+        match self.rng.random_range(0..10) {
+            0..4 => {
+                let down = self.rng.random_range(200..60_000);
+                self.kill(vm, Some(down));
+            }
+            4..6 if may_lose_disk => {
+                let down = self.rng.random_range(200..3_000);
+                self.wipe(vm, down);
+            }
+            6 if may_lose_disk => {
+                let after = self.rng.random_range(4_500..9_000);
+                return self.replace_as_planned(vm, after);
+            }
+            7 if may_lose_disk => {
+                let after = self.rng.random_range(500..3_000);
+                self.replace(vm, after);
+            }
+            8 => {
+                let duration = self.rng.random_range(500..10_000);
+                self.freeze(vm, duration);
+            }
+            9 => {
+                for vm in running {
+                    let down = self.rng.random_range(200..1_000);
+                    self.kill(vm, Some(down));
+                }
+            }
+            _ => self.kill(vm, Some(500)),
+        }
+        Ok(())
+    }
 }
