director: keep a running voter whose former identity is heard late

A director that lost its disk returns with a new identity. If an introduction of the former one arrives after it, as the leader read another connection first, the leader took the former identity for the latest at the address, removed the one that runs, and kept the one whose disk is gone: with three VMs, the next loss leaves no majority.

Change: a member gives way to another identity at its address only if it is silent and the other one is heard.

Test: a_late_introduction_of_a_former_identity_removes_no_running_voter fails before (left: Some(Remove(Replica(4))), right: None).

--- a/crates/director/src/coordinator/members.rs
+++ b/crates/director/src/coordinator/members.rs
@@ -6,7 +6,8 @@
 //!
 //! A voter is removed for one of two reasons:
 //!
-//! - Another identity has introduced itself from its address. Its disk is gone, so it never returns.
+//! - Another identity has introduced itself from its address and is heard, while it is silent. Its disk
+//!   is gone, so it never returns.
 //! - It is silent. It may be gone for good or return with its disk, which cannot be told apart, so its
 //!   removal must be safe in both cases: the voters that are heard are enough to lose as many more
 //!   disks as the deployment tolerates and still be a majority ([`Tolerance`]). Otherwise it stays,
@@ -279,11 +280,18 @@
                 return Some(members::Change::Promote(*id));
             }
         }
+        // A former identity may be heard late and look like the latest one at its address, so both are
+        // judged by what this leader hears of them.
+        let is_replaced_by = |id: id::Replica, successor: id::Replica| {
+            successor != id
+                && group.is_voter(successor)
+                && self.silence(successor, now) < PRESENT_WITHIN
+                && self.silence(id, now) >= SILENT_AFTER
+        };
         let replaced = group.all().find(|id| {
             let address = self.addresses.get(id);
             let successor = address.and_then(|address| current.get(address));
-            *id != own
-                && successor.is_some_and(|successor| successor != id && group.is_voter(*successor))
+            successor.is_some_and(|successor| is_replaced_by(*id, *successor))
         });
         if let Some(id) = replaced {
             return Some(members::Change::Remove(id));
--- a/crates/director/tests/members.rs
+++ b/crates/director/tests/members.rs
@@ -1,5 +1,6 @@
 //! Decisions on the members of the replicated group.
 
+use std::collections;
 use std::net;
 use std::time::Duration;
 
@@ -128,3 +129,40 @@
         }
     }
 }
+
+/// Guards against the removal of a running voter in place of its former identity, whose introduction was
+/// on its way when the disk was lost and is heard late.
+#[test]
+fn a_late_introduction_of_a_former_identity_removes_no_running_voter() {
+    let start = clock::Instant::from_micros(0);
+    let now = start + LONG;
+    let (former, running) = (id::Replica(3), id::Replica(4));
+    let mut group = Group::new(4, 1, start);
+    let mut addresses: collections::BTreeMap<_, _> = (1..=4)
+        .map(|id| (id::Replica(id), address(id::Replica(id))))
+        .collect();
+    addresses.insert(former, address(running));
+    let mut current: collections::BTreeMap<_, _> = addresses
+        .iter()
+        .map(|(id, address)| (*address, *id))
+        .collect();
+    current.insert(address(running), former);
+    let next_change = |group: &Group, now| {
+        let view = members::View {
+            own: id::Replica(1),
+            members: &group.members,
+            addresses: &addresses,
+            current: &current,
+            contacts: &group.contacts,
+            tolerance: group.tolerance,
+        };
+        view.next_change(now)
+    };
+    group.hear(0, None, now);
+    assert_eq!(next_change(&group, now), None);
+    let later = now + Duration::from_secs(3);
+    for id in [id::Replica(2), running] {
+        group.contacts.hear(id, later);
+    }
+    assert_eq!(next_change(&group, later), Some(Change::Remove(former)));
+}
